--- /dev/null
+++ b/standins/cloud.py
@@ -0,0 +1,87 @@
+"""Stand-in for the cloud API: a lagging list of instances, and reclaim notices."""
+
+import argparse
+import asyncio
+import json
+import pathlib
+
+import aiohttp
+from aiohttp import web
+
+
+class Cloud:
+    """Instances, and which of them leave."""
+
+    def __init__(self, instances: list[dict], lag: float) -> None:
+        self.instances = {item["id"]: item for item in instances}
+        self.listed = list(self.instances.values())
+        self.leaving: list[str] = []
+        self.lag = lag
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/instances", self.get_instances)
+        app.router.add_get("/notices", self.get_notices)
+        app.router.add_post("/test/reclaim", self.reclaim)
+        app.router.add_post("/test/add", self.add)
+        return app
+
+    async def get_instances(self, request: web.Request) -> web.Response:
+        """Return the list as it was one lag ago."""
+        return web.json_response({"instances": self.listed})
+
+    async def get_notices(self, request: web.Request) -> web.Response:
+        """Return the announced reclaims."""
+        return web.json_response({"leaving": self.leaving})
+
+    async def reclaim(self, request: web.Request) -> web.Response:
+        """Announce the reclaim of a zone or of named instances, then carry it out."""
+        order = await request.json()
+        chosen = [
+            item
+            for item in self.instances.values()
+            if item["zone"] == order.get("zone") or item["id"] in order.get("ids", [])
+        ]
+        self.leaving += [item["id"] for item in chosen]
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.lag, self.publish)
+        async with aiohttp.ClientSession() as session:
+            for item in chosen:
+                notice = {"notice_s": order["notice_s"]}
+                await session.post(item["url"] + "/test/leave", json=notice)
+        return web.json_response({"leaving": [item["id"] for item in chosen]})
+
+    async def add(self, request: web.Request) -> web.Response:
+        """Add a started instance."""
+        item = await request.json()
+        self.instances[item["id"]] = item
+        asyncio.get_running_loop().call_later(self.lag, self.publish)
+        return web.json_response({})
+
+    def publish(self) -> None:
+        """Bring the list up to date; instances that leave are no longer in it."""
+        self.listed = [
+            item for key, item in self.instances.items() if key not in self.leaving
+        ]
+
+
+def main() -> None:
+    """Run the cloud API."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--instances", type=pathlib.Path, required=True)
+    parser.add_argument("--lag", type=float, default=2.0)
+    arguments = parser.parse_args()
+    cloud = Cloud(json.loads(arguments.instances.read_text()), arguments.lag)
+    web.run_app(
+        cloud.make_app(),
+        host="127.0.0.1",
+        port=arguments.port,
+        print=None,
+        access_log=None,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,294 @@
+"""Starts and stops one deployment on loopback, for the demo, tests and measurements."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import re
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import aiohttp
+
+from tarragonway.settings import ClusterSettings
+from tarragonway.settings.load import load_cluster
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+OPERATOR_KEY = "demo-operator-key"
+START_TIMEOUT_S = 40.0
+STOP_TIMEOUT_S = 40.0
+MODEL_REPLICAS = 6
+PLAIN_REPLICAS = 3
+
+SERVICES = {
+    "vardveislusjodur": ("radgjafi", "umsoknir"),
+    "neige-atlas": ("snow-llm", "booking-api"),
+}
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Deployment:
+    """Processes of one deployment.
+
+    Parameters
+    ----------
+    name : str
+        A folder of ``examples``.
+    folder : pathlib.Path
+        Where settings, data and logs go.
+    control, entries : int
+        How many processes of each kind to start.
+    replace : dict of str to str
+        Changes to the cluster settings' text.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        control: int = 5,
+        entries: int = 8,
+        replace: dict[str, str] | None = None,
+    ) -> None:
+        self.name = name
+        self.folder = folder
+        self.model, self.plain = SERVICES[name]
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.instances: dict[str, dict] = {}
+        self._engine_options: list[str] = []
+        folder.mkdir(parents=True, exist_ok=True)
+        self._write_settings(control, entries, replace or {})
+        self.cluster: ClusterSettings = load_cluster(folder / "cluster.toml")
+
+    # Settings
+
+    def _write_settings(
+        self, control: int, entries: int, replace: dict[str, str]
+    ) -> None:
+        source = EXAMPLES / self.name
+        text = (source / "cluster.toml").read_text()
+        for old, new in replace.items():
+            text = text.replace(old, new)
+        addresses = sorted(set(re.findall(r"127\.0\.0\.1:\d+", text)))
+        ports = find_free_ports(len(addresses))
+        for address, port in zip(addresses, ports, strict=True):
+            text = text.replace(address, f"127.0.0.1:@{port}")
+        text = text.replace(":@", ":")
+        text = _drop_tables(text, "control", control)
+        text = _drop_tables(text, "entry", entries)
+        (self.folder / "cluster.toml").write_text(text)
+        (self.folder / "cluster.key").write_text(secrets.token_hex(32))
+        for name in ("accounts.toml", "plans.toml"):
+            (self.folder / name).write_text((source / name).read_text())
+        for match in re.finditer(r'name = "((?:control|entry)-\d+)"', text):
+            process = match.group(1)
+            lines = [f'name = "{process}"', 'cluster_file = "cluster.toml"']
+            if process.startswith("control"):
+                lines.append(f'data_folder = "data-{process}"')
+            path = self.folder / f"{process}.toml"
+            path.write_text("\n".join(lines) + "\n")
+
+    # Processes
+
+    def start_process(self, name: str, words: list[str]) -> subprocess.Popen:
+        """Start one process; its output goes to ``NAME.log``."""
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        environment = {**os.environ, "TARRAGONWAY_OPERATOR_KEY": OPERATOR_KEY}
+        process = subprocess.Popen(
+            [sys.executable, *words], stdout=log, stderr=log, env=environment
+        )
+        log.close()
+        self.processes[name] = process
+        return process
+
+    def start_daemon(self, name: str, *options: str) -> subprocess.Popen:
+        """Start a control or entry process."""
+        kind = "control" if name.startswith("control") else "entry"
+        code = f"from tarragonway.{kind}.daemon import main; main()"
+        settings = str(self.folder / f"{name}.toml")
+        return self.start_process(name, ["-c", code, "--settings", settings, *options])
+
+    def start_endpoint(self, name: str, service: str, zone: str) -> dict:
+        """Start a stand-in engine or plain service."""
+        port = find_free_ports(1)[0]
+        if service == self.model:
+            words = ["-m", "standins.engine", *self._engine_options]
+        else:
+            arrivals = str(self.folder / f"arrivals-{name}.jsonl")
+            words = ["-m", "standins.service", "--arrivals", arrivals]
+        self.start_process(name, [*words, "--port", str(port)])
+        item = {
+            "id": name,
+            "service": service,
+            "zone": zone,
+            "url": f"http://127.0.0.1:{port}",
+            "machine_class": "small",
+            "price": 1.0,
+        }
+        self.instances[name] = item
+        return item
+
+    async def start(self, engine_options: list[str] | None = None) -> None:
+        """Start everything and return once every entry process is ready."""
+        self._engine_options = engine_options or []
+        zones = list(dict.fromkeys(peer.zone for peer in self.cluster.entry))
+        for number in range(MODEL_REPLICAS):
+            zone = zones[number % len(zones)]
+            self.start_endpoint(f"{self.model}-{number + 1}", self.model, zone)
+        for number in range(PLAIN_REPLICAS):
+            zone = zones[number % len(zones)]
+            self.start_endpoint(f"{self.plain}-{number + 1}", self.plain, zone)
+        path = self.folder / "instances.json"
+        path.write_text(json.dumps(list(self.instances.values())))
+        assert self.cluster.platform is not None
+        port = self.cluster.platform.url.rpartition(":")[2]
+        words = ["-m", "standins.cloud", "--port", port, "--instances", str(path)]
+        self.start_process("cloud", words)
+        for number, peer in enumerate(self.cluster.control):
+            options = ["--bootstrap"] if number == 0 else []
+            self.start_daemon(peer.name, *options)
+        for peer in self.cluster.entry:
+            self.start_daemon(peer.name)
+        await self.apply_lists()
+        await self.wait_ready()
+
+    async def apply_lists(self) -> None:
+        """Apply the deployment's two lists with the operators' program."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while True:
+            code, output = await self.run_operator("apply", str(self.folder))
+            if code == 0:
+                return
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"lists were not applied: {output}")
+            await asyncio.sleep(0.3)
+
+    async def run_operator(self, *words: str) -> tuple[int, str]:
+        """Run ``tarragonway`` and return its exit code and output."""
+        cluster = ["--cluster", str(self.folder / "cluster.toml")]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "from tarragonway.operator.cli import main; main()",
+            *words,
+            *([] if words[0] in ("check", "keygen") else cluster),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            env={**os.environ, "TARRAGONWAY_OPERATOR_KEY": OPERATOR_KEY},
+        )
+        output, _ = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, output.decode()
+
+    async def wait_ready(self, endpoints: int | None = None) -> None:
+        """Return once every running entry process is ready and knows the endpoints."""
+        wanted = len(self.instances) if endpoints is None else endpoints
+        deadline = time.monotonic() + START_TIMEOUT_S
+        for peer in self.cluster.entry:
+            while True:
+                dump = await self.read_dump(peer.name)
+                if dump and dump["ready"] and len(dump["endpoints"]) >= wanted:
+                    break
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f"{peer.name} is not ready: {dump}")
+                await asyncio.sleep(0.1)
+
+    async def read_dump(self, name: str) -> dict:
+        """Return a process's state, or an empty dictionary."""
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        url = f"http://{self.get_address(name)}/admin/dump"
+        timeout = aiohttp.ClientTimeout(total=2)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url, headers=headers) as response,
+            ):
+                return await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return {}
+
+    def get_address(self, name: str) -> str:
+        """Return a process's HTTP address."""
+        peers = [*self.cluster.control, *self.cluster.entry]
+        return next(peer.http for peer in peers if peer.name == name)
+
+    async def find_leader(self) -> str:
+        """Return the name of the leading control process."""
+        for _ in range(200):
+            for peer in self.cluster.control:
+                dump = await self.read_dump(peer.name)
+                if dump.get("role") == "leader" and dump["commit"]:
+                    return peer.name
+            await asyncio.sleep(0.1)
+        raise RuntimeError("no leader")
+
+    async def reclaim(self, notice_s: float, **chosen: object) -> list[str]:
+        """Reclaim a zone's endpoints (``zone=``) or some by name (``ids=``)."""
+        assert self.cluster.platform is not None
+        url = f"{self.cluster.platform.url}/test/reclaim"
+        order = {"notice_s": notice_s, **chosen}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, json=order) as response,
+        ):
+            return (await response.json())["leaving"]
+
+    async def add_endpoint(self, name: str, service: str, zone: str) -> None:
+        """Start one more endpoint and list it."""
+        assert self.cluster.platform is not None
+        item = self.start_endpoint(name, service, zone)
+        async with aiohttp.ClientSession() as session:
+            await session.post(f"{self.cluster.platform.url}/test/add", json=item)
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> None:
+        """Send a signal to one process that this object started."""
+        self.processes[name].send_signal(number)
+
+    async def wait_end(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Return a process's exit code once it has ended."""
+        process = self.processes[name]
+        deadline = time.monotonic() + timeout_s
+        while process.poll() is None:
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"{name} does not end")
+            await asyncio.sleep(0.02)
+        return process.returncode
+
+    def stop(self) -> None:
+        """End every process that is left."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+
+def _drop_tables(text: str, table: str, keep: int) -> str:
+    """Keep the first tables of one kind."""
+    blocks = re.split(r"(?m)^(?=\[)", text)
+    kept = []
+    seen = 0
+    for block in blocks:
+        if block.startswith(f"[[{table}]]"):
+            seen += 1
+            if seen > keep:
+                continue
+        kept.append(block)
+    return "".join(kept)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,232 @@
+"""Stand-in for a model engine: streams, priorities, KV moves, crashes, leaving."""
+
+import argparse
+import asyncio
+import hashlib
+import heapq
+import itertools
+import json
+import os
+
+from aiohttp import web
+
+BLOCK_WORDS = 16
+CRASH_WORD = "CRASH-ENGINE"
+
+
+def make_tokens(prompt: str, count: int) -> list[str]:
+    """Return the answer that every engine gives to a prompt."""
+    seed = hashlib.sha256(prompt.encode()).hexdigest()
+    return [f"{seed[i % 60 : i % 60 + 4]}{i} " for i in range(count)]
+
+
+def read_prompt(body: dict) -> str:
+    """Return all messages of a body as one text."""
+    return "\n".join(message["content"] for message in body["messages"])
+
+
+class Slots:
+    """Places for running streams, given to the most urgent waiting request first."""
+
+    def __init__(self, count: int) -> None:
+        self.free = count
+        self.waiting: list[tuple[int, int, asyncio.Future]] = []
+        self._order = itertools.count()
+
+    async def take(self, priority: int) -> None:
+        """Wait for a place."""
+        if self.free:
+            self.free -= 1
+            return
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, (priority, next(self._order), future))
+        await future
+
+    def give(self) -> None:
+        """Give a place back."""
+        while self.waiting:
+            _, _, future = heapq.heappop(self.waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+        self.free += 1
+
+
+class Engine:
+    """State of one engine."""
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        self.arguments = arguments
+        self.slots = Slots(arguments.slots)
+        self.running = 0
+        self.leaving = False
+        self.report = {"running": 0, "waiting": 0}
+        self.cache: set[str] = set()
+        self.streams: dict[str, dict] = {}
+        self.imported: dict[str, int] = {}
+        self.orders: list[dict] = []
+        self.fence = 0
+        self.seen = 0
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_post("/v1/chat/completions", self.complete)
+        app.router.add_delete("/v1/streams/{id}", self.cancel)
+        app.router.add_post("/kv/export", self.export_kv)
+        app.router.add_post("/kv/import", self.import_kv)
+        app.router.add_get("/load", self.get_load)
+        app.router.add_post("/orders", self.order)
+        app.router.add_post("/test/leave", self.leave)
+        app.router.add_get("/test/stats", self.get_stats)
+        app.on_startup.append(self.start)
+        return app
+
+    async def start(self, app: web.Application) -> None:
+        """Start the lagging load report."""
+        app["report"] = asyncio.create_task(self.report_forever())
+
+    async def report_forever(self) -> None:
+        """Publish the load that was true one lag ago."""
+        while True:
+            now = {"running": self.running, "waiting": len(self.slots.waiting)}
+            await asyncio.sleep(self.arguments.lag)
+            self.report = now
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Stream one answer."""
+        if self.leaving:
+            headers = {"X-Endpoint-State": "leaving"}
+            return web.Response(status=503, headers=headers, text="leaving")
+        body = await request.json()
+        extra = body.get("tarragonway", {})
+        self.seen += 1
+        stream = request.headers.get("X-Stream-Id", "")
+        state = {"cancelled": False, "prompt": read_prompt(body), "position": 0}
+        self.streams[stream] = state
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        await self.slots.take(extra.get("priority", 5))
+        self.running += 1
+        try:
+            await self.generate(response, body, extra, state)
+        except ConnectionResetError:
+            pass
+        finally:
+            self.running -= 1
+            self.slots.give()
+            self.streams.pop(stream, None)
+        return response
+
+    async def generate(
+        self, response: web.StreamResponse, body: dict, extra: dict, state: dict
+    ) -> None:
+        """Write prefill usage, tokens and the end."""
+        done = extra.get("resume_tokens") or []
+        computed = self.prefill(state["prompt"], len(done), extra.get("kv_handle", ""))
+        await asyncio.sleep(computed * self.arguments.prefill_ms / 1000)
+        await write(response, {"usage": {"computed_prompt_tokens": computed}})
+        tokens = make_tokens(state["prompt"], int(body.get("max_tokens", 16)))
+        for position in range(len(done), len(tokens)):
+            await asyncio.sleep(self.arguments.token_ms / 1000)
+            if state["cancelled"]:
+                return
+            if CRASH_WORD in state["prompt"] and position == 2:
+                os._exit(1)
+            delta = {"content": tokens[position]}
+            chunk = {"choices": [{"index": 0, "delta": delta}], "position": position}
+            state["position"] = position + 1
+            await write(response, chunk)
+        await response.write(b"data: [DONE]\n\n")
+
+    def prefill(self, prompt: str, generated: int, handle: str) -> int:
+        """Return how many tokens must be computed, and cache the prompt's blocks."""
+        words = prompt.split()
+        total = len(words) + generated
+        if handle and handle in self.imported:
+            return max(0, total - self.imported.pop(handle))
+        cached = 0
+        for end in range(BLOCK_WORDS, len(words) + 1, BLOCK_WORDS):
+            block = hashlib.sha256(" ".join(words[:end]).encode()).hexdigest()
+            if block in self.cache:
+                cached = end
+            self.cache.add(block)
+        return total - cached
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a stream."""
+        state = self.streams.get(request.match_info["id"])
+        if state is not None:
+            state["cancelled"] = True
+        return web.json_response({})
+
+    async def export_kv(self, request: web.Request) -> web.Response:
+        """Return a stream's cache."""
+        stream = (await request.json())["stream"]
+        state = self.streams.get(stream)
+        if state is None or self.arguments.no_kv:
+            return web.json_response({}, status=404)
+        tokens = len(state["prompt"].split()) + state["position"]
+        return web.json_response({"kv": f"{stream}:{tokens}"})
+
+    async def import_kv(self, request: web.Request) -> web.Response:
+        """Take over a stream's cache."""
+        if self.leaving or self.arguments.no_kv:
+            return web.json_response({}, status=503)
+        stream, _, tokens = (await request.json())["kv"].partition(":")
+        self.imported[stream] = int(tokens)
+        return web.json_response({"handle": stream})
+
+    async def get_load(self, request: web.Request) -> web.Response:
+        """Return the lagging load report."""
+        return web.json_response(self.report)
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Take an order; an old fencing number is refused if they are checked."""
+        order = await request.json()
+        if self.arguments.checks_fence and order["fence"] < self.fence:
+            return web.json_response({"fence": self.fence}, status=409)
+        self.fence = max(self.fence, order["fence"])
+        self.orders.append(order)
+        return web.json_response({"orders": len(self.orders)})
+
+    async def leave(self, request: web.Request) -> web.Response:
+        """Refuse new work now and end after the notice."""
+        notice_s = float((await request.json())["notice_s"])
+        self.leaving = True
+        asyncio.get_running_loop().call_later(notice_s, os._exit, 0)
+        return web.json_response({})
+
+    async def get_stats(self, request: web.Request) -> web.Response:
+        """Return what a test wants to know."""
+        stats = {"seen": self.seen, "running": self.running, "orders": self.orders}
+        return web.json_response(stats)
+
+
+async def write(response: web.StreamResponse, chunk: dict) -> None:
+    """Write one event."""
+    await response.write(b"data: " + json.dumps(chunk).encode() + b"\n\n")
+
+
+def main() -> None:
+    """Run one engine."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--token-ms", type=float, default=8.0)
+    parser.add_argument("--prefill-ms", type=float, default=0.2)
+    parser.add_argument("--lag", type=float, default=0.5)
+    parser.add_argument("--no-kv", action="store_true")
+    parser.add_argument("--checks-fence", action="store_true")
+    engine = Engine(parser.parse_args())
+    web.run_app(
+        engine.make_app(),
+        host="127.0.0.1",
+        port=engine.arguments.port,
+        print=None,
+        access_log=None,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,264 @@
+"""Callers: quick questions, streams, deferred requests and calls that run once."""
+
+import asyncio
+import json
+import random
+import time
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from standins.deployment import Deployment
+from standins.engine import make_tokens
+
+ATTACH_TRIES = 60
+ATTACH_PAUSE_S = 0.2
+RESEND_TRIES = 30
+
+
+class Sample(msgspec.Struct):
+    """What happened to one request."""
+
+    kind: str
+    seconds: float
+    first_s: float
+    outcome: str
+    attaches: int = 0
+    detail: str = ""
+
+
+class Caller:
+    """Sends requests through random entry processes, as a balancer would.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Where to send.
+    session : aiohttp.ClientSession
+        Connection pool.
+    source : random.Random
+        Choice of entry processes.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        session: aiohttp.ClientSession,
+        source: random.Random,
+    ) -> None:
+        self.deployment = deployment
+        self.session = session
+        self.source = source
+        self.entries = [peer.name for peer in deployment.cluster.entry]
+        self.samples: list[Sample] = []
+        self.first_keys: dict[str, str] = {}
+
+    def pick(self) -> str:
+        """Return the address of a random entry process."""
+        return "http://" + self.deployment.get_address(self.source.choice(self.entries))
+
+    async def ask(self, kind: str, account: str, prompt: str, tokens: int) -> Sample:
+        """Ask a question and check its whole answer."""
+        started = time.perf_counter()
+        outcome, detail = "lost", ""
+        for _ in range(RESEND_TRIES):
+            try:
+                async with self.session.post(
+                    self.pick() + "/v1/chat/completions",
+                    json=self.make_body(prompt, tokens, False),
+                    headers=make_headers(account),
+                ) as response:
+                    data = await response.json(content_type=None)
+                    status = response.status
+            except (aiohttp.ClientError, OSError) as error:
+                detail = repr(error)
+                await asyncio.sleep(ATTACH_PAUSE_S)
+                continue
+            if status == 200:
+                text = data["choices"][0]["message"]["content"]
+                outcome = compare(text, prompt, tokens)
+                break
+            detail = str(data)
+            if status not in (429, 503):
+                break
+            await asyncio.sleep(ATTACH_PAUSE_S)
+        elapsed = time.perf_counter() - started
+        return self.note(Sample(kind, elapsed, elapsed, outcome, 0, detail))
+
+    async def stream(self, kind: str, account: str, prompt: str, tokens: int) -> Sample:
+        """Read a stream, and attach again wherever the connection is cut."""
+        started = time.perf_counter()
+        pieces: list[str] = []
+        state: dict[str, Any] = {
+            "first": 0.0,
+            "location": "",
+            "done": False,
+            "detail": "",
+        }
+        attaches = -1
+        for _ in range(ATTACH_TRIES):
+            attaches += 1
+            try:
+                await self._read_stream(account, prompt, tokens, pieces, state)
+            except (aiohttp.ClientError, OSError) as error:
+                state["detail"] = repr(error)
+            if state["done"]:
+                break
+            await asyncio.sleep(ATTACH_PAUSE_S)
+        outcome = "lost"
+        if state["done"]:
+            outcome = compare("".join(pieces), prompt, tokens)
+        elapsed = time.perf_counter() - started
+        first_s = (state["first"] or time.perf_counter()) - started
+        return self.note(
+            Sample(kind, elapsed, first_s, outcome, attaches, state["detail"])
+        )
+
+    async def _read_stream(
+        self, account: str, prompt: str, tokens: int, pieces: list[str], state: dict
+    ) -> None:
+        headers = make_headers(account)
+        if state["location"]:
+            headers["Accept"] = "text/event-stream"
+            headers["Last-Event-ID"] = str(len(pieces))
+            request = self.session.get(self.pick() + state["location"], headers=headers)
+        else:
+            request = self.session.post(
+                self.pick() + "/v1/chat/completions",
+                json=self.make_body(prompt, tokens, True),
+                headers=headers,
+            )
+        async with request as response:
+            if response.status != 200:
+                state["detail"] = await response.text()
+                return
+            state["location"] = response.headers.get("Location", state["location"])
+            async for line in response.content:
+                if line.startswith(b"id: "):
+                    number = int(line[4:])
+                    if number != len(pieces) + 1:
+                        raise AssertionError(f"event {number} after {len(pieces)}")
+                if line.startswith(b"data: [DONE]"):
+                    state["done"] = True
+                elif line.startswith(b"data: {"):
+                    chunk = json.loads(line[6:])
+                    if "choices" not in chunk:
+                        state["detail"] = str(chunk)
+                        continue
+                    state["first"] = state["first"] or time.perf_counter()
+                    pieces.append(chunk["choices"][0]["delta"]["content"])
+
+    async def defer(self, kind: str, account: str, prompt: str, tokens: int) -> Sample:
+        """Hand a request in, and fetch its answer through other entry processes."""
+        started = time.perf_counter()
+        headers = {**make_headers(account), "Prefer": "respond-async"}
+        location, outcome, detail = "", "refused", ""
+        for _ in range(RESEND_TRIES):
+            try:
+                async with self.session.post(
+                    self.pick() + "/v1/chat/completions",
+                    json=self.make_body(prompt, tokens, False),
+                    headers=headers,
+                ) as response:
+                    detail = await response.text()
+                    if response.status == 202:
+                        location = response.headers["Location"]
+                        break
+            except (aiohttp.ClientError, OSError) as error:
+                detail = repr(error)
+            await asyncio.sleep(ATTACH_PAUSE_S)
+        accepted_s = time.perf_counter() - started
+        if location:
+            outcome, detail = await self._fetch(account, location, prompt, tokens)
+        elapsed = time.perf_counter() - started
+        return self.note(Sample(kind, elapsed, accepted_s, outcome, 0, detail))
+
+    async def _fetch(
+        self, account: str, location: str, prompt: str, tokens: int
+    ) -> tuple[str, str]:
+        detail = ""
+        deadline = time.perf_counter() + 90
+        while time.perf_counter() < deadline:
+            try:
+                async with self.session.get(
+                    self.pick() + location, headers=make_headers(account)
+                ) as response:
+                    if response.status == 200:
+                        data = await response.json(content_type=None)
+                        text = data["choices"][0]["message"]["content"]
+                        return compare(text, prompt, tokens), ""
+                    detail = f"{response.status} {await response.text()}"
+                    if response.status not in (202, 503, 404):
+                        break
+            except (aiohttp.ClientError, OSError) as error:
+                detail = repr(error)
+            await asyncio.sleep(ATTACH_PAUSE_S)
+        return "lost", detail
+
+    async def call_once(
+        self, kind: str, account: str, path: str, key: str, body: dict, resend: bool
+    ) -> Sample:
+        """Make a call with a key; resend it until its outcome is final."""
+        started = time.perf_counter()
+        outcome, detail = "lost", ""
+        for _ in range(RESEND_TRIES):
+            outcome, detail = await self._send_once(account, path, key, body)
+            if outcome != "again":
+                break
+            await asyncio.sleep(ATTACH_PAUSE_S)
+        elapsed = time.perf_counter() - started
+        self.first_keys[key] = outcome
+        if resend:
+            again, second = "again", ""
+            for _ in range(RESEND_TRIES):
+                again, second = await self._send_once(account, path, key, body)
+                if again != "again":
+                    break
+                await asyncio.sleep(ATTACH_PAUSE_S)
+            if outcome == "ok" and (again, second) != (outcome, detail):
+                outcome = f"resend differs: {again} {second}"
+        return self.note(Sample(kind, elapsed, elapsed, outcome, 0, detail))
+
+    async def _send_once(
+        self, account: str, path: str, key: str, body: dict
+    ) -> tuple[str, str]:
+        headers = {**make_headers(account), "Idempotency-Key": key}
+        url = f"{self.pick()}/services/{self.deployment.plain}{path}"
+        try:
+            async with self.session.post(url, json=body, headers=headers) as response:
+                text = await response.text()
+                if response.status == 200:
+                    return "ok", text
+                outcome = json.loads(text).get("outcome", "")
+                if outcome == "unknown" and response.status != 409:
+                    return "unknown", text
+                if "never will" in text:
+                    return "not_run", text
+                return "again", text
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return "again", repr(error)
+
+    def make_body(self, prompt: str, tokens: int, stream: bool) -> dict:
+        """Return a chat completions body."""
+        return {
+            "model": self.deployment.model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": stream,
+        }
+
+    def note(self, sample: Sample) -> Sample:
+        """Keep a sample for the summary."""
+        self.samples.append(sample)
+        return sample
+
+
+def make_headers(account: str) -> dict[str, str]:
+    """Return the headers of a client account of the examples."""
+    return {"Authorization": f"Bearer {account}-key"}
+
+
+def compare(text: str, prompt: str, tokens: int) -> str:
+    """Return ``ok`` for the whole answer that belongs to the prompt."""
+    return "ok" if text == "".join(make_tokens(prompt, tokens)) else "wrong"
--- /dev/null
+++ b/tarragonway/control/admin.py
@@ -0,0 +1,147 @@
+"""The operators' interface of a control process."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from tarragonway.control.driver import LogDriver, NotLeader
+from tarragonway.core.ids import ChangeId, EndpointId, Revision
+from tarragonway.endpoints import MarkLeaving
+from tarragonway.lists.register import (
+    ApplyLists,
+    ListsApplied,
+    ListsConflict,
+    ListsRefused,
+)
+from tarragonway.process import check_operator, write_json
+from tarragonway.settings import Settings
+
+APPLY_TIMEOUT_S = 5.0
+BODY_LIMIT_BYTES = 4_000_000
+
+
+class ApplyBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /admin/lists``."""
+
+    change: ChangeId
+    expected: Revision
+    accounts: str
+    plans: str
+
+
+class DrainBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /admin/drain``."""
+
+    endpoints: tuple[EndpointId, ...]
+
+
+class ListsBody(msgspec.Struct, frozen=True):
+    """Lists in force."""
+
+    revision: Revision
+    author: str
+    accounts: str
+    plans: str
+
+
+class ControlAdmin:
+    """HTTP handlers for ``tarragonway`` and for operators' monitoring.
+
+    Parameters
+    ----------
+    settings : Settings
+        Holds the operators' keys.
+    driver : LogDriver
+        The log.
+    make_dump : callable
+        Returns the process's state.
+    confirm : callable
+        Returns a confirmed index.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        driver: LogDriver,
+        make_dump: Callable[[], dict[str, Any]],
+        confirm: Callable[[], Awaitable[int | NotLeader]],
+    ) -> None:
+        self._settings = settings
+        self._driver = driver
+        self._make_dump = make_dump
+        self._confirm = confirm
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        app.router.add_get("/healthz", self._get_health)
+        app.router.add_get("/admin/dump", self._get_dump)
+        app.router.add_get("/admin/lists", self._get_lists)
+        app.router.add_post("/admin/lists", self._post_lists)
+        app.router.add_post("/admin/drain", self._post_drain)
+        return app
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        known = self._driver.leader is not None
+        return write_json({"leader_known": known}, 200 if known else 503)
+
+    async def _get_dump(self, request: web.Request) -> web.Response:
+        check_operator(request, self._settings.cluster)
+        return write_json(self._make_dump())
+
+    async def _get_lists(self, request: web.Request) -> web.Response:
+        check_operator(request, self._settings.cluster)
+        index = await self._confirm()
+        if isinstance(index, NotLeader):
+            return write_json({"problem": index.reason}, 503)
+        await self._driver.wait_applied(index)
+        register = self._driver.machine.content.lists
+        return write_json(
+            ListsBody(
+                register.revision,
+                register.author,
+                register.accounts_text,
+                register.plans_text,
+            )
+        )
+
+    async def _post_lists(self, request: web.Request) -> web.Response:
+        author = check_operator(request, self._settings.cluster)
+        try:
+            body = msgspec.json.decode(await request.read(), type=ApplyBody)
+        except msgspec.MsgspecError as error:
+            return write_json({"problem": str(error)}, 400)
+        command = ApplyLists(
+            body.change, body.expected, body.accounts, body.plans, author
+        )
+        result = await self._propose(command)
+        match result:
+            case ListsApplied():
+                return write_json(result)
+            case ListsConflict():
+                return write_json(result, 409)
+            case ListsRefused():
+                return write_json(result, 422)
+        return write_json({"problem": "not the leader"}, 503)
+
+    async def _post_drain(self, request: web.Request) -> web.Response:
+        author = check_operator(request, self._settings.cluster)
+        try:
+            body = msgspec.json.decode(await request.read(), type=DrainBody)
+        except msgspec.MsgspecError as error:
+            return write_json({"problem": str(error)}, 400)
+        result = await self._propose(MarkLeaving(body.endpoints, f"operator {author}"))
+        if isinstance(result, NotLeader):
+            return write_json({"problem": result.reason}, 503)
+        return write_json(result)
+
+    async def _propose(self, command: ApplyLists | MarkLeaving) -> object:
+        try:
+            return await asyncio.wait_for(
+                self._driver.propose(command), APPLY_TIMEOUT_S
+            )
+        except TimeoutError:
+            return NotLeader("no quorum in time; the change may still be applied")
--- /dev/null
+++ b/tarragonway/control/client.py
@@ -0,0 +1,94 @@
+"""Commands sent to whichever control process leads."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+import msgspec
+
+from tarragonway.control.messages import ControlCall, ControlRedirect, ControlReply
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ProcessName
+from tarragonway.state import Command, Result
+
+TRY_S = 0.5
+BUSY_PAUSE_S = 0.05
+
+
+class NoControl(msgspec.Struct, frozen=True):
+    """Sentinel: no leader answered in time; the command may still be applied."""
+
+    reason: str
+
+
+class ControlClient:
+    """Finds the leader, and repeats a command until it is answered.
+
+    Commands are built so that a repeat changes nothing, so a lost answer is harmless.
+
+    Parameters
+    ----------
+    control : list of ProcessName
+        All control processes.
+    send : callable
+        Sends a call to one of them.
+    counters : Counters
+        Receives ``control.*`` counters.
+    """
+
+    def __init__(
+        self,
+        control: list[ProcessName],
+        send: Callable[[ProcessName, ControlCall], object],
+        counters: Counters,
+    ) -> None:
+        self._control = list(control)
+        self._target = self._control[0]
+        self._send = send
+        self._counters = counters
+        self._calls = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future] = {}
+
+    async def call(self, command: Command, timeout_s: float) -> Result | NoControl:
+        """Return the command's result, or NoControl after ``timeout_s``."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while True:
+            left_s = deadline - loop.time()
+            if left_s <= 0:
+                self._counters.increment("control.no_answer")
+                return NoControl("no control process answered in time")
+            reply = await self._try(command, min(TRY_S, left_s))
+            match reply:
+                case ControlReply(_, result):
+                    return result
+                case ControlRedirect(_, leader) if leader:
+                    self._target = leader
+                case _:
+                    self._turn()
+                    await asyncio.sleep(min(BUSY_PAUSE_S, left_s))
+
+    def receive(self, reply: ControlReply | ControlRedirect) -> None:
+        """Take an answer from the mailbox."""
+        future = self._waiting.pop(reply.call, None)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    async def _try(
+        self, command: Command, timeout_s: float
+    ) -> ControlReply | ControlRedirect | None:
+        call = next(self._calls)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[call] = future
+        self._send(self._target, ControlCall(call, command))
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            self._counters.increment("control.repeats")
+            return None
+        finally:
+            self._waiting.pop(call, None)
+
+    def _turn(self) -> None:
+        position = self._control.index(self._target)
+        self._target = self._control[(position + 1) % len(self._control)]
--- /dev/null
+++ b/tarragonway/control/daemon.py
@@ -0,0 +1,402 @@
+"""The program ``tarragonway-control``."""
+
+import argparse
+import asyncio
+import itertools
+import pathlib
+import random
+import secrets
+from typing import Any
+
+import structlog
+from aiohttp import web
+
+from tarragonway.consensus import (
+    DataFolder,
+    HardState,
+    LogTail,
+    Member,
+    Membership,
+    Packet,
+    Parameters,
+    Replica,
+    Snapshot,
+)
+from tarragonway.consensus.files import FolderFiles
+from tarragonway.consensus.storage import Identity
+from tarragonway.control.admin import ControlAdmin
+from tarragonway.control.driver import DriverConfig, LogDriver, NotLeader
+from tarragonway.control.messages import (
+    ControlCall,
+    ControlRedirect,
+    ControlReply,
+    JoinRequest,
+    ReadIndexCall,
+    ReadIndexReply,
+)
+from tarragonway.control.shares import ShareServer
+from tarragonway.core.counters import Counters
+from tarragonway.core.errors import SettingsError
+from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+from tarragonway.endpoints.watcher import PlatformWatcher
+from tarragonway.limits.ledger import ShareLedger
+from tarragonway.limits.messages import ShareCall
+from tarragonway.process import run_daemon
+from tarragonway.process.runner import make_tls
+from tarragonway.settings import Settings
+from tarragonway.settings.load import find_control
+from tarragonway.transport import Delivery, Mailbox
+from tarragonway.watch.messages import WatchPoll
+from tarragonway.watch.server import WatchServer
+from tarragonway.wire import WireMessage
+
+JOIN_INTERVAL_S = 0.3
+READ_INDEX_TIMEOUT_S = 0.5
+
+_log = structlog.get_logger()
+
+
+class ControlProcess:
+    """A control process: mailbox, log, watch, platform duties, operators' interface.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    folder : pathlib.Path
+        Data folder.
+    base : pathlib.Path
+        Folder of the settings file, for relative paths.
+    """
+
+    def __init__(
+        self, settings: Settings, folder: pathlib.Path, base: pathlib.Path
+    ) -> None:
+        peer = find_control(settings)
+        assert peer is not None
+        self._settings = settings
+        self._peer = peer
+        self._base = base
+        self._name = ProcessName(peer.name)
+        statsd = settings.cluster.statsd
+        self._counters = Counters.from_config(
+            statsd.host, statsd.port, f"tarragonway.{peer.name}"
+        )
+        self._mailbox: Mailbox[WireMessage] = Mailbox(
+            self._name,
+            peer.mailbox,
+            settings.list_mailboxes(),
+            settings.cluster_key,
+            WireMessage,  # type: ignore[arg-type]
+            self._counters,
+        )
+        self._files = FolderFiles(folder)
+        self._folder = DataFolder(self._files)
+        self._driver = self._make_driver()
+        self._watch = WatchServer(
+            self._driver, self.confirm, self._mailbox.send, self._counters
+        )
+        timing = settings.cluster.timing
+        ledger = ShareLedger(timing.share_lease_s, len(settings.cluster.entry))
+        self._shares = ShareServer(ledger, self._driver)
+        self._admin = ControlAdmin(settings, self._driver, self.make_dump, self.confirm)
+        self._calls = itertools.count(1)
+        self._read_calls: dict[int, asyncio.Future] = {}
+        self._tasks: list[asyncio.Task] = []
+        self._jobs: set[asyncio.Task] = set()
+        self._runner: web.AppRunner | None = None
+        self.failure: asyncio.Future = asyncio.Future()
+
+    @classmethod
+    def from_config(
+        cls, settings: Settings, arguments: argparse.Namespace
+    ) -> "ControlProcess":
+        """Build the process inside the running loop's program."""
+        base = arguments.settings.parent
+        return cls(settings, base / settings.process.data_folder, base)
+
+    async def start(self) -> None:
+        """Open sockets and start tasks."""
+        self._driver.on_change = self._watch.push_changes
+        self._mailbox.open(self._receive)
+        self._spawn(self._driver.run())
+        self._spawn(self._watch.run())
+        self._spawn(self._join())
+        platform = self._settings.cluster.platform
+        if platform is not None:
+            content = self._driver.machine
+            watcher = PlatformWatcher(
+                platform.url,
+                platform.poll_s,
+                lambda: self._driver.is_leader,
+                lambda: content.content.endpoints.rows,
+                lambda: content.content.endpoints.marks,
+                self._driver.propose,
+                self._counters,
+            )
+            self._spawn(watcher.run())
+        self._runner = web.AppRunner(self._admin.make_app(), access_log=None)
+        await self._runner.setup()
+        host, _, port = self._peer.http.partition(":")
+        tls = make_tls(self._settings, self._base)
+        await web.TCPSite(self._runner, host, int(port), ssl_context=tls).start()
+
+    async def drain(self) -> None:
+        """Hand leadership over and answer what is under way."""
+        if not self._driver.is_leader:
+            return
+        self._driver.transfer()
+        while self._driver.is_leader:
+            await asyncio.sleep(self._settings.cluster.timing.tick_s)
+
+    async def close(self) -> None:
+        """Stop all tasks and close the sockets and files."""
+        for task in [*self._tasks, *self._jobs]:
+            task.cancel()
+        await asyncio.gather(*self._tasks, *self._jobs, return_exceptions=True)
+        self._mailbox.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._files.close()
+
+    def make_dump(self) -> dict[str, Any]:
+        """Return the process's state."""
+        replica = self._driver.replica
+        content = self._driver.machine.content
+        return {
+            "process": self._name,
+            "zone": self._peer.zone,
+            "member": replica.own_id,
+            "role": replica.role.value,
+            "term": replica.term,
+            "leader": replica.leader,
+            "commit": replica.commit,
+            "applied": self._driver.applied,
+            "snapshot": replica.snapshot.index,
+            "voters": [member.id for member in replica.membership.voters],
+            "learners": [member.id for member in replica.membership.learners],
+            "revision": content.lists.revision,
+            "endpoints": list(content.endpoints.rows.values()),
+            "claims": len(content.claims.records),
+            "quarantined": list(content.quarantine.quarantined),
+            "counters": self._counters.snapshot(),
+        }
+
+    async def confirm(self) -> int | NotLeader:
+        """Return a confirmed index, by way of the leader if this is a follower."""
+        if self._driver.is_leader:
+            return await self._driver.confirm()
+        leader = self._driver.leader
+        member = leader and self._driver.replica.membership.find(leader)
+        if not member:
+            return NotLeader("no leader is known")
+        call = next(self._calls)
+        future = asyncio.get_running_loop().create_future()
+        self._read_calls[call] = future
+        self._mailbox.send(member.name, ReadIndexCall(call))
+        try:
+            return await asyncio.wait_for(future, READ_INDEX_TIMEOUT_S)
+        except TimeoutError:
+            return NotLeader("the leader did not answer")
+        finally:
+            self._read_calls.pop(call, None)
+
+    # Messages
+
+    def _receive(self, delivery: Delivery[WireMessage]) -> None:
+        sender = delivery.sender
+        match delivery.body:
+            case Packet() as packet:
+                self._receive_packet(packet)
+            case JoinRequest(member):
+                self._receive_join(member)
+            case ControlCall() as call:
+                self._start_job(self._answer_call(sender, call))
+            case WatchPoll() as poll:
+                self._watch.receive(sender, poll)
+            case ShareCall() as share_call:
+                self._answer_shares(sender, share_call)
+            case ReadIndexCall(call_id):
+                self._start_job(self._answer_read(sender, call_id))
+            case ReadIndexReply() as reply:
+                self._receive_index(reply)
+            case _:
+                self._counters.increment("control.unexpected")
+
+    def _receive_index(self, reply: ReadIndexReply) -> None:
+        future = self._read_calls.get(reply.call)
+        if future is not None and not future.done():
+            future.set_result(reply.index)
+
+    def _receive_join(self, member: Member) -> None:
+        if member.name in {peer.name for peer in self._settings.cluster.control}:
+            self._driver.note_present(member)
+
+    def _answer_shares(self, sender: ProcessName, call: ShareCall) -> None:
+        reply = self._shares.answer(sender, call)
+        if reply is not None:
+            self._mailbox.send(sender, reply)
+
+    def _receive_packet(self, packet: Packet) -> None:
+        if not self._driver.has_cluster and packet.target == self._driver.own.id:
+            _log.info("joins the group", cluster=packet.cluster)
+            identity = Identity(self._driver.own.id, packet.cluster)
+            self._folder.write_identity(identity)
+            self._driver.join_cluster(packet.cluster)
+        self._driver.receive(packet)
+
+    async def _answer_call(self, sender: ProcessName, call: ControlCall) -> None:
+        result = await self._driver.propose(call.command)
+        if isinstance(result, NotLeader):
+            self._mailbox.send(sender, ControlRedirect(call.call, self._leader_name()))
+        else:
+            self._mailbox.send(sender, ControlReply(call.call, result))
+
+    async def _answer_read(self, sender: ProcessName, call: int) -> None:
+        index = await self._driver.confirm()
+        if not isinstance(index, NotLeader):
+            self._mailbox.send(sender, ReadIndexReply(call, index))
+
+    def _leader_name(self) -> ProcessName:
+        leader = self._driver.leader
+        member = leader and self._driver.replica.membership.find(leader)
+        if not member or member.id == self._driver.own.id:
+            return ProcessName("")
+        return member.name
+
+    # Start
+
+    def _make_driver(self) -> LogDriver:
+        found = self._folder.recover()
+        identity = found.identity
+        if identity is None:
+            token = secrets.token_hex(4)
+            identity = Identity(MemberId(f"{self._name}.{token}"))
+            self._folder.write_identity(identity)
+        timing = self._settings.cluster.timing
+        replica = Replica(
+            identity.member,
+            Parameters(timing.election_ticks, timing.heartbeat_ticks),
+            random.Random(secrets.randbits(64)),
+            found.hard_state,
+            found.snapshot,
+            found.log,
+        )
+        config = DriverConfig(
+            Member(identity.member, self._name),
+            timing.tick_s,
+            len(self._settings.cluster.control),
+            self._settings.cluster.limits.snapshot_entries,
+        )
+        return LogDriver(
+            config,
+            identity.cluster,
+            replica,
+            self._folder,
+            self._send_packet,
+            self._counters,
+        )
+
+    def _send_packet(self, packet: Packet) -> None:
+        member = self._driver.replica.membership.find(packet.target)
+        # A candidate or leader outside the latest membership is known by its id alone.
+        name = member.name if member else packet.target.rpartition(".")[0]
+        self._mailbox.send(ProcessName(name), packet)
+
+    async def _join(self) -> None:
+        """Ask to be admitted until this incarnation is a voter."""
+        own = self._driver.own
+        while True:
+            if own.id not in self._driver.replica.membership.voter_ids:
+                for peer in self._settings.cluster.control:
+                    if peer.name != self._name:
+                        self._mailbox.send(ProcessName(peer.name), JoinRequest(own))
+            await asyncio.sleep(JOIN_INTERVAL_S)
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _start_job(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        if task.cancelled() or self.failure.done():
+            return
+        error = task.exception() or RuntimeError("a task ended")
+        self.failure.set_exception(error)
+
+
+def bootstrap(settings: Settings, folder: pathlib.Path) -> None:
+    """Form a new group with this process as its only voter.
+
+    Raises
+    ------
+    SettingsError
+        If the folder holds state already.
+    """
+    files = FolderFiles(folder)
+    try:
+        storage = DataFolder(files)
+        if storage.recover().identity is not None:
+            raise SettingsError(
+                str(folder),
+                "holds a member's state already",
+                "start without --bootstrap, or move the folder away",
+            )
+        name = ProcessName(settings.process.name)
+        own = Member(MemberId(f"{name}.{secrets.token_hex(4)}"), name)
+        first = Snapshot(0, 0, Membership((own,), ()), b"")
+        storage.write_snapshot(first, HardState(), LogTail())
+        storage.write_identity(Identity(own.id, ClusterId(secrets.token_hex(8))))
+    finally:
+        files.close()
+
+
+def _check(settings: Settings) -> None:
+    if find_control(settings) is None:
+        raise SettingsError(
+            settings.process.cluster_file,
+            f"there is no [[control]] table named {settings.process.name!r}",
+            "add one, or correct the name in the process's settings",
+            "control",
+        )
+    if not settings.process.data_folder:
+        raise SettingsError(
+            settings.process.name,
+            "a control process needs a data folder",
+            "add data_folder to the process's settings",
+            "data_folder",
+        )
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--bootstrap",
+        action="store_true",
+        help="form a new group from an empty data folder, once, on one process; the "
+        "others join it",
+    )
+
+
+def _build(settings: Settings, arguments: argparse.Namespace) -> ControlProcess:
+    if arguments.bootstrap:
+        folder = arguments.settings.parent / settings.process.data_folder
+        bootstrap(settings, folder)
+    return ControlProcess.from_config(settings, arguments)
+
+
+def main() -> None:
+    """Run the program."""
+    raise SystemExit(
+        run_daemon(
+            "tarragonway-control",
+            "Keeps the replicated state: lists, claims, endpoints, leases.",
+            _build,
+            _check,
+            _add_arguments,
+        )
+    )
--- /dev/null
+++ b/tarragonway/control/driver.py
@@ -0,0 +1,331 @@
+"""The task that owns a replica: feeds it, makes its writes durable, applies entries."""
+
+import asyncio
+import concurrent.futures
+import itertools
+import time
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from tarragonway.consensus import (
+    DataFolder,
+    Entry,
+    EntryKind,
+    Member,
+    Message,
+    Output,
+    Packet,
+    ReadReady,
+    Replica,
+    Role,
+)
+from tarragonway.control.repair import plan_change
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ClusterId, MemberId
+from tarragonway.state import Command, Result, StateMachine
+from tarragonway.state.machine import encode_command
+
+MIN_VOTERS = 3
+KEEP_ENTRIES = 500
+MEMBER_PRESENCE_S = 5.0
+
+_log = structlog.get_logger()
+
+
+class NotLeader(msgspec.Struct, frozen=True):
+    """Sentinel: the command may or may not get into the log; ask the leader again."""
+
+    reason: str
+
+
+class DriverConfig(msgspec.Struct, frozen=True):
+    """What a driver needs to know of its group."""
+
+    own: Member
+    tick_s: float
+    declared: int
+    snapshot_entries: int
+
+
+class _Waiting(msgspec.Struct):
+    term: int
+    future: asyncio.Future
+
+
+class LogDriver:
+    """Runs one replica of the log and its state machine.
+
+    Parameters
+    ----------
+    config : DriverConfig
+        Identity and timing.
+    cluster : ClusterId
+        The group, or empty until a member of it has admitted this one.
+    replica : Replica
+        Recovered replica.
+    folder : DataFolder
+        Durable storage; written from one worker thread.
+    send : callable
+        Sends a packet to the process of a member.
+    counters : Counters
+        Receives ``log.*`` counters.
+    """
+
+    def __init__(
+        self,
+        config: DriverConfig,
+        cluster: ClusterId,
+        replica: Replica,
+        folder: DataFolder,
+        send: Callable[[Packet], None],
+        counters: Counters,
+    ) -> None:
+        self.machine = StateMachine()
+        self.machine.restore(replica.snapshot.state)
+        self.replica = replica
+        self.applied = replica.snapshot.index
+        self._config = config
+        self._cluster = cluster
+        self._folder = folder
+        self._send = send
+        self._counters = counters
+        self._disk = concurrent.futures.ThreadPoolExecutor(1, "disk")
+        self._inputs: list[Callable[[], None]] = []
+        self._wake = asyncio.Event()
+        self._proposals: dict[int, _Waiting] = {}
+        self._reads: dict[int, asyncio.Future] = {}
+        self._tokens = itertools.count(1)
+        self._applied_waiters: list[tuple[int, asyncio.Future]] = []
+        self._present: dict[Member, float] = {}
+        self._role = replica.role
+        self.on_change: Callable[[], None] = lambda: None
+
+    # Requests from other tasks
+
+    @property
+    def own(self) -> Member:
+        """The member that this process is."""
+        return self._config.own
+
+    @property
+    def has_cluster(self) -> bool:
+        """Whether this member has been admitted to a group."""
+        return bool(self._cluster)
+
+    def join_cluster(self, cluster: ClusterId) -> None:
+        """Belong to a group from now on."""
+        self._cluster = cluster
+
+    @property
+    def leader(self) -> MemberId | None:
+        """The leader that this replica knows."""
+        return self.replica.leader
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and has enough voters to accept commands."""
+        voters = len(self.replica.membership.voters)
+        enough = voters >= min(MIN_VOTERS, self._config.declared)
+        return self.replica.is_ready_leader and enough
+
+    def receive(self, packet: Packet) -> None:
+        """Take a packet from another replica."""
+        self._push(lambda: self._receive(packet))
+
+    def note_present(self, member: Member) -> None:
+        """Note that a declared member asks to join."""
+        self._present[member] = asyncio.get_running_loop().time()
+
+    async def propose(self, command: Command) -> Result | NotLeader:
+        """Put a command into the log and return its result once it is committed."""
+        future = asyncio.get_running_loop().create_future()
+        self._push(lambda: self._propose(command, future))
+        return await future
+
+    async def confirm(self) -> int | NotLeader:
+        """Return an index that covers everything acknowledged before this call."""
+        future = asyncio.get_running_loop().create_future()
+        self._push(lambda: self._read(future))
+        return await future
+
+    async def wait_applied(self, index: int) -> None:
+        """Return once the entry at ``index`` is applied here."""
+        if self.applied >= index:
+            return
+        future = asyncio.get_running_loop().create_future()
+        self._applied_waiters.append((index, future))
+        await future
+
+    def transfer(self) -> None:
+        """Hand leadership to another replica, if this one leads."""
+        self._push(self._transfer)
+
+    # The task
+
+    async def run(self) -> None:
+        """Drive the replica until the task is cancelled."""
+        ticker = asyncio.create_task(self._tick_forever())
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                inputs, self._inputs = self._inputs, []
+                for handle in inputs:
+                    handle()
+                await self._handle_output()
+        finally:
+            ticker.cancel()
+            self._disk.shutdown(wait=True)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._config.tick_s)
+            self._push(self._tick)
+
+    def _push(self, handle: Callable[[], None]) -> None:
+        self._inputs.append(handle)
+        self._wake.set()
+
+    def _tick(self) -> None:
+        self.replica.tick()
+        if self.replica.is_ready_leader:
+            self._repair()
+
+    def _repair(self) -> None:
+        now = asyncio.get_running_loop().time()
+        present = [m for m, at in self._present.items() if now - at < MEMBER_PRESENCE_S]
+        change = plan_change(self.replica, present)
+        if change is None:
+            return
+        if self.replica.propose_membership(change) is not None:
+            names = [member.id for member in change.voters]
+            _log.info("membership changes", voters=names)
+
+    def _transfer(self) -> None:
+        self.replica.transfer()
+
+    def _receive(self, packet: Packet) -> None:
+        mine = packet.target == self._config.own.id
+        if mine and packet.cluster == self._cluster:
+            self.replica.receive(packet.source, packet.body)
+        else:
+            self._counters.increment("log.misdirected")
+
+    def _propose(self, command: Command, future: asyncio.Future) -> None:
+        if not self.is_leader:
+            future.set_result(NotLeader("not the leader, or the group is forming"))
+            return
+        payload = encode_command(command, read_wall_clock_ms())
+        index = self.replica.propose(payload)
+        assert index is not None
+        self._proposals[index] = _Waiting(self.replica.term, future)
+
+    def _read(self, future: asyncio.Future) -> None:
+        token = next(self._tokens)
+        if self.is_leader and self.replica.read(token):
+            self._reads[token] = future
+        else:
+            future.set_result(NotLeader("not the leader"))
+
+    async def _handle_output(self) -> None:
+        output = self.replica.take_output()
+        if output.has_writes():
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            await loop.run_in_executor(self._disk, self._write, output)
+            self._counters.record_ms("log.sync", (loop.time() - started) * 1000)
+            self._counters.increment("log.entries", len(output.entries))
+        if output.snapshot is not None:
+            self.machine.restore(output.snapshot.state)
+            self.applied = output.snapshot.index
+        for target, message in output.messages:
+            self._send_message(target, message)
+        for entry in output.committed:
+            self._apply(entry)
+        for read in output.reads:
+            self._finish_read(read)
+        self._note_role()
+        if output.committed or output.snapshot is not None:
+            self._wake_waiters()
+            self.on_change()
+            self._compact()
+
+    def _write(self, output: Output) -> None:
+        if output.snapshot is not None:
+            self._folder.write_snapshot(
+                output.snapshot, self.replica.hard_state, self.replica.read_tail()
+            )
+        else:
+            self._folder.append(output.hard_state, output.entries)
+            self._folder.sync()
+
+    def _send_message(self, target: MemberId, message: Message) -> None:
+        packet = Packet(self._cluster, self._config.own.id, target, message)
+        self._send(packet)
+
+    def _apply(self, entry: Entry) -> None:
+        self.applied = entry.index
+        waiting = self._proposals.pop(entry.index, None)
+        result: Result | NotLeader = NotLeader("another leader's entry came first")
+        if entry.kind is EntryKind.COMMAND:
+            applied = self.machine.apply_payload(entry.payload)
+            if waiting is not None and waiting.term == entry.term:
+                result = applied
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_result(result)
+
+    def _finish_read(self, read: ReadReady) -> None:
+        future = self._reads.pop(read.token, None)
+        if future is not None and not future.done():
+            future.set_result(read.index)
+
+    def _wake_waiters(self) -> None:
+        ready = [w for w in self._applied_waiters if w[0] <= self.applied]
+        self._applied_waiters = [
+            w for w in self._applied_waiters if w[0] > self.applied
+        ]
+        for _, future in ready:
+            if not future.done():
+                future.set_result(None)
+
+    def _note_role(self) -> None:
+        if self.replica.role is self._role:
+            return
+        self._role = self.replica.role
+        self._counters.increment(f"log.role.{self._role.value}")
+        _log.info("role changes", role=self._role.value, term=self.replica.term)
+        if self._role is not Role.LEADER:
+            self._drop_pending()
+
+    def _drop_pending(self) -> None:
+        waiting = [item.future for item in self._proposals.values()]
+        for future in [*waiting, *self._reads.values()]:
+            if not future.done():
+                future.set_result(NotLeader("no longer the leader"))
+        self._proposals.clear()
+        self._reads.clear()
+
+    def _compact(self) -> None:
+        behind = self.applied - self.replica.snapshot.index
+        if behind < self._config.snapshot_entries:
+            return
+        state = self.machine.encode()
+        snapshot = self.replica.compact(self.applied, state, KEEP_ENTRIES)
+        tail = self.replica.read_tail()
+        self._disk.submit(
+            self._folder.write_snapshot, snapshot, self.replica.hard_state, tail
+        ).add_done_callback(_raise_failure)
+        self._counters.increment("log.snapshots")
+
+
+def read_wall_clock_ms() -> int:
+    """Return the wall-clock time in milliseconds, for retention periods only."""
+    return time.time_ns() // 1_000_000
+
+
+def _raise_failure(future: concurrent.futures.Future) -> None:
+    error = future.exception()
+    if error is not None:
+        _log.error("snapshot cannot be written", error=str(error))
--- /dev/null
+++ b/tarragonway/control/shares.py
@@ -0,0 +1,56 @@
+"""The leader's answers to calls for shares of plan limits."""
+
+import asyncio
+
+from tarragonway.control.driver import LogDriver
+from tarragonway.core.ids import AccountId, ProcessName, Revision
+from tarragonway.limits.ledger import Limit, ShareLedger
+from tarragonway.limits.messages import ShareCall, ShareReply
+from tarragonway.lists import Lists, check_lists
+
+
+class ShareServer:
+    """Answers calls for shares while this process leads.
+
+    Parameters
+    ----------
+    ledger : ShareLedger
+        Template for the lease; a new ledger starts with each leadership.
+    driver : LogDriver
+        Source of the lists and of the role.
+    """
+
+    def __init__(self, ledger: ShareLedger, driver: LogDriver) -> None:
+        self._ledger = ledger
+        self._driver = driver
+        self._term = -1
+        self._revision = Revision(-1)
+        self._lists: Lists = check_lists("", "")
+
+    def answer(self, sender: ProcessName, call: ShareCall) -> ShareReply | None:
+        """Return the reply, or None if this process does not lead."""
+        if not self._driver.is_leader:
+            return None
+        now = asyncio.get_running_loop().time()
+        if self._driver.replica.term != self._term:
+            self._term = self._driver.replica.term
+            self._ledger = ShareLedger(self._ledger.lease_s, self._ledger.entries, now)
+        self._refresh_lists()
+        registered = frozenset(self._driver.machine.content.claims.owners)
+        grants = self._ledger.answer(
+            sender, call.wishes, self._get_limit, now, registered
+        )
+        return ShareReply(call.call, self._ledger.lease_s, tuple(grants))
+
+    def _refresh_lists(self) -> None:
+        register = self._driver.machine.content.lists
+        if register.revision != self._revision:
+            self._lists = check_lists(register.accounts_text, register.plans_text)
+            self._revision = register.revision
+
+    def _get_limit(self, account_id: AccountId) -> Limit | None:
+        account = self._lists.accounts.get(account_id)
+        if account is None:
+            return None
+        plan = self._lists.get_plan(account)
+        return Limit(plan.requests_per_s, plan.concurrent)
--- /dev/null
+++ b/tarragonway/endpoints/table.py
@@ -0,0 +1,84 @@
+"""The replicated table of endpoints."""
+
+import msgspec
+
+from tarragonway.core.ids import EndpointId
+from tarragonway.endpoints.model import (
+    Endpoint,
+    EndpointsChanged,
+    EndpointState,
+    MarkLeaving,
+    Observe,
+)
+
+MARK_RETENTION_MS = 86_400_000
+
+
+class EndpointTable(msgspec.Struct):
+    """Known endpoints, and one-way marks of those that leave.
+
+    A mark outlives the endpoint's row, so that a lagging list that shows the endpoint
+    again as active cannot undo it.
+
+    Examples
+    --------
+    >>> table = EndpointTable()
+    >>> one = Endpoint("e1", "s", "a", "http://127.0.0.1:1")
+    >>> table.observe(Observe((one,)), 0).changed
+    ('e1',)
+    >>> table.mark(MarkLeaving(("e1",), "notice"), 0).changed
+    ('e1',)
+    >>> table.observe(Observe((one,)), 0).changed
+    ()
+    >>> table.rows["e1"].state
+    <EndpointState.LEAVING: 'leaving'>
+    """
+
+    rows: dict[EndpointId, Endpoint] = {}
+    marks: dict[EndpointId, int] = {}
+
+    def observe(self, command: Observe, now_ms: int) -> EndpointsChanged:
+        """Take over what the platform's list shows."""
+        self._prune(now_ms)
+        changed = []
+        for endpoint in command.seen:
+            if self._set(endpoint, now_ms):
+                changed.append(endpoint.id)
+        for endpoint_id in command.gone:
+            if self.rows.pop(endpoint_id, None) is not None:
+                changed.append(endpoint_id)
+        return EndpointsChanged(tuple(changed))
+
+    def mark(self, command: MarkLeaving, now_ms: int) -> EndpointsChanged:
+        """Mark endpoints as leaving."""
+        changed = []
+        for endpoint_id in command.endpoints:
+            if endpoint_id in self.marks:
+                continue
+            self.marks[endpoint_id] = now_ms
+            row = self.rows.get(endpoint_id)
+            if row is not None:
+                self.rows[endpoint_id] = _make_leaving(row)
+                changed.append(endpoint_id)
+        return EndpointsChanged(tuple(changed))
+
+    def _set(self, endpoint: Endpoint, now_ms: int) -> bool:
+        if endpoint.state is EndpointState.LEAVING:
+            self.marks.setdefault(endpoint.id, now_ms)
+        if endpoint.id in self.marks:
+            endpoint = _make_leaving(endpoint)
+        if self.rows.get(endpoint.id) == endpoint:
+            return False
+        self.rows[endpoint.id] = endpoint
+        return True
+
+    def _prune(self, now_ms: int) -> None:
+        for endpoint_id, marked_ms in list(self.marks.items()):
+            if now_ms < marked_ms + MARK_RETENTION_MS:
+                break
+            if endpoint_id not in self.rows:
+                del self.marks[endpoint_id]
+
+
+def _make_leaving(endpoint: Endpoint) -> Endpoint:
+    return msgspec.structs.replace(endpoint, state=EndpointState.LEAVING)
--- /dev/null
+++ b/tarragonway/endpoints/watcher.py
@@ -0,0 +1,129 @@
+"""Reads the platform's list of instances and its reclaim notices."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import msgspec
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import EndpointId
+from tarragonway.endpoints.model import (
+    Endpoint,
+    EndpointState,
+    MarkLeaving,
+    Observe,
+)
+
+REQUEST_TIMEOUT_S = 2.0
+
+_log = structlog.get_logger()
+
+
+class Notices(msgspec.Struct, frozen=True):
+    """Announced reclaims."""
+
+    leaving: tuple[EndpointId, ...] = ()
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """The platform's list."""
+
+    instances: tuple[Endpoint, ...] = ()
+
+
+def plan_observation(
+    known: dict[EndpointId, Endpoint], listing: Listing
+) -> Observe | None:
+    """Return the command that brings ``known`` to the listing, if there is a change.
+
+    A leaving endpoint that the listing shows as active is no change, since leaving is
+    final.
+
+    Examples
+    --------
+    >>> plan_observation({}, Listing()) is None
+    True
+    """
+    seen = [e for e in listing.instances if _is_news(known.get(e.id), e)]
+    listed = {endpoint.id for endpoint in listing.instances}
+    gone = tuple(sorted(set(known) - listed))
+    if not seen and not gone:
+        return None
+    return Observe(tuple(seen), gone)
+
+
+def _is_news(row: Endpoint | None, listed: Endpoint) -> bool:
+    if row is None or msgspec.structs.replace(listed, state=row.state) != row:
+        return True
+    return listed.state is EndpointState.LEAVING and row.state is not listed.state
+
+
+class PlatformWatcher:
+    """Polls the cloud API while this process leads, and records changes only.
+
+    Parameters
+    ----------
+    url : str
+        Base address of the cloud API.
+    poll_s : float
+        Time between polls.
+    is_leader : callable
+        Whether this process leads.
+    known : callable
+        Endpoints on record.
+    marked : callable
+        Ids marked as leaving.
+    propose : callable
+        Puts a command into the log.
+    counters : Counters
+        Receives ``platform.*`` counters.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        poll_s: float,
+        is_leader: Callable[[], bool],
+        known: Callable[[], dict[EndpointId, Endpoint]],
+        marked: Callable[[], dict[EndpointId, int]],
+        propose: Callable[[Observe | MarkLeaving], Awaitable[object]],
+        counters: Counters,
+    ) -> None:
+        self._url = url
+        self._poll_s = poll_s
+        self._is_leader = is_leader
+        self._known = known
+        self._marked = marked
+        self._propose = propose
+        self._counters = counters
+
+    async def run(self) -> None:
+        """Poll until the task is cancelled."""
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                if self._is_leader():
+                    await self._poll(session)
+                await asyncio.sleep(self._poll_s)
+
+    async def _poll(self, session: aiohttp.ClientSession) -> None:
+        try:
+            # Notices first: they are newer than the list.
+            async with session.get(f"{self._url}/notices") as response:
+                notices = msgspec.json.decode(await response.read(), type=Notices)
+            async with session.get(f"{self._url}/instances") as response:
+                listing = msgspec.json.decode(await response.read(), type=Listing)
+        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError):
+            self._counters.increment("platform.failed_polls")
+            return
+        self._counters.increment("platform.polls")
+        marked = self._marked()
+        fresh = tuple(e for e in notices.leaving if e not in marked)
+        if fresh:
+            _log.info("endpoints are leaving", endpoints=fresh)
+            await self._propose(MarkLeaving(fresh, "notice"))
+        change = plan_observation(self._known(), listing)
+        if change is not None:
+            await self._propose(change)
--- /dev/null
+++ b/tarragonway/engines/adapter.py
@@ -0,0 +1,220 @@
+"""Client of a model engine.
+
+The engine speaks the OpenAI-compatible chat completions form with server-sent events.
+Beyond it, a request's ``tarragonway`` object carries the priority, the tokens to resume
+after and a handle of imported KV cache.
+"""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from tarragonway.endpoints import Endpoint
+
+CONNECT_TIMEOUT_S = 1.0
+SILENCE_TIMEOUT_S = 30.0
+CONTROL_TIMEOUT_S = 1.5
+LINE_LIMIT_BYTES = 1_048_576
+
+
+class StreamCall(msgspec.Struct, frozen=True):
+    """One stream to open.
+
+    ``body`` is the caller's JSON body, ``tokens`` what has been generated already.
+    """
+
+    stream: str
+    body: bytes
+    priority: int
+    tokens: tuple[str, ...] = ()
+    kv_handle: str = ""
+
+
+class EngineToken(msgspec.Struct, frozen=True):
+    """One generated piece of text and its position."""
+
+    position: int
+    text: str
+
+
+class EngineFinished(msgspec.Struct, frozen=True):
+    """The engine sent the whole answer."""
+
+
+class EngineRefused(msgspec.Struct, frozen=True):
+    """The engine did not start the request."""
+
+    reason: str
+    leaving: bool = False
+    permanent: bool = False
+
+
+class EngineBroken(msgspec.Struct, frozen=True):
+    """The connection ended before the answer did."""
+
+    reason: str
+
+
+class EnginePrefill(msgspec.Struct, frozen=True):
+    """How many prompt tokens the engine had to compute."""
+
+    computed: int
+
+
+EngineEvent = (
+    EngineToken | EnginePrefill | EngineFinished | EngineRefused | EngineBroken
+)
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str = ""
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    delta: _Delta = _Delta()
+
+
+class _Usage(msgspec.Struct, frozen=True):
+    computed_prompt_tokens: int = 0
+
+
+class _Chunk(msgspec.Struct, frozen=True):
+    choices: tuple[_Choice, ...] = ()
+    position: int = 0
+    usage: _Usage | None = None
+
+
+class _Load(msgspec.Struct, frozen=True):
+    running: int = 0
+    waiting: int = 0
+
+
+class _Kv(msgspec.Struct, frozen=True):
+    kv: str = ""
+    handle: str = ""
+
+
+_chunk_decoder = msgspec.json.Decoder(_Chunk)
+
+
+class EngineClient:
+    """Opens streams and sends control requests to engines."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    def open(self) -> None:
+        """Create the connection pool; needs a running loop."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_TIMEOUT_S
+        )
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def stream(
+        self, endpoint: Endpoint, call: StreamCall
+    ) -> AsyncIterator[EngineEvent]:
+        """Open a stream and yield its events; the last one says how it ended."""
+        assert self._session is not None
+        url = f"{endpoint.url}/v1/chat/completions"
+        body = _extend_body(call)
+        headers = {"Content-Type": "application/json", "X-Stream-Id": call.stream}
+        try:
+            async with self._session.post(url, data=body, headers=headers) as response:
+                if response.status != 200:
+                    yield await _describe_refusal(response)
+                    return
+                async for event in _read_events(response):
+                    yield event
+                    if isinstance(event, EngineFinished):
+                        return
+        except aiohttp.ClientConnectorError as error:
+            yield EngineRefused(f"no connection: {error}")
+            return
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            yield EngineBroken(repr(error))
+            return
+        yield EngineBroken("the stream ended early")
+
+    async def cancel(self, endpoint: Endpoint, stream: str) -> None:
+        """Ask the engine to stop a stream; failures do not matter."""
+        await self._control("DELETE", f"{endpoint.url}/v1/streams/{stream}")
+
+    async def read_load(self, endpoint: Endpoint) -> int | None:
+        """Return the engine's reported number of requests, or None."""
+        data = await self._control("GET", f"{endpoint.url}/load")
+        if data is None:
+            return None
+        load = msgspec.json.decode(data, type=_Load)
+        return load.running + load.waiting
+
+    async def export_kv(self, endpoint: Endpoint, stream: str) -> str:
+        """Return a stream's KV cache, or an empty string if it cannot be had."""
+        data = await self._control(
+            "POST", f"{endpoint.url}/kv/export", {"stream": stream}
+        )
+        return msgspec.json.decode(data, type=_Kv).kv if data else ""
+
+    async def import_kv(self, endpoint: Endpoint, kv: str) -> str:
+        """Load KV cache into an engine; return its handle there or nothing."""
+        data = await self._control("POST", f"{endpoint.url}/kv/import", {"kv": kv})
+        return msgspec.json.decode(data, type=_Kv).handle if data else ""
+
+    async def _control(self, method: str, url: str, body: Any = None) -> bytes | None:
+        assert self._session is not None
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, url, json=body, timeout=timeout
+            ) as response:
+                data = await response.read()
+                return data if response.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+
+def _extend_body(call: StreamCall) -> bytes:
+    content = msgspec.json.decode(call.body, type=dict[str, Any])
+    content["stream"] = True
+    content["tarragonway"] = {
+        "priority": call.priority,
+        "resume_tokens": call.tokens,
+        "kv_handle": call.kv_handle,
+    }
+    return msgspec.json.encode(content)
+
+
+async def _describe_refusal(response: aiohttp.ClientResponse) -> EngineRefused:
+    text = (await response.text())[:200]
+    leaving = response.headers.get("X-Endpoint-State") == "leaving"
+    permanent = 400 <= response.status < 500 and response.status != 429
+    return EngineRefused(f"{response.status}: {text}", leaving, permanent)
+
+
+async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[EngineEvent]:
+    while True:
+        line = await response.content.readline()
+        if not line:
+            return
+        if not line.startswith(b"data: "):
+            continue
+        data = line[6:].strip()
+        if data == b"[DONE]":
+            yield EngineFinished()
+            return
+        try:
+            chunk = _chunk_decoder.decode(data)
+        except msgspec.MsgspecError:
+            # A cut in the middle of an event; what follows says how it ended.
+            continue
+        if chunk.usage is not None:
+            yield EnginePrefill(chunk.usage.computed_prompt_tokens)
+        if chunk.choices and chunk.choices[0].delta.content:
+            yield EngineToken(chunk.position, chunk.choices[0].delta.content)
--- /dev/null
+++ b/tarragonway/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' requests in, endpoints' answers out."""
--- /dev/null
+++ b/tarragonway/entry/daemon.py
@@ -0,0 +1,389 @@
+"""The program ``tarragonway-entry``."""
+
+import argparse
+import asyncio
+import pathlib
+import secrets
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from tarragonway.claims import RetireOwner
+from tarragonway.control.client import ControlClient, NoControl
+from tarragonway.control.messages import ControlRedirect, ControlReply
+from tarragonway.core.counters import Counters
+from tarragonway.core.errors import SettingsError
+from tarragonway.core.ids import Epoch, Incarnation, ProcessName, ZoneName
+from tarragonway.core.outcomes import Refusal, RefusalReason
+from tarragonway.engines import EngineClient
+from tarragonway.entry.blame import CrashReporter
+from tarragonway.entry.dispatch import Dispatcher
+from tarragonway.entry.fetch import FetchCalls
+from tarragonway.entry.gate import Gate
+from tarragonway.entry.models import ModelCalls
+from tarragonway.entry.plain import PlainCalls
+from tarragonway.entry.problems import write_problem
+from tarragonway.limits import ShareHolder
+from tarragonway.limits.messages import ShareCall, ShareReply
+from tarragonway.process import check_operator, run_daemon, write_json
+from tarragonway.process.runner import make_tls
+from tarragonway.requests.adoptions import AdoptionGranted, AdoptionLost, AdoptRequest
+from tarragonway.requests.keeper import CopyKeeper
+from tarragonway.requests.messages import (
+    CopyAck,
+    CopyProgress,
+    CopyRecord,
+    CopyStale,
+    Heartbeat,
+)
+from tarragonway.requests.model import RequestRecord
+from tarragonway.requests.partners import Partners
+from tarragonway.requests.runner import Runner
+from tarragonway.settings import Settings
+from tarragonway.settings.load import find_entry
+from tarragonway.transport import Delivery, Mailbox
+from tarragonway.watch import WatchPush, WatchReply
+from tarragonway.watch.client import WatchClient
+from tarragonway.wire import WireMessage
+
+REGISTER_TIMEOUT_S = 2.0
+ADOPT_TIMEOUT_S = 5.0
+LINGER_S = 0.5
+
+
+class EntryProcess:
+    """An entry process: mailbox, watch, limits, requests and callers' interface.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    base : pathlib.Path
+        Folder of the settings file, for relative paths.
+    """
+
+    def __init__(self, settings: Settings, base: pathlib.Path) -> None:
+        peer = find_entry(settings)
+        assert peer is not None
+        self._settings = settings
+        self._peer = peer
+        self._base = base
+        self._name = ProcessName(peer.name)
+        self._incarnation = Incarnation(secrets.token_hex(8))
+        self._registered = False
+        self._control_names = [ProcessName(p.name) for p in settings.cluster.control]
+        statsd = settings.cluster.statsd
+        self._counters = Counters.from_config(
+            statsd.host, statsd.port, f"tarragonway.{peer.name}"
+        )
+        self._mailbox: Mailbox[WireMessage] = Mailbox(
+            self._name,
+            peer.mailbox,
+            settings.list_mailboxes(),
+            settings.cluster_key,
+            WireMessage,  # type: ignore[arg-type]
+            self._counters,
+        )
+        self._make_control_side()
+        self._make_request_side()
+        self._tasks: list[asyncio.Task] = []
+        self._runner: web.AppRunner | None = None
+        self.failure: asyncio.Future = asyncio.Future()
+
+    def _make_control_side(self) -> None:
+        timing = self._settings.cluster.timing
+        self._control = ControlClient(
+            self._control_names, self._mailbox.send, self._counters
+        )
+        self._watch = WatchClient(
+            self._name,
+            self._control_names,
+            timing.watch_poll_s,
+            timing.freshness_bound_s,
+            self._mailbox.send,
+            self._counters,
+        )
+        self._shares = ShareHolder(
+            timing.share_lease_s, self._send_share_call, self._counters
+        )
+
+    def _make_request_side(self) -> None:
+        cluster = self._settings.cluster
+        timing = cluster.timing
+        self._engines = EngineClient()
+        self._gate = Gate(self._watch, cluster.limits)
+        self._dispatcher = Dispatcher(
+            self._name,
+            ZoneName(self._peer.zone),
+            self._watch,
+            self._engines,
+            cluster.limits.queue_length,
+            self._counters,
+        )
+        zones = {ProcessName(p.name): ZoneName(p.zone) for p in cluster.entry}
+        self._partners = Partners(self._name, zones, timing.peer_silence_s)
+        self._keeper = CopyKeeper(
+            self._name,
+            self._incarnation,
+            self._partners,
+            timing.peer_silence_s,
+            self._mailbox.send,  # type: ignore[arg-type]
+            self._adopt,
+            lambda: self._watch.is_fresh,
+            self._counters,
+        )
+        self._blame = CrashReporter(
+            self._control, self._watch, self._dispatcher, self._counters
+        )
+        runner = Runner(
+            self._dispatcher,
+            self._engines,
+            self._keeper.note_progress,
+            self._blame.report,
+            self._counters,
+        )
+        self._models = ModelCalls(
+            self._name,
+            self._gate,
+            self._shares,
+            self._watch,
+            self._keeper,
+            self._partners,
+            runner,
+            timing.request_deadline_s,
+            self._counters,
+        )
+        self._plain = PlainCalls(
+            self._name,
+            self._incarnation,
+            self._gate,
+            self._shares,
+            self._dispatcher,
+            self._control,
+            timing,
+            cluster.limits,
+            self._counters,
+        )
+        addresses = {ProcessName(p.name): p.http for p in cluster.entry}
+        self._fetch = FetchCalls(
+            self._name,
+            self._gate,
+            self._watch,
+            self._keeper,
+            addresses,
+            self._settings.cluster_key,
+        )
+
+    @classmethod
+    def from_config(
+        cls, settings: Settings, arguments: argparse.Namespace
+    ) -> "EntryProcess":
+        """Build the process from its settings."""
+        return cls(settings, arguments.settings.parent)
+
+    async def start(self) -> None:
+        """Open sockets and start tasks."""
+        self._watch.on_change = self._refresh
+        for part in (self._engines, self._plain, self._fetch):
+            part.open()
+        self._mailbox.open(self._receive)
+        self._spawn(self._watch.run())
+        self._spawn(self._shares.run())
+        self._spawn(self._dispatcher.run())
+        self._spawn(self._dispatcher.poll_loads())
+        self._spawn(self._keeper.run())
+        await self._register()
+        limits = self._settings.cluster.limits
+        self._runner = web.AppRunner(
+            self._make_app(),
+            access_log=None,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+            shutdown_timeout=LINGER_S,
+        )
+        await self._runner.setup()
+        host, _, port = self._peer.http.partition(":")
+        tls = make_tls(self._settings, self._base)
+        await web.TCPSite(self._runner, host, int(port), ssl_context=tls).start()
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait for those in flight."""
+        self._gate.stopping = True
+        self._keeper.stopping = True
+        await asyncio.sleep(LINGER_S)
+        try:
+            await self._models.wait_idle()
+            await self._plain.wait_idle()
+        except asyncio.CancelledError:
+            handed = self._keeper.hand_over()
+            self._counters.increment("requests.handed_over", handed)
+            await asyncio.sleep(LINGER_S / 5)
+            raise
+
+    async def close(self) -> None:
+        """Stop all tasks and close the sockets."""
+        self._models.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for part in (self._engines, self._plain, self._fetch):
+            await part.close()
+        self._mailbox.close()
+
+    def make_dump(self) -> dict[str, Any]:
+        """Return the process's state."""
+        view = self._watch.view
+        return {
+            "process": self._name,
+            "zone": self._peer.zone,
+            "incarnation": self._incarnation,
+            "ready": self._gate.check_ready() is None and self._registered,
+            "revision": view.revision,
+            "version": view.version,
+            "confirmed_s_ago": min(self._watch.age_s, 1e9),
+            "endpoints": list(view.endpoints.values()),
+            "dispatch": self._dispatcher.make_dump(),
+            "shares": self._shares.make_dump(),
+            "running": self._keeper.count_running(),
+            "partners": self._partners.chosen,
+            "quarantined": sorted(view.quarantined),
+            "counters": self._counters.snapshot(),
+        }
+
+    # HTTP
+
+    def _make_app(self) -> web.Application:
+        app = web.Application(client_max_size=self._settings.cluster.limits.body_bytes)
+        routes = app.router
+        routes.add_post("/v1/chat/completions", self._models.post)
+        routes.add_get("/v1/requests/{id}", self._fetch.get)
+        routes.add_get("/internal/requests/{id}", self._fetch.get_forwarded)
+        routes.add_get("/v1/calls/{key}", self._plain.get_status)
+        routes.add_route("*", "/services/{service}/{path:.*}", self._plain.handle)
+        routes.add_get("/healthz", self._get_health)
+        routes.add_get("/admin/dump", self._get_dump)
+        return app
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        refusal = self._gate.check_ready()
+        if refusal is None and not self._registered:
+            detail = "this start is not registered yet"
+            refusal = Refusal(RefusalReason.NO_CONTROL, detail, 1.0)
+        if refusal is not None:
+            return write_problem(refusal)
+        return write_json({"ready": True, "revision": self._watch.view.revision})
+
+    async def _get_dump(self, request: web.Request) -> web.Response:
+        check_operator(request, self._settings.cluster)
+        return write_json(self.make_dump())
+
+    # Messages
+
+    def _receive(self, delivery: Delivery[WireMessage]) -> None:
+        sender = delivery.sender
+        match delivery.body:
+            case WatchReply() as reply:
+                self._watch.receive_reply(reply)
+            case WatchPush() as push:
+                self._watch.receive_push(push)
+            case ControlReply() | ControlRedirect() as answer:
+                self._control.receive(answer)
+            case ShareReply() as shares:
+                self._shares.receive(shares)
+            case _:
+                self._receive_from_entry(sender, delivery.body)
+
+    def _receive_from_entry(self, sender: ProcessName, body: WireMessage) -> None:
+        match body:
+            case CopyRecord():
+                self._keeper.receive_record(sender, body)
+            case CopyProgress():
+                self._keeper.receive_progress(sender, body)
+            case CopyAck():
+                self._keeper.receive_ack(sender, body)
+            case CopyStale():
+                self._keeper.receive_stale(body)
+            case Heartbeat():
+                self._keeper.receive_heartbeat(sender, body)
+            case _:
+                self._counters.increment("entry.unexpected")
+
+    def _send_share_call(self, call: ShareCall) -> None:
+        """Send to all control processes: only the leader answers."""
+        if not self._registered:
+            return
+        for name in self._control_names:
+            self._mailbox.send(name, call)
+
+    # Duties
+
+    async def _register(self) -> None:
+        """Turn the open claims of this process's former start into unknown."""
+        command = RetireOwner(self._name, self._incarnation)
+        result = await self._control.call(command, REGISTER_TIMEOUT_S)
+        if isinstance(result, NoControl):
+            self._spawn_once(self._register())
+        else:
+            self._registered = True
+
+    def _refresh(self) -> None:
+        self._dispatcher.refresh()
+        for request, (epoch, owner) in self._watch.view.owners.items():
+            self._keeper.note_owner(request, epoch, owner)
+
+    async def _adopt(self, record: RequestRecord) -> None:
+        epoch = Epoch(record.epoch + 1)
+        command = AdoptRequest(record.id, epoch, self._name)
+        result = await self._control.call(command, ADOPT_TIMEOUT_S)
+        match result:
+            case AdoptionGranted():
+                self._counters.increment("requests.adopted")
+                self._keeper.release_copy(record.id)
+                owned = _change_owner(record, self._name, epoch)
+                await self._models.adopt(owned)
+            case AdoptionLost(lost_epoch, owner):
+                self._keeper.note_owner(record.id, lost_epoch, owner)
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _spawn_once(self, coroutine: Any) -> None:
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        if task.cancelled() or self.failure.done():
+            return
+        self.failure.set_exception(task.exception() or RuntimeError("a task ended"))
+
+
+def _change_owner(
+    record: RequestRecord, owner: ProcessName, epoch: Epoch
+) -> RequestRecord:
+    return msgspec.structs.replace(record, owner=owner, epoch=epoch)
+
+
+def _check(settings: Settings) -> None:
+    if find_entry(settings) is None:
+        raise SettingsError(
+            settings.process.cluster_file,
+            f"there is no [[entry]] table named {settings.process.name!r}",
+            "add one, or correct the name in the process's settings",
+            "entry",
+        )
+
+
+def main() -> None:
+    """Run the program."""
+    raise SystemExit(
+        run_daemon(
+            "tarragonway-entry",
+            "Takes callers' requests and routes them to endpoints.",
+            EntryProcess.from_config,
+            _check,
+        )
+    )
--- /dev/null
+++ b/tarragonway/entry/dispatch.py
@@ -0,0 +1,252 @@
+"""Admission of requests to endpoints: fair queue, load, choice."""
+
+import asyncio
+import random
+
+import msgspec
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import (
+    AccountId,
+    EndpointId,
+    ProcessName,
+    ServiceName,
+    ZoneName,
+)
+from tarragonway.core.outcomes import Refusal, RefusalReason
+from tarragonway.endpoints import Endpoint, EndpointState
+from tarragonway.engines import EngineClient
+from tarragonway.limits.queue import FairQueue, Ticket
+from tarragonway.lists import ServiceKind
+from tarragonway.routing import (
+    Candidate,
+    LoadBoard,
+    RoutingPolicy,
+    choose_endpoint,
+    pick_subset,
+)
+from tarragonway.watch.client import WatchClient
+
+URGENT_PRIORITY = 2
+LOAD_POLL_S = 1.0
+QUEUE_CHECK_S = 0.05
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """What one request needs of an endpoint."""
+
+    service: ServiceName
+    account: AccountId
+    priority: int
+    weight: float
+    deadline: float
+    prefix: str = ""
+    avoid: frozenset[EndpointId] = frozenset()
+
+
+class _Waiter(msgspec.Struct, frozen=True):
+    demand: Demand
+    future: asyncio.Future
+
+
+class Dispatcher:
+    """Gives each request an endpoint, or makes it wait for its turn.
+
+    Parameters
+    ----------
+    own : ProcessName
+        This process.
+    zone : ZoneName
+        Its availability zone.
+    watch : WatchClient
+        Source of services and endpoints.
+    engines : EngineClient
+        Reads load reports.
+    queue_length : int
+        Most requests that wait for one service.
+    counters : Counters
+        Receives ``dispatch.*`` counters.
+    """
+
+    def __init__(
+        self,
+        own: ProcessName,
+        zone: ZoneName,
+        watch: WatchClient,
+        engines: EngineClient,
+        queue_length: int,
+        counters: Counters,
+    ) -> None:
+        self._own = own
+        self._zone = zone
+        self._watch = watch
+        self._engines = engines
+        self._queue_length = queue_length
+        self._counters = counters
+        self._policy = RoutingPolicy()
+        self._random = random.Random()
+        self._board = LoadBoard()
+        self._queues: dict[ServiceName, FairQueue[_Waiter]] = {}
+        self._refused: set[EndpointId] = set()
+        self._subsets: dict[ServiceName, list[Endpoint]] = {}
+        self._wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve the queues until the task is cancelled."""
+        while True:
+            try:
+                await asyncio.wait_for(self._wake.wait(), QUEUE_CHECK_S)
+            except TimeoutError:
+                if not any(self._queues.values()):
+                    continue
+            self._wake.clear()
+            for service, queue in self._queues.items():
+                self._serve_queue(service, queue)
+
+    async def poll_loads(self) -> None:
+        """Read load reports until the task is cancelled."""
+        while True:
+            endpoints = [e for rows in self._subsets.values() for e in rows]
+            reports = [self._read_load(endpoint) for endpoint in endpoints]
+            await asyncio.gather(*reports)
+            self._wake.set()
+            await asyncio.sleep(LOAD_POLL_S)
+
+    def refresh(self) -> None:
+        """Take over a changed view."""
+        rows = self._watch.view.endpoints
+        self._board.keep(set(rows))
+        self._refused &= set(rows)
+        self._subsets = {}
+        for service in self._watch.lists.services:
+            active = [e for e in rows.values() if e.service == service]
+            self._subsets[service] = pick_subset(self._own, active)
+        self._wake.set()
+
+    def note_refused(self, endpoint: EndpointId) -> None:
+        """Note that an endpoint said itself that it is leaving."""
+        self._refused.add(endpoint)
+        self._counters.increment("dispatch.refused_leaving")
+
+    def is_leaving(self, endpoint: EndpointId) -> bool:
+        """Return whether an endpoint is leaving or gone."""
+        row = self._watch.view.endpoints.get(endpoint)
+        left = row is None or row.state is EndpointState.LEAVING
+        return left or endpoint in self._refused
+
+    async def acquire(self, demand: Demand) -> Endpoint | Refusal:
+        """Return an endpoint with room; its load must be released later."""
+        queue = self._queues.setdefault(demand.service, FairQueue())
+        if not queue:
+            endpoint = self._choose(demand)
+            if endpoint is not None:
+                return endpoint
+        loop = asyncio.get_running_loop()
+        if len(queue) >= self._queue_length or demand.deadline <= loop.time():
+            return self._refuse(demand)
+        waiter = _Waiter(demand, loop.create_future())
+        queue.push(
+            Ticket(
+                demand.account,
+                demand.priority,
+                demand.weight,
+                demand.deadline,
+                waiter,
+            )
+        )
+        self._counters.increment("dispatch.queued")
+        self._wake.set()
+        try:
+            return await asyncio.wait_for(waiter.future, demand.deadline - loop.time())
+        except TimeoutError:
+            return self._refuse(demand)
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                self.release(waiter.future.result().id)
+            raise
+
+    def release(self, endpoint: EndpointId, failed: bool = False) -> None:
+        """Note that a request has ended at an endpoint."""
+        now = asyncio.get_running_loop().time()
+        self._board.record_end(endpoint, failed, now)
+        self._wake.set()
+
+    def make_dump(self) -> dict[str, object]:
+        """Return queues and expected loads."""
+        return {
+            "queued": {name: len(queue) for name, queue in self._queues.items()},
+            "expected": self._board.make_dump(),
+            "refused": sorted(self._refused),
+        }
+
+    def _serve_queue(self, service: ServiceName, queue: FairQueue[_Waiter]) -> None:
+        now = asyncio.get_running_loop().time()
+        while queue and self._has_room(service):
+            ticket = queue.pop(now)
+            if ticket is None:
+                return
+            waiter = ticket.item
+            if waiter.future.done():
+                continue
+            endpoint = self._choose(waiter.demand)
+            if endpoint is None:
+                queue.push(ticket)
+                return
+            waiter.future.set_result(endpoint)
+
+    def _has_room(self, service: ServiceName) -> bool:
+        candidates = self._list_candidates(service, frozenset())
+        factor = self._policy.urgent_overcommit
+        return any(c.expected < c.slots * factor for c in candidates)
+
+    def _choose(self, demand: Demand) -> Endpoint | None:
+        candidates = self._list_candidates(demand.service, demand.avoid)
+        if not candidates:
+            candidates = self._list_candidates(demand.service, frozenset())
+        chosen = choose_endpoint(
+            candidates,
+            demand.prefix,
+            self._zone,
+            demand.priority <= URGENT_PRIORITY,
+            self._policy,
+            self._random,
+        )
+        if chosen is None:
+            return None
+        self._board.record_start(chosen)
+        return self._watch.view.endpoints[chosen]
+
+    def _list_candidates(
+        self, service: ServiceName, avoid: frozenset[EndpointId]
+    ) -> list[Candidate]:
+        listed = self._watch.lists.services.get(service)
+        if listed is None:
+            return []
+        now = asyncio.get_running_loop().time()
+        return [
+            Candidate(
+                endpoint.id,
+                endpoint.zone,
+                self._board.get_expected(endpoint.id),
+                listed.endpoint_slots,
+                self._board.is_ejected(endpoint.id, now),
+            )
+            for endpoint in self._subsets.get(service, [])
+            if not self.is_leaving(endpoint.id) and endpoint.id not in avoid
+        ]
+
+    def _refuse(self, demand: Demand) -> Refusal:
+        self._counters.increment("dispatch.refused")
+        if not self._list_candidates(demand.service, frozenset()):
+            detail = f"service {demand.service} has no endpoint"
+            return Refusal(RefusalReason.NO_ENDPOINT, detail, 5.0)
+        detail = f"service {demand.service} has no free place within the deadline"
+        return Refusal(RefusalReason.DEADLINE, detail, 2.0)
+
+    async def _read_load(self, endpoint: Endpoint) -> None:
+        listed = self._watch.lists.services.get(endpoint.service)
+        if listed is None or listed.kind is not ServiceKind.MODEL:
+            return
+        load = await self._engines.read_load(endpoint)
+        if load is not None:
+            self._board.record_report(endpoint.id, load)
--- /dev/null
+++ b/tarragonway/entry/fetch.py
@@ -0,0 +1,196 @@
+"""Later fetch of accepted requests, through any entry process."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from tarragonway.core.hashes import compute_mac, verify_mac
+from tarragonway.core.ids import ProcessName, RequestId
+from tarragonway.core.outcomes import Outcome, Refusal, RefusalReason
+from tarragonway.entry.gate import Gate
+from tarragonway.entry.problems import write_problem
+from tarragonway.entry.streams import StreamWriter, make_answer
+from tarragonway.requests.keeper import CopyKeeper
+from tarragonway.requests.live import LiveRequest
+from tarragonway.requests.model import RequestRecord, RequestState
+from tarragonway.requests.naming import list_holders
+from tarragonway.watch.client import WatchClient
+
+FORWARD_HEADER = "X-Tarragonway-Forward"
+FIND_WAIT_S = 8.0
+FIND_PAUSE_S = 0.2
+
+
+class FetchCalls:
+    """Handlers of ``GET /v1/requests/{id}``.
+
+    Parameters
+    ----------
+    own : ProcessName
+        This process.
+    gate, watch, keeper
+        Parts of the entry process.
+    addresses : dict of ProcessName to str
+        HTTP addresses of the entry processes.
+    key : bytes
+        Cluster key, with which forwarded requests are signed.
+    """
+
+    def __init__(
+        self,
+        own: ProcessName,
+        gate: Gate,
+        watch: WatchClient,
+        keeper: CopyKeeper,
+        addresses: dict[ProcessName, str],
+        key: bytes,
+    ) -> None:
+        self._own = own
+        self._gate = gate
+        self._watch = watch
+        self._keeper = keeper
+        self._addresses = addresses
+        self._key = key
+        self._session: aiohttp.ClientSession | None = None
+
+    def open(self) -> None:
+        """Create the connection pool; needs a running loop."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(self, request: web.Request) -> web.StreamResponse:
+        """Handle one caller's fetch."""
+        caller = self._gate.identify(request)
+        if isinstance(caller, Refusal):
+            return write_problem(caller)
+        request_id = RequestId(request.match_info["id"])
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + FIND_WAIT_S
+        while True:
+            found = await self._try_all(request, request_id, caller.account.id)
+            if found is not None:
+                return found
+            if loop.time() > deadline or not list_holders(request_id):
+                break
+            # The owner may be lost and the request about to be adopted.
+            await asyncio.sleep(FIND_PAUSE_S)
+        detail = "no entry process knows this request"
+        return write_problem(
+            Refusal(RefusalReason.NOT_FOUND, detail, 0.0, Outcome.UNKNOWN)
+        )
+
+    async def get_forwarded(self, request: web.Request) -> web.StreamResponse:
+        """Handle a fetch that another entry process forwards."""
+        request_id = RequestId(request.match_info["id"])
+        account = request.query.get("account", "")
+        mac = bytes.fromhex(request.headers.get(FORWARD_HEADER, "") or "00")
+        if not verify_mac(self._key, _make_ticket(request_id, account), mac):
+            raise web.HTTPForbidden()
+        found = await self._serve_here(request, request_id, account)
+        return found if found is not None else web.Response(status=404)
+
+    async def _try_all(
+        self, request: web.Request, request_id: RequestId, account: str
+    ) -> web.StreamResponse | None:
+        found = await self._serve_here(request, request_id, account)
+        if found is not None:
+            return found
+        for name in self._list_places(request_id):
+            found = await self._forward(request, name, request_id, account)
+            if found is not None:
+                return found
+        return None
+
+    def _list_places(self, request_id: RequestId) -> list[ProcessName]:
+        places = list_holders(request_id)
+        owner = self._watch.view.owners.get(request_id)
+        if owner is not None:
+            places.insert(0, owner[1])
+        known = [name for name in dict.fromkeys(places) if name in self._addresses]
+        return [name for name in known if name != self._own]
+
+    async def _serve_here(
+        self, request: web.Request, request_id: RequestId, account: str
+    ) -> web.StreamResponse | None:
+        live = self._keeper.find_live(request_id)
+        if live is None:
+            record = self._keeper.find_finished(request_id)
+            if record is None:
+                return None
+            live = LiveRequest(record, copied=False)
+        if live.record.account != account:
+            detail = "the request belongs to another client account"
+            return write_problem(Refusal(RefusalReason.FORBIDDEN, detail))
+        return await _answer(request, live)
+
+    async def _forward(
+        self,
+        request: web.Request,
+        name: ProcessName,
+        request_id: RequestId,
+        account: str,
+    ) -> web.StreamResponse | None:
+        assert self._session is not None
+        url = f"http://{self._addresses[name]}/internal/requests/{request_id}"
+        headers = {
+            FORWARD_HEADER: compute_mac(
+                self._key, _make_ticket(request_id, account)
+            ).hex(),
+            "Accept": request.headers.get("Accept", ""),
+            "Last-Event-ID": request.headers.get("Last-Event-ID", "0"),
+        }
+        try:
+            async with self._session.get(
+                url, params={"account": account}, headers=headers
+            ) as answer:
+                if answer.status == 404:
+                    return None
+                return await _relay(request, answer)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+
+async def _relay(
+    request: web.Request, answer: aiohttp.ClientResponse
+) -> web.StreamResponse:
+    names = ("Content-Type", "X-Request-Id", "Location", "Retry-After")
+    headers = {n: answer.headers[n] for n in names if n in answer.headers}
+    response = web.StreamResponse(status=answer.status, headers=headers)
+    await response.prepare(request)
+    try:
+        async for data in answer.content.iter_any():
+            await response.write(data)
+        await response.write_eof()
+    except aiohttp.ClientError:
+        # Half an answer was sent: cut the caller off, so that it attaches again.
+        if request.transport is not None:
+            request.transport.abort()
+    except ConnectionResetError:
+        return response
+    return response
+
+
+async def _answer(request: web.Request, live: LiveRequest) -> web.StreamResponse:
+    if "text/event-stream" in request.headers.get("Accept", ""):
+        text = request.headers.get("Last-Event-ID", "0")
+        start = int(text) if text.isdigit() else 0
+        return await StreamWriter(live).write(request, start)
+    if not live.is_over:
+        headers = {"Retry-After": "1", "Location": f"/v1/requests/{live.record.id}"}
+        return web.Response(status=202, headers=headers)
+    record: RequestRecord = live.make_record()
+    if record.state is RequestState.FAILED:
+        detail = record.error or "the request failed"
+        refusal = Refusal(RefusalReason.BAD_REQUEST, detail, 0.0, Outcome.REFUSED)
+        return write_problem(refusal)
+    return make_answer(record)
+
+
+def _make_ticket(request_id: RequestId, account: str) -> bytes:
+    return f"{request_id}\0{account}".encode()
--- /dev/null
+++ b/tarragonway/entry/models.py
@@ -0,0 +1,276 @@
+"""Callers' requests to model services."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.hashes import compute_fingerprint
+from tarragonway.core.ids import (
+    AccountId,
+    Epoch,
+    Fingerprint,
+    ProcessName,
+    RequestId,
+    ServiceName,
+)
+from tarragonway.core.outcomes import Refusal, RefusalReason
+from tarragonway.entry.dispatch import Demand
+from tarragonway.entry.gate import Caller, Gate
+from tarragonway.entry.problems import write_problem
+from tarragonway.entry.streams import StreamWriter, make_answer
+from tarragonway.limits import ShareHolder
+from tarragonway.lists import Service, ServiceKind
+from tarragonway.requests.keeper import CopyKeeper
+from tarragonway.requests.live import LiveRequest
+from tarragonway.requests.model import RequestRecord
+from tarragonway.requests.naming import make_request_id
+from tarragonway.requests.partners import Partners
+from tarragonway.requests.runner import Runner
+from tarragonway.watch.client import WatchClient
+
+PREFIX_BYTES = 512
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """The parts of a chat completions body that the system reads."""
+
+    model: str
+    messages: list[ChatMessage]
+    stream: bool = False
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """Body of a 202 answer."""
+
+    id: RequestId
+    location: str
+
+
+_body_decoder = msgspec.json.Decoder(ChatBody)
+
+
+class ModelCalls:
+    """Handlers of ``POST /v1/chat/completions``.
+
+    Parameters
+    ----------
+    own : ProcessName
+        This process.
+    gate, shares, watch, keeper, partners, runner
+        Parts of the entry process.
+    deadline_s : float
+        Longest wait of an accepted request for an endpoint.
+    counters : Counters
+        Receives ``models.*`` counters.
+    """
+
+    def __init__(
+        self,
+        own: ProcessName,
+        gate: Gate,
+        shares: ShareHolder,
+        watch: WatchClient,
+        keeper: CopyKeeper,
+        partners: Partners,
+        runner: Runner,
+        deadline_s: float,
+        counters: Counters,
+    ) -> None:
+        self._own = own
+        self._gate = gate
+        self._shares = shares
+        self._watch = watch
+        self._keeper = keeper
+        self._partners = partners
+        self._runner = runner
+        self._deadline_s = deadline_s
+        self._counters = counters
+        self._tasks: set[asyncio.Task] = set()
+
+    async def post(self, request: web.Request) -> web.StreamResponse:
+        """Handle one request."""
+        caller = self._gate.identify(request)
+        if isinstance(caller, Refusal):
+            return write_problem(caller)
+        body = await self._gate.read_body(request)
+        if isinstance(body, Refusal):
+            return write_problem(body)
+        chat = _decode_chat(body)
+        if isinstance(chat, Refusal):
+            return write_problem(chat)
+        service = caller.find_service(chat.model)
+        if isinstance(service, Refusal):
+            return write_problem(service)
+        if service.kind is not ServiceKind.MODEL:
+            detail = f"{service.name} is not a model service"
+            return write_problem(Refusal(RefusalReason.BAD_REQUEST, detail))
+        account = AccountId(caller.account.id)
+        refusal = self._check_quarantine(compute_fingerprint(account, body))
+        refusal = refusal or await self._shares.admit(account)
+        if refusal is not None:
+            return write_problem(refusal)
+        return await self._serve(request, caller, service, chat, body)
+
+    async def adopt(self, record: RequestRecord) -> None:
+        """Run an adopted request to its end."""
+        live = LiveRequest(record, copied=True)
+        await self._keeper.protect(live)
+        self._start(self._run_adopted(live))
+
+    async def wait_idle(self) -> None:
+        """Return once no request runs here."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def cancel(self) -> None:
+        """Stop all running requests."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(
+        self,
+        request: web.Request,
+        caller: Caller,
+        service: Service,
+        chat: ChatBody,
+        body: bytes,
+    ) -> web.StreamResponse:
+        account = AccountId(caller.account.id)
+        deferred = "respond-async" in request.headers.get("Prefer", "")
+        live = self._make_live(caller, service, body, deferred or chat.stream)
+        demand = self._make_demand(caller, service, chat, live.copied)
+        if not live.copied:
+            try:
+                return await self._answer_whole(live, demand)
+            finally:
+                self._shares.release(account)
+        protected = await self._keeper.protect(live)
+        if not protected:
+            self._counters.increment("models.unprotected")
+        task = self._start(self._run_accepted(live, demand, account))
+        self._counters.increment("models.accepted")
+        if deferred:
+            return _write_accepted(live.record.id)
+        return await self._answer_stream(request, live, task)
+
+    async def _answer_whole(self, live: LiveRequest, demand: Demand) -> web.Response:
+        refusal = await self._runner.run(live, demand)
+        if refusal is not None:
+            return write_problem(refusal)
+        self._counters.increment("models.answered")
+        return make_answer(live.make_record())
+
+    async def _answer_stream(
+        self,
+        request: web.Request,
+        live: LiveRequest,
+        task: asyncio.Task,
+    ) -> web.StreamResponse:
+        """Stream an accepted request; refuse plainly what failed before its start."""
+        while not live.released and not live.is_over and not task.done():
+            changed = asyncio.ensure_future(live.wait_change())
+            await asyncio.wait([changed, task], return_when=asyncio.FIRST_COMPLETED)
+            changed.cancel()
+        if task.done() and not live.tokens:
+            refusal = task.result()
+            if refusal is not None:
+                return write_problem(refusal)
+        return await StreamWriter(live).write(request, 0)
+
+    async def _run_accepted(
+        self, live: LiveRequest, demand: Demand, account: AccountId
+    ) -> Refusal | None:
+        try:
+            return await self._runner.run(live, demand)
+        finally:
+            self._shares.release(account)
+
+    async def _run_adopted(self, live: LiveRequest) -> Refusal | None:
+        chat = _body_decoder.decode(live.record.body)
+        now = asyncio.get_running_loop().time()
+        demand = Demand(
+            live.record.service,
+            live.record.account,
+            live.record.priority,
+            1.0,
+            now + self._deadline_s,
+            _hash_prefix(chat),
+        )
+        return await self._runner.run(live, demand)
+
+    def _make_live(
+        self, caller: Caller, service: Service, body: bytes, copied: bool
+    ) -> LiveRequest:
+        account = AccountId(caller.account.id)
+        peers = self._partners.pick() if copied else []
+        record = RequestRecord(
+            make_request_id(self._own, peers),
+            account,
+            ServiceName(service.name),
+            compute_fingerprint(account, body),
+            caller.plan.priority,
+            body,
+            self._own,
+            Epoch(1),
+        )
+        return LiveRequest(record, copied)
+
+    def _make_demand(
+        self, caller: Caller, service: Service, chat: ChatBody, accepted: bool
+    ) -> Demand:
+        now = asyncio.get_running_loop().time()
+        wait_s = self._deadline_s if accepted else service.deadline_s
+        return Demand(
+            ServiceName(service.name),
+            AccountId(caller.account.id),
+            caller.plan.priority,
+            caller.plan.weight,
+            now + wait_s,
+            _hash_prefix(chat),
+        )
+
+    def _check_quarantine(self, fingerprint: Fingerprint) -> Refusal | None:
+        if fingerprint not in self._watch.view.quarantined:
+            return None
+        self._counters.increment("models.quarantined")
+        detail = "this content has crashed endpoints and is not run again"
+        return Refusal(RefusalReason.QUARANTINED, detail)
+
+    def _start(self, coroutine: Any) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _decode_chat(body: bytes) -> ChatBody | Refusal:
+    try:
+        return _body_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        return Refusal(RefusalReason.BAD_REQUEST, f"the body is unusable: {error}")
+
+
+def _hash_prefix(chat: ChatBody) -> str:
+    text = "\0".join(message.content for message in chat.messages)
+    return xxhash.xxh3_64_hexdigest(text[:PREFIX_BYTES].encode())
+
+
+def _write_accepted(request: RequestId) -> web.Response:
+    location = f"/v1/requests/{request}"
+    return web.Response(
+        body=msgspec.json.encode(Accepted(request, location)),
+        status=202,
+        content_type="application/json",
+        headers={"Location": location, "Preference-Applied": "respond-async"},
+    )
--- /dev/null
+++ b/tarragonway/entry/plain.py
@@ -0,0 +1,487 @@
+"""Callers' requests to plain services."""
+
+import asyncio
+import secrets
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from tarragonway.claims import (
+    Answer,
+    BodyMismatch,
+    ClaimCall,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimRecord,
+    ClaimState,
+    QueryCall,
+    ResolveCall,
+)
+from tarragonway.control.client import ControlClient
+from tarragonway.core.counters import Counters
+from tarragonway.core.hashes import compute_fingerprint
+from tarragonway.core.ids import (
+    AccountId,
+    AttemptId,
+    CallKey,
+    EndpointId,
+    Incarnation,
+    ProcessName,
+    ServiceName,
+)
+from tarragonway.core.outcomes import Outcome, Refusal, RefusalReason
+from tarragonway.endpoints import Endpoint
+from tarragonway.entry.dispatch import Demand, Dispatcher
+from tarragonway.entry.gate import Caller, Gate
+from tarragonway.entry.problems import write_problem, write_unknown
+from tarragonway.limits import ShareHolder
+from tarragonway.lists import Service, ServiceKind
+from tarragonway.process import write_json
+from tarragonway.retries import RetryBudget
+from tarragonway.settings.model import Limits, Timing
+
+CONNECT_TIMEOUT_S = 1.0
+CLAIM_TIMEOUT_S = 2.5
+RESOLVE_TIMEOUT_S = 60.0
+LEASE_MARGIN_MS = 10_000
+PROGRESS_PAUSE_S = 0.1
+PROGRESS_PAUSE_MAX_S = 1.0
+MAX_KEY_LENGTH = 200
+
+_FORWARDED = ("Accept", "Content-Type", "Accept-Language", "If-None-Match")
+_RETRY_STATUS = frozenset({502, 503, 504})
+
+
+class PlainCall(msgspec.Struct, frozen=True):
+    """One call to a plain service, read in full."""
+
+    caller: Caller
+    service: Service
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def account(self) -> AccountId:
+        """The caller's client account."""
+        return AccountId(self.caller.account.id)
+
+
+class CallStatus(msgspec.Struct, frozen=True):
+    """Answer to a question about a key; ``status`` is the service's, if kept."""
+
+    outcome: Outcome
+    in_progress: bool
+    status: int = 0
+
+
+class NeverSent(msgspec.Struct, frozen=True):
+    """Sentinel: no connection was opened, so the service saw nothing."""
+
+    reason: str
+
+
+class MaybeSent(msgspec.Struct, frozen=True):
+    """Sentinel: the call may have reached the service."""
+
+    reason: str
+
+
+class PlainCalls:
+    """Handlers of ``/services/{service}/...`` and ``GET /v1/calls/{key}``.
+
+    Parameters
+    ----------
+    own : ProcessName
+        This process.
+    incarnation : Incarnation
+        This start of it.
+    gate, shares, dispatcher, control
+        Parts of the entry process.
+    timing : Timing
+        Time limits.
+    limits : Limits
+        Sizes.
+    counters : Counters
+        Receives ``plain.*`` counters.
+    """
+
+    def __init__(
+        self,
+        own: ProcessName,
+        incarnation: Incarnation,
+        gate: Gate,
+        shares: ShareHolder,
+        dispatcher: Dispatcher,
+        control: ControlClient,
+        timing: Timing,
+        limits: Limits,
+        counters: Counters,
+    ) -> None:
+        self._own = own
+        self._incarnation = incarnation
+        self._gate = gate
+        self._shares = shares
+        self._dispatcher = dispatcher
+        self._control = control
+        self._timing = timing
+        self._limits = limits
+        self._counters = counters
+        self._budget = RetryBudget()
+        self._pooled: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+        self._jobs: set[asyncio.Task] = set()
+
+    def open(self) -> None:
+        """Create the connection pools; needs a running loop.
+
+        Claimed calls never use a pooled connection: the client library repeats PUT and
+        DELETE by itself when a pooled connection breaks.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=self._timing.call_timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self._pooled = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=timeout,
+            auto_decompress=False,
+        )
+        self._fresh = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            timeout=timeout,
+            auto_decompress=False,
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for job in self._jobs:
+            job.cancel()
+        for session in (self._pooled, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def wait_idle(self) -> None:
+        """Return once all results are recorded."""
+        while self._jobs:
+            await asyncio.wait(self._jobs)
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Handle one call."""
+        call = await self._read_call(request)
+        if isinstance(call, Refusal):
+            return write_problem(call)
+        key = request.headers.get("Idempotency-Key", "")
+        repeatable = call.service.is_idempotent(call.method, call.path)
+        if not repeatable:
+            refusal = _check_key(key)
+            if refusal is not None:
+                return write_problem(refusal)
+        refusal = await self._shares.admit(call.account)
+        if refusal is not None:
+            return write_problem(refusal)
+        try:
+            if repeatable:
+                return await self._serve_repeatable(call)
+            # The caller may go away; the claim must still be resolved.
+            job = asyncio.create_task(self._serve_once(call, CallKey(key)))
+            self._jobs.add(job)
+            job.add_done_callback(self._jobs.discard)
+            return await asyncio.shield(job)
+        finally:
+            self._shares.release(call.account)
+
+    async def get_status(self, request: web.Request) -> web.StreamResponse:
+        """Handle a question about an idempotency key; closes an unused key."""
+        caller = self._gate.identify(request)
+        if isinstance(caller, Refusal):
+            return write_problem(caller)
+        account = AccountId(caller.account.id)
+        key = CallKey(request.match_info["key"])
+        held = await self._control.call(QueryCall(account, key), CLAIM_TIMEOUT_S)
+        if not isinstance(held, ClaimHeld):
+            return write_problem(_refuse_without_control(Outcome.UNKNOWN))
+        return write_json(_describe_record(held.record))
+
+    async def _read_call(self, request: web.Request) -> PlainCall | Refusal:
+        caller = self._gate.identify(request)
+        if isinstance(caller, Refusal):
+            return caller
+        service = caller.find_service(request.match_info["service"])
+        if isinstance(service, Refusal):
+            return service
+        if service.kind is not ServiceKind.PLAIN:
+            detail = f"{service.name} is not a plain service"
+            return Refusal(RefusalReason.BAD_REQUEST, detail)
+        body = await self._gate.read_body(request)
+        if isinstance(body, Refusal):
+            return body
+        headers = tuple(
+            (name, request.headers[name])
+            for name in _FORWARDED
+            if name in request.headers
+        )
+        path = "/" + request.match_info["path"]
+        query = request.rel_url.raw_query_string
+        return PlainCall(caller, service, request.method, path, query, headers, body)
+
+    # Calls that may be repeated
+
+    async def _serve_repeatable(self, call: PlainCall) -> web.StreamResponse:
+        self._budget.deposit()
+        deadline = asyncio.get_running_loop().time() + call.service.deadline_s
+        avoid: frozenset[EndpointId] = frozenset()
+        while True:
+            endpoint = await self._acquire(call, deadline, avoid)
+            if isinstance(endpoint, Refusal):
+                return write_problem(endpoint)
+            result = await self._send(call, endpoint, self._pooled, "")
+            good = isinstance(result, Answer) and result.status not in _RETRY_STATUS
+            self._dispatcher.release(endpoint.id, failed=not good)
+            if good or not self._budget.withdraw():
+                break
+            self._counters.increment("plain.retries")
+            avoid |= {endpoint.id}
+        match result:
+            case Answer():
+                return _write_answer(result)
+            case NeverSent(reason) | MaybeSent(reason):
+                detail = f"no endpoint of {call.service.name} answered: {reason}"
+                refusal = Refusal(RefusalReason.NO_ENDPOINT, detail, 1.0)
+                return write_problem(refusal)
+
+    # Calls that run at most once
+
+    async def _serve_once(self, call: PlainCall, key: CallKey) -> web.StreamResponse:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + call.service.deadline_s
+        endpoint = await self._acquire(call, deadline, frozenset())
+        if isinstance(endpoint, Refusal):
+            return write_problem(endpoint)
+        attempt = AttemptId(secrets.token_hex(12))
+        asked_at = loop.time()
+        claim = await self._claim(call, key, attempt)
+        if not isinstance(claim, ClaimGranted):
+            self._dispatcher.release(endpoint.id)
+            return await self._answer_unclaimed(call, key, attempt, claim)
+        self._counters.increment("plain.claimed")
+        result = await self._send_claimed(call, key, endpoint, asked_at, deadline)
+        state = _judge(result)
+        answer = result if isinstance(result, Answer) else None
+        await self._resolve(call, key, attempt, state, answer)
+        match result:
+            case Answer():
+                return _write_answer(result)
+            case NeverSent(reason):
+                detail = f"no endpoint took the call: {reason}"
+                return write_problem(Refusal(RefusalReason.NO_ENDPOINT, detail))
+            case MaybeSent(reason):
+                self._counters.increment("plain.unknown")
+                return write_unknown(f"the call may have run: {reason}")
+
+    async def _claim(self, call: PlainCall, key: CallKey, attempt: AttemptId) -> object:
+        target = f"{call.service.name}\0{call.method}\0{call.path}\0{call.query}\0"
+        fingerprint = compute_fingerprint(call.account, target.encode() + call.body)
+        lease_ms = int(self._timing.call_timeout_s * 1000) + LEASE_MARGIN_MS
+        command = ClaimCall(
+            call.account,
+            key,
+            fingerprint,
+            attempt,
+            self._own,
+            self._incarnation,
+            lease_ms,
+        )
+        return await self._control.call(command, CLAIM_TIMEOUT_S)
+
+    async def _send_claimed(
+        self,
+        call: PlainCall,
+        key: CallKey,
+        endpoint: Endpoint,
+        asked_at: float,
+        deadline: float,
+    ) -> Answer | NeverSent | MaybeSent:
+        """Send once; another endpoint is tried only if no connection was opened."""
+        loop = asyncio.get_running_loop()
+        avoid: frozenset[EndpointId] = frozenset()
+        while True:
+            # A process that was frozen since it asked must not send any more.
+            if loop.time() - asked_at > self._timing.claim_send_limit_s:
+                self._dispatcher.release(endpoint.id)
+                return NeverSent("the claim is too old to be used")
+            result = await self._send(call, endpoint, self._fresh, key)
+            failed = not isinstance(result, Answer)
+            self._dispatcher.release(endpoint.id, failed)
+            if not isinstance(result, NeverSent):
+                return result
+            avoid |= {endpoint.id}
+            limit = min(deadline, asked_at + self._timing.claim_send_limit_s)
+            other = await self._acquire(call, limit, avoid)
+            if isinstance(other, Refusal):
+                return result
+            endpoint = other
+
+    async def _answer_unclaimed(
+        self, call: PlainCall, key: CallKey, attempt: AttemptId, claim: object
+    ) -> web.StreamResponse:
+        match claim:
+            case ClaimHeld(record):
+                self._counters.increment("plain.resends")
+                return await self._answer_held(call, key, record)
+            case BodyMismatch():
+                detail = "the key was used for a call that differs"
+                return write_problem(Refusal(RefusalReason.BODY_MISMATCH, detail))
+        # The claim may be granted later; nothing was sent and nothing will be.
+        await self._resolve(call, key, attempt, ClaimState.NOT_RUN, None, wait=False)
+        return write_problem(_refuse_without_control(Outcome.NOT_RUN))
+
+    async def _answer_held(
+        self, call: PlainCall, key: CallKey, record: ClaimRecord
+    ) -> web.StreamResponse:
+        """Wait for the result of the attempt that holds the key."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + call.service.deadline_s
+        pause_s = PROGRESS_PAUSE_S
+        while record.state is ClaimState.CLAIMED and loop.time() < deadline:
+            await asyncio.sleep(pause_s)
+            pause_s = min(PROGRESS_PAUSE_MAX_S, pause_s * 2)
+            command = QueryCall(call.account, key)
+            held = await self._control.call(command, CLAIM_TIMEOUT_S)
+            if isinstance(held, ClaimHeld):
+                record = held.record
+        if record.state is ClaimState.CLAIMED:
+            return _write_in_progress()
+        return _write_record(record)
+
+    async def _resolve(
+        self,
+        call: PlainCall,
+        key: CallKey,
+        attempt: AttemptId,
+        state: ClaimState,
+        answer: Answer | None,
+        wait: bool = True,
+    ) -> None:
+        """Record the result; without control this goes on in the background."""
+        if answer is not None and len(answer.body) > self._limits.answer_bytes:
+            answer = None
+        command = ResolveCall(call.account, key, attempt, state, answer)
+        job = asyncio.create_task(self._control.call(command, RESOLVE_TIMEOUT_S))
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+        if wait:
+            await asyncio.wait([job], timeout=CLAIM_TIMEOUT_S)
+
+    # Both
+
+    async def _acquire(
+        self, call: PlainCall, deadline: float, avoid: frozenset[EndpointId]
+    ) -> Endpoint | Refusal:
+        plan = call.caller.plan
+        demand = Demand(
+            ServiceName(call.service.name),
+            call.account,
+            plan.priority,
+            plan.weight,
+            deadline,
+            "",
+            avoid,
+        )
+        return await self._dispatcher.acquire(demand)
+
+    async def _send(
+        self,
+        call: PlainCall,
+        endpoint: Endpoint,
+        session: aiohttp.ClientSession | None,
+        key: str,
+    ) -> Answer | NeverSent | MaybeSent:
+        assert session is not None
+        headers = dict(call.headers)
+        if key:
+            headers["Idempotency-Key"] = key
+        url = endpoint.url + call.path + (f"?{call.query}" if call.query else "")
+        try:
+            async with session.request(
+                call.method,
+                url,
+                data=call.body or None,
+                headers=headers,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return NeverSent(str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return MaybeSent(repr(error))
+        if response.headers.get("X-Endpoint-State") == "leaving":
+            # The endpoint says that it refused the call before doing anything.
+            self._dispatcher.note_refused(endpoint.id)
+            return NeverSent("the endpoint is leaving")
+        content_type = response.headers.get("Content-Type", "")
+        return Answer(response.status, content_type, body)
+
+
+def _judge(result: Answer | NeverSent | MaybeSent) -> ClaimState:
+    match result:
+        case Answer():
+            return ClaimState.DONE
+        case NeverSent():
+            return ClaimState.NOT_RUN
+        case MaybeSent():
+            return ClaimState.UNKNOWN
+
+
+def _check_key(key: str) -> Refusal | None:
+    if not key:
+        detail = "a call that may not be repeated needs an Idempotency-Key header"
+        return Refusal(RefusalReason.MISSING_KEY, detail)
+    if len(key) > MAX_KEY_LENGTH or not key.isprintable() or "/" in key:
+        detail = f"the Idempotency-Key must have up to {MAX_KEY_LENGTH} characters, "
+        return Refusal(RefusalReason.BAD_REQUEST, detail + "printable and without '/'")
+    return None
+
+
+def _refuse_without_control(outcome: Outcome) -> Refusal:
+    detail = "the replicated state could not be reached"
+    return Refusal(RefusalReason.NO_CONTROL, detail, 1.0, outcome)
+
+
+def _write_answer(answer: Answer, replayed: bool = False) -> web.Response:
+    headers = {"X-Outcome": Outcome.DONE.value}
+    if answer.content_type:
+        headers["Content-Type"] = answer.content_type
+    if replayed:
+        headers["Idempotent-Replayed"] = "true"
+    return web.Response(status=answer.status, body=answer.body, headers=headers)
+
+
+def _write_record(record: ClaimRecord) -> web.Response:
+    match record.state:
+        case ClaimState.DONE if record.answer is not None:
+            return _write_answer(record.answer, replayed=True)
+        case ClaimState.DONE:
+            detail = "the call has run; its answer is no longer kept"
+            refusal = Refusal(RefusalReason.NOT_FOUND, detail, 0.0, Outcome.DONE)
+            return write_problem(refusal)
+        case ClaimState.NOT_RUN:
+            detail = "the call did not run and never will under this key"
+            return write_problem(Refusal(RefusalReason.NO_ENDPOINT, detail))
+    return write_unknown("the call may have run; it will not be sent again")
+
+
+def _describe_record(record: ClaimRecord) -> CallStatus:
+    if record.state is ClaimState.CLAIMED:
+        return CallStatus(Outcome.UNKNOWN, True)
+    status = record.answer.status if record.answer else 0
+    return CallStatus(Outcome(record.state.value), False, status)
+
+
+def _write_in_progress() -> web.Response:
+    detail = "an earlier call with this key is under way"
+    return write_problem(
+        Refusal(RefusalReason.IN_PROGRESS, detail, 1.0, Outcome.UNKNOWN)
+    )
--- /dev/null
+++ b/tarragonway/limits/__init__.py
@@ -0,0 +1,8 @@
+"""Plan limits as leased shares, and the fair queue of each entry process."""
+
+from tarragonway.limits.bucket import TokenBucket
+from tarragonway.limits.holder import ShareHolder
+from tarragonway.limits.ledger import Limit, ShareLedger
+from tarragonway.limits.queue import FairQueue
+
+__all__ = ["FairQueue", "Limit", "ShareHolder", "ShareLedger", "TokenBucket"]
--- /dev/null
+++ b/tarragonway/limits/bucket.py
@@ -0,0 +1,49 @@
+"""Token bucket with a rate that may change."""
+
+BURST_S = 1.0
+
+
+class TokenBucket:
+    """Allows ``per_s`` takes a second and a burst of one second's worth.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(2.0, now=0.0)
+    >>> [bucket.take(0.0) for _ in range(3)]
+    [True, True, False]
+    >>> bucket.get_wait_s(0.0)
+    0.5
+    """
+
+    def __init__(self, per_s: float, now: float) -> None:
+        self._per_s = per_s
+        self._tokens = max(1.0, per_s * BURST_S)
+        self._at = now
+
+    def set_rate(self, per_s: float, now: float) -> None:
+        """Change the rate; tokens over the new burst are dropped."""
+        self._refill(now)
+        self._per_s = per_s
+        self._tokens = min(self._tokens, max(1.0, per_s * BURST_S))
+
+    def take(self, now: float) -> bool:
+        """Take one token if there is one."""
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def get_wait_s(self, now: float) -> float:
+        """Return the seconds until a token is there."""
+        self._refill(now)
+        if self._tokens >= 1.0:
+            return 0.0
+        if self._per_s <= 0:
+            return BURST_S
+        return (1.0 - self._tokens) / self._per_s
+
+    def _refill(self, now: float) -> None:
+        added = max(0.0, now - self._at) * self._per_s
+        self._at = max(self._at, now)
+        self._tokens = min(self._tokens + added, max(1.0, self._per_s * BURST_S))
--- /dev/null
+++ b/tarragonway/limits/ledger.py
@@ -0,0 +1,128 @@
+"""The leader's ledger of shares, which keeps their sum within each plan's limit.
+
+The ledger is not replicated: a share ends with its lease, so a new leader only has to
+wait for one lease during which it renews what entry processes hold and grants nothing
+more.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from tarragonway.core.ids import AccountId, ProcessName
+from tarragonway.limits.messages import ShareGrant, ShareWish
+
+CLOCK_DRIFT = 1.1
+MIN_DEMAND_PER_S = 0.1
+
+
+class Limit(msgspec.Struct, frozen=True):
+    """What one client account may use over all entry processes."""
+
+    per_s: float
+    concurrent: int
+
+
+class _Share(msgspec.Struct, frozen=True):
+    per_s: float
+    concurrent: int
+    demand: float
+    end: float
+
+
+class ShareLedger:
+    """Divides limits among entry processes by demand.
+
+    Parameters
+    ----------
+    lease_s : float
+        How long a share may be used, counted by its holder from before it asked.
+    entries : int
+        Number of entry processes; a first share is at most one part of so many, so
+        that the first to ask does not make the others wait.
+    started : float
+        When this process became the leader, on the clock of ``now``.
+
+    Examples
+    --------
+    >>> ledger = ShareLedger(5.0, entries=2)
+    >>> wish = ShareWish("a", 3.0, 0)
+    >>> ledger.answer("entry-1", (wish,), lambda _: Limit(10.0, 4), 0.0)
+    [ShareGrant(account='a', per_s=5.0, concurrent=2)]
+    >>> ledger.answer("entry-2", (wish,), lambda _: Limit(10.0, 4), 0.0)
+    [ShareGrant(account='a', per_s=5.0, concurrent=2)]
+    """
+
+    def __init__(
+        self, lease_s: float, entries: int, started: float = float("-inf")
+    ) -> None:
+        self.lease_s = lease_s
+        self.entries = entries
+        self._started = started
+        self._reported: set[ProcessName] = set()
+        self._shares: dict[AccountId, dict[ProcessName, _Share]] = {}
+
+    def answer(
+        self,
+        entry: ProcessName,
+        wishes: tuple[ShareWish, ...],
+        get_limit: Callable[[AccountId], Limit | None],
+        now: float,
+        registered: frozenset[ProcessName] = frozenset(),
+    ) -> list[ShareGrant]:
+        """Grant or renew one entry process's shares.
+
+        Until one lease has passed since the start, shares that a former leader granted
+        may be out. They are all known sooner if every one of the ``registered``
+        processes has asked since.
+        """
+        self._reported.add(entry)
+        grants = []
+        for wish in wishes:
+            limit = get_limit(wish.account)
+            if limit is not None:
+                renew_only = self._is_recovering(now, registered)
+                grants.append(self._grant(entry, wish, limit, now, renew_only))
+        return grants
+
+    def _grant(
+        self,
+        entry: ProcessName,
+        wish: ShareWish,
+        limit: Limit,
+        now: float,
+        renew_only: bool,
+    ) -> ShareGrant:
+        shares = self._shares.setdefault(wish.account, {})
+        for name in [n for n, s in shares.items() if s.end <= now]:
+            del shares[name]
+        others = [share for name, share in shares.items() if name != entry]
+        free_per_s = max(0.0, limit.per_s - sum(s.per_s for s in others))
+        free_concurrent = max(0, limit.concurrent - sum(s.concurrent for s in others))
+        if renew_only:
+            wanted_per_s = wish.held_per_s
+            wanted_concurrent = wish.held_concurrent
+        else:
+            fraction = self._compute_fraction(wish, others)
+            if entry not in shares:
+                fraction = min(fraction, 1 / self.entries)
+            wanted_per_s = limit.per_s * fraction
+            wanted_concurrent = max(1, round(limit.concurrent * fraction))
+        grant = ShareGrant(
+            wish.account,
+            min(wanted_per_s, free_per_s),
+            # Requests that run already keep their place in the sum.
+            min(max(wanted_concurrent, wish.running), free_concurrent),
+        )
+        end = now + self.lease_s * CLOCK_DRIFT
+        shares[entry] = _Share(grant.per_s, grant.concurrent, wish.demand_per_s, end)
+        return grant
+
+    def _is_recovering(self, now: float, registered: frozenset[ProcessName]) -> bool:
+        if now >= self._started + self.lease_s * CLOCK_DRIFT:
+            return False
+        return not registered <= self._reported
+
+    def _compute_fraction(self, wish: ShareWish, others: list[_Share]) -> float:
+        own = max(wish.demand_per_s, MIN_DEMAND_PER_S)
+        return own / (own + sum(share.demand for share in others))
--- /dev/null
+++ b/tarragonway/lists/register.py
@@ -0,0 +1,84 @@
+"""The replicated state of the two lists."""
+
+import msgspec
+
+from tarragonway.core.errors import SettingsError
+from tarragonway.core.ids import ChangeId, Revision
+from tarragonway.lists.check import check_lists
+
+REMEMBERED_CHANGES = 5000
+
+
+class ApplyLists(msgspec.Struct, frozen=True, tag=True):
+    """Replaces both lists if ``expected`` is the revision in force."""
+
+    change: ChangeId
+    expected: Revision
+    accounts_text: str
+    plans_text: str
+    author: str
+
+
+class ListsApplied(msgspec.Struct, frozen=True, tag=True):
+    """The change is in the log as ``revision``."""
+
+    revision: Revision
+
+
+class ListsConflict(msgspec.Struct, frozen=True, tag=True):
+    """Another change came first; its texts and author are given."""
+
+    revision: Revision
+    author: str
+    accounts_text: str
+    plans_text: str
+
+
+class ListsRefused(msgspec.Struct, frozen=True, tag=True):
+    """The lists are faulty."""
+
+    problem: str
+
+
+class ListRegister(msgspec.Struct):
+    """Lists in force, with the answers to recent changes.
+
+    Examples
+    --------
+    >>> register = ListRegister()
+    >>> register.apply(ApplyLists(ChangeId("1"), Revision(0), "", "", "ada"))
+    ListsApplied(revision=1)
+    >>> register.apply(ApplyLists(ChangeId("1"), Revision(0), "", "", "ada"))
+    ListsApplied(revision=1)
+    """
+
+    revision: Revision = Revision(0)
+    accounts_text: str = ""
+    plans_text: str = ""
+    author: str = ""
+    answers: dict[ChangeId, Revision] = {}
+
+    def apply(self, change: ApplyLists) -> ListsApplied | ListsConflict | ListsRefused:
+        """Apply a change once; a resend with the same id gets the first answer."""
+        known = self.answers.get(change.change)
+        if known is not None:
+            return ListsApplied(known)
+        if change.expected != self.revision:
+            return ListsConflict(
+                self.revision, self.author, self.accounts_text, self.plans_text
+            )
+        try:
+            check_lists(change.accounts_text, change.plans_text)
+        except SettingsError as error:
+            return ListsRefused(str(error))
+        self.revision = Revision(self.revision + 1)
+        self.accounts_text = change.accounts_text
+        self.plans_text = change.plans_text
+        self.author = change.author
+        self._remember(change.change)
+        return ListsApplied(self.revision)
+
+    def _remember(self, change: ChangeId) -> None:
+        self.answers[change] = self.revision
+        while len(self.answers) > REMEMBERED_CHANGES:
+            del self.answers[next(iter(self.answers))]
--- /dev/null
+++ b/tarragonway/operator/client.py
@@ -0,0 +1,89 @@
+"""HTTP calls of the command line to control and entry processes."""
+
+import asyncio
+import os
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from tarragonway.core.errors import TarragonwayError
+from tarragonway.settings import ClusterSettings
+
+KEY_VARIABLE = "TARRAGONWAY_OPERATOR_KEY"
+REQUEST_TIMEOUT_S = 8.0
+
+
+class OperatorError(TarragonwayError):
+    """The system could not be asked."""
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """Status and JSON content of an answer."""
+
+    status: int
+    content: dict[str, Any]
+
+
+class OperatorClient:
+    """Calls processes with the operator's key.
+
+    Parameters
+    ----------
+    cluster : ClusterSettings
+        Addresses of all processes.
+    """
+
+    def __init__(self, cluster: ClusterSettings) -> None:
+        self._cluster = cluster
+        key = os.environ.get(KEY_VARIABLE, "")
+        if not key:
+            raise OperatorError(f"set {KEY_VARIABLE} to your operator key")
+        self._headers = {"Authorization": f"Bearer {key}"}
+
+    async def call_control(self, method: str, path: str, body: Any = None) -> Reply:
+        """Return the first control process's answer that is not 503."""
+        last = "none is listed"
+        async with self._open() as session:
+            for peer in self._cluster.control:
+                try:
+                    reply = await _request(session, method, peer.http, path, body)
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    last = f"{peer.name}: {error!r}"
+                    continue
+                if reply.status != 503:
+                    return reply
+                last = f"{peer.name}: {reply.content.get('problem', 'not ready')}"
+        raise OperatorError(f"no control process can answer ({last})")
+
+    async def call_all(self, path: str) -> dict[str, Reply | str]:
+        """Return every process's answer, or what went wrong, by name."""
+        peers = [*self._cluster.control, *self._cluster.entry]
+        async with self._open() as session:
+            replies = await asyncio.gather(
+                *(_request(session, "GET", p.http, path, None) for p in peers),
+                return_exceptions=True,
+            )
+        return {
+            peer.name: reply if isinstance(reply, Reply) else repr(reply)
+            for peer, reply in zip(peers, replies, strict=True)
+        }
+
+    def _open(self) -> aiohttp.ClientSession:
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        return aiohttp.ClientSession(headers=self._headers, timeout=timeout)
+
+
+async def _request(
+    session: aiohttp.ClientSession, method: str, address: str, path: str, body: Any
+) -> Reply:
+    url = f"http://{address}{path}"
+    async with session.request(method, url, json=body) as response:
+        data = await response.read()
+        if response.status == 401:
+            raise OperatorError(f"{address} does not know the operator key")
+        try:
+            content = msgspec.json.decode(data, type=dict[str, Any])
+        except msgspec.MsgspecError:
+            content = {"problem": data.decode(errors="replace")[:200]}
+        return Reply(response.status, content)
--- /dev/null
+++ b/tarragonway/process/runner.py
@@ -0,0 +1,149 @@
+"""Start and stop of a daemon."""
+
+import argparse
+import asyncio
+import pathlib
+import signal
+import ssl
+import sys
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+import structlog
+
+from tarragonway.core.errors import SettingsError, TarragonwayError
+from tarragonway.core.logs import configure_logs
+from tarragonway.settings import Settings, load_settings
+
+EXIT_SETTINGS = 2
+EXIT_FAILED = 1
+EXIT_STOP_CUT_SHORT = 3
+
+_log = structlog.get_logger()
+
+
+class Daemon(Protocol):
+    """What the runner needs from a process's object."""
+
+    async def start(self) -> None:
+        """Open sockets and start tasks."""
+        ...
+
+    async def drain(self) -> None:
+        """Refuse new work and return once work in flight has ended."""
+        ...
+
+    async def close(self) -> None:
+        """Close everything."""
+        ...
+
+    def make_dump(self) -> dict[str, Any]:
+        """Return the process's state."""
+        ...
+
+    @property
+    def failure(self) -> asyncio.Future:
+        """Done when a task has failed and the process must stop."""
+        ...
+
+
+def run_daemon(
+    program: str,
+    about: str,
+    build: Callable[[Settings, argparse.Namespace], Daemon],
+    check: Callable[[Settings], None],
+    extend: Callable[[argparse.ArgumentParser], None] | None = None,
+) -> int:
+    """Parse the command line, check the settings, and run until a signal.
+
+    SIGTERM or SIGINT starts a graceful stop; a second one, or the deadline, ends it.
+    SIGUSR1 writes the state dump to standard error.
+
+    Returns
+    -------
+    int
+        0 after a whole stop, 1 after a failure, 2 for unusable settings, 3 if the stop
+        was cut short.
+    """
+    parser = argparse.ArgumentParser(program, description=about)
+    parser.add_argument(
+        "--settings", type=pathlib.Path, required=True, help="settings file (TOML)"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    if extend is not None:
+        extend(parser)
+    arguments = parser.parse_args()
+    try:
+        settings = load_settings(arguments.settings)
+        check(settings)
+    except SettingsError as error:
+        print(f"{program}: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if arguments.check:
+        print(f"{arguments.settings}: settings are usable")
+        return 0
+    configure_logs(settings.cluster.log_format, settings.process.name)
+    try:
+        return asyncio.run(_run(build, settings, arguments))
+    except (TarragonwayError, OSError) as error:
+        _log.error("cannot go on", error=str(error))
+        return EXIT_FAILED
+
+
+async def _run(
+    build: Callable[[Settings, argparse.Namespace], Daemon],
+    settings: Settings,
+    arguments: argparse.Namespace,
+) -> int:
+    daemon = build(settings, arguments)
+    loop = asyncio.get_running_loop()
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    loop.add_signal_handler(signal.SIGUSR1, _print_dump, daemon)
+    await daemon.start()
+    _log.info("started")
+    first = asyncio.ensure_future(signals.get())
+    await asyncio.wait([first, daemon.failure], return_when=asyncio.FIRST_COMPLETED)
+    if daemon.failure.done():
+        _log.error("a task failed", error=repr(daemon.failure.exception()))
+        await daemon.close()
+        return EXIT_FAILED
+    _log.info("stopping")
+    code = await _drain(daemon, signals, settings.cluster.timing.stop_deadline_s)
+    await daemon.close()
+    _log.info("stopped", whole=code == 0)
+    return code
+
+
+async def _drain(daemon: Daemon, signals: asyncio.Queue, deadline_s: float) -> int:
+    drain = asyncio.ensure_future(daemon.drain())
+    second = asyncio.ensure_future(signals.get())
+    await asyncio.wait(
+        [drain, second], timeout=deadline_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    second.cancel()
+    if drain.done():
+        drain.result()
+        return 0
+    drain.cancel()
+    _log.warning("stop is cut short")
+    return EXIT_STOP_CUT_SHORT
+
+
+def _print_dump(daemon: Daemon) -> None:
+    text = msgspec.json.encode(daemon.make_dump()).decode()
+    print(text, file=sys.stderr, flush=True)
+
+
+def make_tls(settings: Settings, folder: pathlib.Path) -> ssl.SSLContext | None:
+    """Return the HTTP server's TLS context, or None without a ``[tls]`` table."""
+    tls = settings.process.tls
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(folder / tls.certificate, folder / tls.key)
+    return context
--- /dev/null
+++ b/tarragonway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted requests: their record, copies at peers, progress and adoption."""
--- /dev/null
+++ b/tarragonway/requests/adoptions.py
@@ -0,0 +1,71 @@
+"""The replicated record of which process owns an adopted request."""
+
+import msgspec
+
+from tarragonway.core.ids import Epoch, ProcessName, RequestId
+
+ADOPTION_RETENTION_MS = 86_400_000
+
+
+class AdoptRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks to own a request as its ``epoch``, one more than the epoch known."""
+
+    request: RequestId
+    epoch: Epoch
+    owner: ProcessName
+
+
+class AdoptionGranted(msgspec.Struct, frozen=True, tag=True):
+    """The process owns the request; earlier owners may write no more."""
+
+    epoch: Epoch
+
+
+class AdoptionLost(msgspec.Struct, frozen=True, tag=True):
+    """Another process owns the request."""
+
+    epoch: Epoch
+    owner: ProcessName
+
+
+class Adoption(msgspec.Struct, frozen=True):
+    """Owner of a request since an adoption."""
+
+    epoch: Epoch
+    owner: ProcessName
+    since_ms: int
+
+
+class AdoptionBook(msgspec.Struct):
+    """Adopted requests; a request that never changed its owner has no row.
+
+    Examples
+    --------
+    >>> book = AdoptionBook()
+    >>> book.adopt(AdoptRequest("r", 2, "entry-2"), 0)
+    AdoptionGranted(epoch=2)
+    >>> book.adopt(AdoptRequest("r", 2, "entry-3"), 0)
+    AdoptionLost(epoch=2, owner='entry-2')
+    """
+
+    rows: dict[RequestId, Adoption] = {}
+
+    def adopt(
+        self, command: AdoptRequest, now_ms: int
+    ) -> AdoptionGranted | AdoptionLost:
+        """Give the request to the first process that asks for the next epoch."""
+        self._prune(now_ms)
+        known = self.rows.get(command.request)
+        if known is not None and known.epoch >= command.epoch:
+            if known.epoch == command.epoch and known.owner == command.owner:
+                return AdoptionGranted(command.epoch)
+            return AdoptionLost(known.epoch, known.owner)
+        self.rows.pop(command.request, None)
+        self.rows[command.request] = Adoption(command.epoch, command.owner, now_ms)
+        return AdoptionGranted(command.epoch)
+
+    def _prune(self, now_ms: int) -> None:
+        for request, row in list(self.rows.items()):
+            if now_ms < row.since_ms + ADOPTION_RETENTION_MS:
+                break
+            del self.rows[request]
--- /dev/null
+++ b/tarragonway/requests/keeper.py
@@ -0,0 +1,414 @@
+"""Copies of requests: those sent to peers, and those held for them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import Epoch, Incarnation, ProcessName, RequestId
+from tarragonway.requests.live import LiveRequest
+from tarragonway.requests.messages import (
+    AckPart,
+    CopyAck,
+    CopyProgress,
+    CopyRecord,
+    CopyStale,
+    Heartbeat,
+    ProgressPart,
+)
+from tarragonway.requests.model import RequestRecord, RequestState
+from tarragonway.requests.naming import list_holders
+from tarragonway.requests.partners import Partners
+
+FLUSH_S = 0.004
+RESEND_S = 0.25
+HEARTBEAT_S = 0.5
+ACCEPT_WAIT_S = 1.0
+RESULT_RETENTION_S = 900.0
+
+_log = structlog.get_logger()
+
+
+class _Copy(msgspec.Struct):
+    record: RequestRecord
+    tokens: list[str]
+    heard_at: float
+    state: RequestState = RequestState.RUNNING
+    error: str = ""
+
+    def make_record(self) -> RequestRecord:
+        return msgspec.structs.replace(
+            self.record, tokens=tuple(self.tokens), state=self.state, error=self.error
+        )
+
+
+class CopyKeeper:
+    """Owner's and holder's side of the copies.
+
+    Parameters
+    ----------
+    own : ProcessName
+        This process.
+    incarnation : Incarnation
+        This start of it.
+    partners : Partners
+        Peers for new copies.
+    silence_s : float
+        After this time without a heartbeat an owner counts as lost.
+    send : callable
+        Sends a message to an entry process.
+    adopt : callable
+        Called with the record of a request whose owner is lost.
+    is_fresh : callable
+        Whether this process is in touch with control; only then may tokens be released
+        that no peer could be found for.
+    counters : Counters
+        Receives ``copies.*`` counters.
+    """
+
+    def __init__(
+        self,
+        own: ProcessName,
+        incarnation: Incarnation,
+        partners: Partners,
+        silence_s: float,
+        send: Callable[[ProcessName, object], object],
+        adopt: Callable[[RequestRecord], Awaitable[None]],
+        is_fresh: Callable[[], bool],
+        counters: Counters,
+    ) -> None:
+        self.stopping = False
+        self._own = own
+        self._incarnation = incarnation
+        self._partners = partners
+        self._silence_s = silence_s
+        self._send = send
+        self._adopt = adopt
+        self._is_fresh = is_fresh
+        self._counters = counters
+        self._owned: dict[RequestId, LiveRequest] = {}
+        self._sent: dict[RequestId, dict[ProcessName, int]] = {}
+        self._dirty: set[RequestId] = set()
+        self._copies: dict[RequestId, _Copy] = {}
+        self._owners: dict[ProcessName, tuple[Incarnation, float]] = {}
+        self._adopting: set[RequestId] = set()
+        self._wake = asyncio.Event()
+
+    # Owner
+
+    async def protect(self, live: LiveRequest) -> bool:
+        """Copy a request to two peers; return whether one at least has it."""
+        self._owned[live.record.id] = live
+        self._sent[live.record.id] = {}
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + ACCEPT_WAIT_S
+        avoid: set[ProcessName] = set()
+        while loop.time() < deadline:
+            wanted = self._assign(live, avoid)
+            if wanted and all(name in live.acknowledged for name in wanted):
+                return True
+            changed = asyncio.ensure_future(live.wait_change())
+            await asyncio.wait([changed], timeout=ACCEPT_WAIT_S / 4)
+            changed.cancel()
+        self._counters.increment("copies.incomplete")
+        return bool(live.acknowledged)
+
+    def note_progress(self, live: LiveRequest) -> None:
+        """Send what is new to the peers soon."""
+        if live.record.id in self._owned:
+            self._dirty.add(live.record.id)
+            self._wake.set()
+
+    def receive_ack(self, sender: ProcessName, ack: CopyAck) -> None:
+        """Note what a peer holds, and release it to callers."""
+        for part in ack.parts:
+            live = self._owned.get(part.request)
+            if live is None or part.epoch != live.record.epoch:
+                continue
+            if part.position < 0:
+                self._send_record(live, sender)
+                continue
+            live.acknowledged[sender] = part.position
+            self._sent[part.request][sender] = max(
+                part.position, self._sent[part.request].get(sender, 0)
+            )
+            live.release(part.position, part.finished)
+
+    def receive_stale(self, stale: CopyStale) -> None:
+        """Stop a request that a later owner has taken over."""
+        live = self._owned.get(stale.request)
+        if live is not None and stale.epoch > live.record.epoch:
+            self.drop(stale.request)
+            self._counters.increment("copies.superseded")
+
+    def drop(self, request: RequestId) -> None:
+        """Give up a request that another process owns now."""
+        live = self._owned.pop(request, None)
+        self._sent.pop(request, None)
+        if live is not None:
+            live.abandon()
+
+    def find_live(self, request: RequestId) -> LiveRequest | None:
+        """Return a request that this process owns."""
+        return self._owned.get(request)
+
+    def find_finished(self, request: RequestId) -> RequestRecord | None:
+        """Return the record of a finished request that this process holds a copy of."""
+        copy = self._copies.get(request)
+        if copy is None or copy.state is RequestState.RUNNING:
+            return None
+        return copy.make_record()
+
+    def count_running(self) -> int:
+        """Return how many owned requests still run."""
+        running = RequestState.RUNNING
+        return sum(live.state is running for live in self._owned.values())
+
+    def hand_over(self) -> int:
+        """Tell peers to adopt what still runs here; return how many requests."""
+        running = [
+            live for live in self._owned.values() if live.state is RequestState.RUNNING
+        ]
+        for live in running:
+            self._send_parts(live.record.id, final=True)
+        self.stopping = True
+        for name in self._partners.chosen:
+            self._send(name, Heartbeat(Incarnation(""), True))
+        return len(running)
+
+    # Holder
+
+    def receive_record(self, sender: ProcessName, message: CopyRecord) -> None:
+        """Hold a copy of a request."""
+        record = message.record
+        known = self._copies.get(record.id)
+        if self._is_stale(sender, record.id, record.epoch):
+            return
+        now = asyncio.get_running_loop().time()
+        tokens = list(record.tokens)
+        if known is not None and known.record.epoch == record.epoch:
+            tokens = max(known.tokens, tokens, key=len)
+        copy = _Copy(record, tokens, now, record.state, record.error)
+        self._copies[record.id] = copy
+        self._counters.increment("copies.held")
+        self._acknowledge(sender, [record.id])
+
+    def receive_progress(self, sender: ProcessName, message: CopyProgress) -> None:
+        """Extend copies."""
+        done = []
+        for part in message.parts:
+            if self._is_stale(sender, part.request, part.epoch):
+                continue
+            copy = self._copies.get(part.request)
+            if copy is not None and copy.record.epoch == part.epoch:
+                self._extend(copy, part)
+            done.append(part.request)
+        self._acknowledge(sender, done, [p.epoch for p in message.parts])
+
+    def receive_heartbeat(self, sender: ProcessName, beat: Heartbeat) -> None:
+        """Note that an owner lives, or that a partner echoes."""
+        if beat.echo:
+            self._partners.record_echo(sender, beat.stopping)
+            return
+        now = asyncio.get_running_loop().time()
+        if not beat.incarnation:
+            # The owner leaves and hands over: it counts as silent at once.
+            self._owners[sender] = (Incarnation(""), float("-inf"))
+            self._wake.set()
+            return
+        self._owners[sender] = (beat.incarnation, now)
+        self._send(sender, Heartbeat(self._incarnation, self.stopping, True))
+
+    # Tasks
+
+    async def run(self) -> None:
+        """Send progress and heartbeats, and adopt, until cancelled."""
+        await asyncio.gather(
+            self._flush_forever(), self._beat_forever(), self._check_forever()
+        )
+
+    async def _flush_forever(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            dirty, self._dirty = self._dirty, set()
+            self._flush(dirty)
+            await asyncio.sleep(FLUSH_S)
+
+    def _flush(self, requests: set[RequestId]) -> None:
+        batches: dict[ProcessName, list[ProgressPart]] = {}
+        for request in requests:
+            live = self._owned.get(request)
+            if live is None:
+                continue
+            for name, position in self._sent[request].items():
+                batches.setdefault(name, []).append(_make_part(live, position))
+                self._sent[request][name] = len(live.tokens)
+        for name, parts in batches.items():
+            self._send(name, CopyProgress(tuple(parts)))
+            self._counters.increment("copies.progress_messages")
+
+    def _send_parts(self, request: RequestId, final: bool) -> None:
+        self._flush({request})
+
+    async def _beat_forever(self) -> None:
+        while True:
+            for name in self._partners.chosen:
+                self._send(name, Heartbeat(self._incarnation, self.stopping))
+            await asyncio.sleep(HEARTBEAT_S)
+            self._partners.widen()
+
+    async def _check_forever(self) -> None:
+        while True:
+            await asyncio.sleep(RESEND_S)
+            for live in list(self._owned.values()):
+                self._check_owned(live)
+            self._check_owners()
+            self._prune()
+
+    def _check_owned(self, live: LiveRequest) -> None:
+        """Repeat lost messages, and replace lost peers."""
+        if live.is_over:
+            return
+        sent = self._sent[live.record.id]
+        lost = [name for name in sent if not self._partners.is_live(name)]
+        for name in lost:
+            del sent[name]
+            live.acknowledged.pop(name, None)
+        wanted = self._assign(live, set())
+        if not wanted and self._is_fresh():
+            # Nobody is left to hold a copy, and control knows no other owner.
+            over = live.state is not RequestState.RUNNING
+            live.release(len(live.tokens), over)
+            self._counters.increment("copies.uncopied")
+            return
+        behind = [n for n in sent if live.acknowledged.get(n, 0) < len(live.tokens)]
+        for name in behind:
+            sent[name] = live.acknowledged.get(name, 0)
+        over = live.state is not RequestState.RUNNING
+        if behind or (over and not live.finish_acknowledged):
+            self._dirty.add(live.record.id)
+            self._wake.set()
+
+    def _check_owners(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for request, copy in list(self._copies.items()):
+            if copy.state is not RequestState.RUNNING or request in self._adopting:
+                continue
+            _, heard = self._owners.get(copy.record.owner, (None, copy.heard_at))
+            silence = now - heard
+            if silence > self._silence_s * (1 + self._rank_as_heir(copy.record)):
+                self._adopting.add(request)
+                task = asyncio.create_task(self._adopt_copy(request, copy))
+                task.add_done_callback(_raise_failure)
+
+    async def _adopt_copy(self, request: RequestId, copy: _Copy) -> None:
+        try:
+            await self._adopt(copy.make_record())
+        finally:
+            self._adopting.discard(request)
+
+    def _rank_as_heir(self, record: RequestRecord) -> int:
+        heirs = [n for n in list_holders(record.id) if n != record.owner]
+        return heirs.index(self._own) if self._own in heirs else len(heirs)
+
+    def _prune(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for request, live in list(self._owned.items()):
+            if live.is_over and now - live.finished_at > RESULT_RETENTION_S:
+                del self._owned[request]
+                self._sent.pop(request, None)
+        for request, copy in list(self._copies.items()):
+            over = copy.state is not RequestState.RUNNING
+            if over and now - copy.heard_at > RESULT_RETENTION_S:
+                del self._copies[request]
+
+    # Helpers
+
+    def release_copy(self, request: RequestId) -> None:
+        """Forget a copy, since this process owns the request now."""
+        self._copies.pop(request, None)
+
+    def note_owner(self, request: RequestId, epoch: Epoch, owner: ProcessName) -> None:
+        """Take over from the view who owns a request."""
+        live = self._owned.get(request)
+        if live is not None and owner != self._own and epoch > live.record.epoch:
+            self.drop(request)
+            self._counters.increment("copies.superseded")
+        copy = self._copies.get(request)
+        if copy is not None and epoch > copy.record.epoch:
+            copy.record = msgspec.structs.replace(copy.record, owner=owner, epoch=epoch)
+            copy.heard_at = asyncio.get_running_loop().time()
+
+    def _assign(self, live: LiveRequest, avoid: set[ProcessName]) -> list[ProcessName]:
+        """Send the record to peers until two hold it; return the assigned ones."""
+        sent = self._sent.get(live.record.id)
+        if sent is None:
+            return []
+        for name in self._partners.pick(avoid):
+            if len(sent) < 2 and name not in sent:
+                self._send_record(live, name)
+        return list(sent)
+
+    def _send_record(self, live: LiveRequest, name: ProcessName) -> None:
+        self._sent[live.record.id][name] = len(live.tokens)
+        self._send(name, CopyRecord(live.make_record()))
+
+    def _is_stale(self, sender: ProcessName, request: RequestId, epoch: Epoch) -> bool:
+        copy = self._copies.get(request)
+        live = self._owned.get(request)
+        if live is not None and live.record.epoch > epoch:
+            self._send(sender, CopyStale(request, live.record.epoch, self._own))
+            return True
+        if copy is not None and copy.record.epoch > epoch:
+            owner = copy.record.owner
+            self._send(sender, CopyStale(request, copy.record.epoch, owner))
+            return True
+        return False
+
+    def _extend(self, copy: _Copy, part: ProgressPart) -> None:
+        copy.heard_at = asyncio.get_running_loop().time()
+        have = len(copy.tokens)
+        if part.start <= have:
+            copy.tokens += part.tokens[have - part.start :]
+        complete = part.start + len(part.tokens) <= len(copy.tokens)
+        if part.finished and complete:
+            failed = bool(part.error)
+            copy.state = RequestState.FAILED if failed else RequestState.DONE
+            copy.error = part.error
+
+    def _acknowledge(
+        self,
+        sender: ProcessName,
+        requests: list[RequestId],
+        epochs: list[Epoch] | None = None,
+    ) -> None:
+        parts = []
+        for position, request in enumerate(requests):
+            copy = self._copies.get(request)
+            if copy is None:
+                epoch = epochs[position] if epochs else Epoch(0)
+                parts.append(AckPart(request, epoch, -1))
+                continue
+            over = copy.state is not RequestState.RUNNING
+            parts.append(AckPart(request, copy.record.epoch, len(copy.tokens), over))
+        if parts:
+            self._send(sender, CopyAck(tuple(parts)))
+
+
+def _make_part(live: LiveRequest, position: int) -> ProgressPart:
+    return ProgressPart(
+        live.record.id,
+        live.record.epoch,
+        position,
+        tuple(live.tokens[position:]),
+        live.state is not RequestState.RUNNING,
+        live.error,
+    )
+
+
+def _raise_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("adoption failed", error=repr(task.exception()))
--- /dev/null
+++ b/tarragonway/requests/live.py
@@ -0,0 +1,120 @@
+"""A request that this process owns and runs."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from tarragonway.core.errors import InvariantError
+from tarragonway.core.ids import EndpointId, ProcessName
+from tarragonway.requests.model import RequestRecord, RequestState
+
+
+class LiveRequest:
+    """Tokens and end of one request, and how much of it may be shown.
+
+    Tokens of a copied request are released to callers only once a peer holds them, so
+    that no caller ever sees a token that a later owner could generate differently.
+
+    Parameters
+    ----------
+    record : RequestRecord
+        The request, with the tokens known so far.
+    copied : bool
+        Whether peers hold copies.
+    """
+
+    def __init__(self, record: RequestRecord, copied: bool) -> None:
+        self.record = record
+        self.copied = copied
+        self.tokens = list(record.tokens)
+        self.state = record.state
+        self.error = record.error
+        self.acknowledged: dict[ProcessName, int] = {}
+        self.finish_acknowledged = False
+        self.abandoned = False
+        self.endpoint: EndpointId | None = None
+        self.prefilled = bool(record.tokens) or record.epoch > 1
+        self.finished_at = 0.0
+        self._released = 0
+        self._changed = asyncio.Event()
+
+    @property
+    def released(self) -> int:
+        """Number of tokens that callers may see."""
+        return self._released if self.copied else len(self.tokens)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the request has ended and its end may be shown."""
+        if self.state is RequestState.RUNNING:
+            return False
+        shown = not self.copied or self.finish_acknowledged
+        return shown and self.released >= len(self.tokens)
+
+    def add_token(self, position: int, text: str) -> None:
+        """Add the next token; one that is there already is ignored.
+
+        Raises
+        ------
+        InvariantError
+            If a position was skipped.
+        """
+        if position < len(self.tokens):
+            return
+        if position > len(self.tokens):
+            raise InvariantError(
+                f"{self.record.id}: token {position} follows {len(self.tokens)}"
+            )
+        self.tokens.append(text)
+        self.notify()
+
+    def finish(self, state: RequestState, error: str = "") -> None:
+        """Note how the request ended."""
+        self.state = state
+        self.error = error
+        self.finished_at = asyncio.get_running_loop().time()
+        self.notify()
+
+    def release(self, count: int, finished: bool) -> None:
+        """Let callers see the first ``count`` tokens, and the end if peers know it."""
+        self._released = max(self._released, count)
+        self.finish_acknowledged |= finished
+        self.notify()
+
+    def abandon(self) -> None:
+        """Stop, since another process owns the request now."""
+        self.abandoned = True
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake everyone who follows this request."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_change(self) -> None:
+        """Return at the next change."""
+        await self._changed.wait()
+
+    async def follow(self, start: int) -> AsyncIterator[list[str]]:
+        """Yield released tokens from ``start`` on, until the request is over."""
+        position = start
+        while True:
+            changed = self._changed
+            if position < self.released:
+                end = self.released
+                yield self.tokens[position:end]
+                position = end
+                continue
+            if self.is_over or self.abandoned:
+                return
+            await changed.wait()
+
+    def make_record(self) -> RequestRecord:
+        """Return the record with the present tokens and state."""
+        return msgspec.structs.replace(
+            self.record,
+            tokens=tuple(self.tokens),
+            state=self.state,
+            error=self.error,
+        )
--- /dev/null
+++ b/tarragonway/requests/model.py
@@ -0,0 +1,50 @@
+"""Record of an accepted request."""
+
+import enum
+
+import msgspec
+
+from tarragonway.core.ids import (
+    AccountId,
+    Epoch,
+    Fingerprint,
+    ProcessName,
+    RequestId,
+    ServiceName,
+)
+
+
+class RequestState(enum.Enum):
+    """Life of an accepted request."""
+
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+
+
+class RequestRecord(msgspec.Struct, frozen=True):
+    """An accepted request with the tokens generated so far.
+
+    Parameters
+    ----------
+    id : RequestId
+        Names the first owner and its peers, so that any entry process finds it.
+    epoch : Epoch
+        Number of owners so far, from 1; only the latest owner may write.
+    body : bytes
+        The caller's JSON body.
+    tokens : tuple of str
+        Generated pieces; a piece's position is its index.
+    """
+
+    id: RequestId
+    account: AccountId
+    service: ServiceName
+    fingerprint: Fingerprint
+    priority: int
+    body: bytes
+    owner: ProcessName
+    epoch: Epoch
+    state: RequestState = RequestState.RUNNING
+    tokens: tuple[str, ...] = ()
+    error: str = ""
--- /dev/null
+++ b/tarragonway/requests/naming.py
@@ -0,0 +1,23 @@
+"""Ids of accepted requests, which name the processes that know the request."""
+
+import secrets
+
+from tarragonway.core.ids import ProcessName, RequestId
+
+_SEPARATOR = "_"
+
+
+def make_request_id(owner: ProcessName, peers: list[ProcessName]) -> RequestId:
+    """Return a new id."""
+    return RequestId(_SEPARATOR.join([secrets.token_hex(8), owner, *peers]))
+
+
+def list_holders(request: RequestId) -> list[ProcessName]:
+    """Return the first owner and its peers.
+
+    Examples
+    --------
+    >>> list_holders(RequestId("ab12_entry-1_entry-4"))
+    ['entry-1', 'entry-4']
+    """
+    return [ProcessName(name) for name in request.split(_SEPARATOR)[1:] if name]
--- /dev/null
+++ b/tarragonway/requests/partners.py
@@ -0,0 +1,93 @@
+"""The entry processes that hold copies for this one."""
+
+import asyncio
+
+from tarragonway.core.hashes import rank_by_hash
+from tarragonway.core.ids import ProcessName, ZoneName
+
+PARTNER_COUNT = 4
+COPY_COUNT = 2
+
+
+class Partners:
+    """Chooses peers in other zones and knows which of them answer.
+
+    Every process has a few fixed partners, so that the number of heartbeats does not
+    grow with the square of the processes.
+
+    Parameters
+    ----------
+    own : ProcessName
+        This process.
+    zones : dict of ProcessName to ZoneName
+        All entry processes.
+    silence_s : float
+        After this time without an echo a partner counts as lost.
+    """
+
+    def __init__(
+        self, own: ProcessName, zones: dict[ProcessName, ZoneName], silence_s: float
+    ) -> None:
+        self._own = own
+        self._zones = zones
+        self._silence_s = silence_s
+        self._echoed: dict[ProcessName, float] = {}
+        self._stopping: set[ProcessName] = set()
+        self._ranked = self._rank()
+        self.chosen = self._ranked[:PARTNER_COUNT]
+
+    def record_echo(self, partner: ProcessName, stopping: bool) -> None:
+        """Note a sign of life."""
+        self._echoed[partner] = asyncio.get_running_loop().time()
+        if stopping:
+            self._stopping.add(partner)
+        else:
+            self._stopping.discard(partner)
+
+    def is_live(self, partner: ProcessName) -> bool:
+        """Return whether a partner answered lately."""
+        now = asyncio.get_running_loop().time()
+        heard = self._echoed.get(partner, float("-inf"))
+        return now - heard < self._silence_s
+
+    def pick(self, avoid: set[ProcessName] | None = None) -> list[ProcessName]:
+        """Return live partners for one request, in different zones if possible."""
+        usable = [
+            name
+            for name in self.chosen
+            if self.is_live(name)
+            and name not in self._stopping
+            and name not in (avoid or set())
+        ]
+        picked: list[ProcessName] = []
+        zones = {self._zones[self._own]}
+        for name in usable:
+            if self._zones[name] not in zones and len(picked) < COPY_COUNT:
+                picked.append(name)
+                zones.add(self._zones[name])
+        for name in usable:
+            if name not in picked and len(picked) < COPY_COUNT:
+                picked.append(name)
+        return picked
+
+    def widen(self) -> None:
+        """Replace lost partners by the next ones of the ranking."""
+        live = [name for name in self.chosen if self.is_live(name)]
+        others = [name for name in self._ranked if name not in live]
+        kept = [name for name in self.chosen if name not in live]
+        fresh = [name for name in others if name not in kept]
+        self.chosen = (live + fresh + kept)[:PARTNER_COUNT]
+
+    def _rank(self) -> list[ProcessName]:
+        """Return the other processes, zones taking turns, other zones first."""
+        others = [name for name in self._zones if name != self._own]
+        ranked = [ProcessName(n) for n in rank_by_hash(self._own, list(others))]
+        own_zone = self._zones[self._own]
+        lines: dict[ZoneName, list[ProcessName]] = {}
+        for name in ranked:
+            lines.setdefault(self._zones[name], []).append(name)
+        turns = [lines[zone] for zone in sorted(lines) if zone != own_zone]
+        mixed: list[ProcessName] = []
+        while any(turns):
+            mixed += [line.pop(0) for line in turns if line]
+        return mixed + lines.get(own_zone, [])
