--- /dev/null
+++ b/tarragonway/requests/runner.py
@@ -0,0 +1,186 @@
+"""Runs one model request to its end, across reclaims and crashes of endpoints."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import EndpointId
+from tarragonway.core.outcomes import Refusal, RefusalReason
+from tarragonway.endpoints import Endpoint
+from tarragonway.engines import (
+    EngineBroken,
+    EngineClient,
+    EngineFinished,
+    EngineRefused,
+    EngineToken,
+    StreamCall,
+)
+from tarragonway.engines.adapter import EngineEvent, EnginePrefill
+from tarragonway.entry.dispatch import Demand, Dispatcher
+from tarragonway.requests.live import LiveRequest
+from tarragonway.requests.model import RequestState
+
+RETRY_PAUSE_S = 0.1
+RETRY_PAUSE_MAX_S = 2.0
+BLAME_WAIT_S = 1.5
+
+
+class Moved(msgspec.Struct, frozen=True):
+    """The endpoint is leaving; ``kv`` is the exported cache."""
+
+    kv: str
+
+
+StreamEnd = EngineFinished | EngineRefused | EngineBroken | Moved
+
+
+class Runner:
+    """Finds endpoints for requests and follows their streams.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Gives endpoints.
+    engines : EngineClient
+        Opens streams.
+    note_progress : callable
+        Called when a request has new tokens or has ended.
+    report_crash : callable
+        Called with a request and an endpoint that broke under it; returns a refusal if
+        the request must not run again.
+    counters : Counters
+        Receives ``runner.*`` counters.
+    move_kv : bool
+        Whether to export and import KV cache when an endpoint leaves.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        engines: EngineClient,
+        note_progress: Callable[[LiveRequest], None],
+        report_crash: Callable[[LiveRequest, Endpoint], Awaitable[Refusal | None]],
+        counters: Counters,
+        move_kv: bool = True,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._engines = engines
+        self._note_progress = note_progress
+        self._report_crash = report_crash
+        self._counters = counters
+        self._move_kv = move_kv
+
+    async def run(self, live: LiveRequest, demand: Demand) -> Refusal | None:
+        """Run the request; return a refusal if it cannot be finished."""
+        kv = ""
+        pause_s = RETRY_PAUSE_S
+        avoid: frozenset[EndpointId] = frozenset()
+        while not live.abandoned:
+            wanted = msgspec.structs.replace(demand, avoid=avoid)
+            endpoint = await self._dispatcher.acquire(wanted)
+            if isinstance(endpoint, Refusal):
+                return self._fail(live, endpoint)
+            before = len(live.tokens)
+            end = await self._run_at(live, endpoint, kv, demand.priority)
+            kv = end.kv if isinstance(end, Moved) else ""
+            if isinstance(end, EngineFinished):
+                self._finish(live, RequestState.DONE)
+                return None
+            if isinstance(end, Moved):
+                continue
+            refusal = await self._judge(live, endpoint, end)
+            if refusal is not None:
+                return self._fail(live, refusal)
+            avoid = frozenset({endpoint.id})
+            if len(live.tokens) > before:
+                pause_s = RETRY_PAUSE_S
+            await asyncio.sleep(pause_s)
+            pause_s = min(RETRY_PAUSE_MAX_S, pause_s * 2)
+            self._counters.increment("runner.retries")
+        return None
+
+    async def _judge(
+        self, live: LiveRequest, endpoint: Endpoint, end: EngineRefused | EngineBroken
+    ) -> Refusal | None:
+        """Return why the request must not be tried again, if so."""
+        match end:
+            case EngineRefused(reason, _, True):
+                return Refusal(RefusalReason.BAD_REQUEST, reason)
+            case EngineRefused(_, leaving, _):
+                if leaving:
+                    self._dispatcher.note_refused(endpoint.id)
+                return None
+            case EngineBroken():
+                return await self._report_crash(live, endpoint)
+
+    async def _run_at(
+        self, live: LiveRequest, endpoint: Endpoint, kv: str, priority: int
+    ) -> StreamEnd:
+        live.endpoint = endpoint.id
+        failed = False
+        try:
+            handle = await self._engines.import_kv(endpoint, kv) if kv else ""
+            call = StreamCall(
+                secrets.token_hex(8),
+                live.record.body,
+                priority,
+                tuple(live.tokens),
+                handle,
+            )
+            end = await self._follow(live, endpoint, call)
+            failed = isinstance(end, EngineBroken | EngineRefused)
+            return end
+        finally:
+            live.endpoint = None
+            self._dispatcher.release(endpoint.id, failed)
+
+    async def _follow(
+        self, live: LiveRequest, endpoint: Endpoint, call: StreamCall
+    ) -> StreamEnd:
+        events = self._engines.stream(endpoint, call)
+        may_move = self._move_kv
+        try:
+            async for event in events:
+                if isinstance(event, EngineFinished | EngineRefused | EngineBroken):
+                    return event
+                self._take(live, event)
+                if live.abandoned:
+                    await self._engines.cancel(endpoint, call.stream)
+                    return EngineFinished()
+                if may_move and self._dispatcher.is_leaving(endpoint.id):
+                    kv = await self._export(endpoint, call)
+                    if kv:
+                        return Moved(kv)
+                    # Without its cache the stream stays for as long as it can.
+                    may_move = False
+        finally:
+            await events.aclose()  # type: ignore[attr-defined]
+        return EngineBroken("no event")
+
+    def _take(self, live: LiveRequest, event: EngineEvent) -> None:
+        match event:
+            case EngineToken(position, text):
+                live.add_token(position, text)
+                self._note_progress(live)
+            case EnginePrefill(computed):
+                if live.prefilled:
+                    self._counters.increment("runner.recomputed_tokens", computed)
+                live.prefilled = True
+
+    async def _export(self, endpoint: Endpoint, call: StreamCall) -> str:
+        kv = await self._engines.export_kv(endpoint, call.stream)
+        self._counters.increment("runner.moved" if kv else "runner.move_failed")
+        if kv:
+            await self._engines.cancel(endpoint, call.stream)
+        return kv
+
+    def _finish(self, live: LiveRequest, state: RequestState, error: str = "") -> None:
+        live.finish(state, error)
+        self._note_progress(live)
+
+    def _fail(self, live: LiveRequest, refusal: Refusal) -> Refusal:
+        self._finish(live, RequestState.FAILED, refusal.detail)
+        return refusal
--- /dev/null
+++ b/tarragonway/routing/__init__.py
@@ -0,0 +1,13 @@
+"""The choice of an endpoint for one request."""
+
+from tarragonway.routing.choice import Candidate, RoutingPolicy, choose_endpoint
+from tarragonway.routing.loads import LoadBoard
+from tarragonway.routing.subset import pick_subset
+
+__all__ = [
+    "Candidate",
+    "LoadBoard",
+    "RoutingPolicy",
+    "choose_endpoint",
+    "pick_subset",
+]
--- /dev/null
+++ b/tarragonway/routing/loads.py
@@ -0,0 +1,89 @@
+"""What this process knows of its endpoints' load."""
+
+import msgspec
+
+from tarragonway.core.ids import EndpointId
+
+EJECT_FAILURES = 3
+EJECT_BASE_S = 1.0
+EJECT_MAX_S = 30.0
+
+
+class _Load(msgspec.Struct):
+    reported: float = 0.0
+    since_report: int = 0
+    running: int = 0
+    failures: int = 0
+    ejected_until: float = float("-inf")
+
+
+class LoadBoard:
+    """Expected load by endpoint: the last report and this process's sends since.
+
+    Counting the own sends keeps a burst from following an outdated report to one
+    endpoint.
+
+    Examples
+    --------
+    >>> board = LoadBoard()
+    >>> board.record_report("e1", 4.0)
+    >>> board.record_start("e1")
+    >>> board.get_expected("e1")
+    5.0
+    >>> board.record_end("e1", failed=False, now=0.0)
+    >>> board.get_expected("e1")
+    4.0
+    """
+
+    def __init__(self) -> None:
+        self._loads: dict[EndpointId, _Load] = {}
+
+    def record_report(self, endpoint: EndpointId, load: float) -> None:
+        """Take over a load report (number of requests there)."""
+        row = self._get(endpoint)
+        row.reported = load
+        row.since_report = 0
+
+    def record_start(self, endpoint: EndpointId) -> None:
+        """Note that a request was sent."""
+        row = self._get(endpoint)
+        row.since_report += 1
+        row.running += 1
+
+    def record_end(self, endpoint: EndpointId, failed: bool, now: float) -> None:
+        """Note that a request has ended there."""
+        row = self._get(endpoint)
+        row.since_report -= 1
+        row.running -= 1
+        if not failed:
+            row.failures = 0
+            return
+        row.failures += 1
+        if row.failures >= EJECT_FAILURES:
+            excess = row.failures - EJECT_FAILURES
+            row.ejected_until = now + min(EJECT_MAX_S, EJECT_BASE_S * 2**excess)
+
+    def get_expected(self, endpoint: EndpointId) -> float:
+        """Return the expected number of requests, never less than the own ones."""
+        row = self._get(endpoint)
+        return max(row.reported + row.since_report, float(row.running), 0.0)
+
+    def is_ejected(self, endpoint: EndpointId, now: float) -> bool:
+        """Return whether the endpoint failed too often lately."""
+        return now < self._get(endpoint).ejected_until
+
+    def keep(self, endpoints: set[EndpointId]) -> None:
+        """Forget endpoints that are no longer listed and have nothing running."""
+        for endpoint in set(self._loads) - endpoints:
+            if not self._loads[endpoint].running:
+                del self._loads[endpoint]
+
+    def make_dump(self) -> dict[str, float]:
+        """Return the expected load by endpoint."""
+        return {endpoint: self.get_expected(endpoint) for endpoint in self._loads}
+
+    def _get(self, endpoint: EndpointId) -> _Load:
+        row = self._loads.get(endpoint)
+        if row is None:
+            row = self._loads[endpoint] = _Load()
+        return row
--- /dev/null
+++ b/tarragonway/routing/subset.py
@@ -0,0 +1,38 @@
+"""The part of a large service's endpoints that one entry process uses."""
+
+from collections.abc import Sequence
+
+from tarragonway.core.hashes import rank_by_hash
+from tarragonway.core.ids import EndpointId, ProcessName
+from tarragonway.endpoints import Endpoint
+
+SUBSET_SIZE = 24
+
+
+def pick_subset(
+    own: ProcessName, endpoints: Sequence[Endpoint], size: int = SUBSET_SIZE
+) -> list[Endpoint]:
+    """Return up to ``size`` endpoints, spread evenly over their zones.
+
+    Rendezvous hashing keeps the subset stable: one endpoint that comes or goes changes
+    at most one place of it.
+
+    Examples
+    --------
+    >>> rows = [Endpoint(f"e{n}", "s", "ab"[n % 2], "http://x") for n in range(10)]
+    >>> sorted(e.zone for e in pick_subset("entry-1", rows, 4))
+    ['a', 'a', 'b', 'b']
+    """
+    if len(endpoints) <= size:
+        return list(endpoints)
+    by_id = {endpoint.id: endpoint for endpoint in endpoints}
+    ranked = [by_id[EndpointId(name)] for name in rank_by_hash(own, list(by_id))]
+    zones = sorted({endpoint.zone for endpoint in endpoints})
+    lines = [[e for e in ranked if e.zone == zone] for zone in zones]
+    chosen: list[Endpoint] = []
+    position = 0
+    while len(chosen) < size:
+        row = [line[position] for line in lines if position < len(line)]
+        chosen += row[: size - len(chosen)]
+        position += 1
+    return chosen
--- /dev/null
+++ b/tarragonway/state/machine.py
@@ -0,0 +1,229 @@
+"""The replicated state machine, made of the slices' books."""
+
+import msgspec
+
+from tarragonway.claims import (
+    BodyMismatch,
+    ClaimBook,
+    ClaimCall,
+    ClaimGranted,
+    ClaimHeld,
+    QueryCall,
+    ResolveAccepted,
+    ResolveCall,
+    ResolveRefused,
+    RetireOwner,
+)
+from tarragonway.endpoints import EndpointTable, MarkLeaving, Observe
+from tarragonway.endpoints.model import EndpointsChanged
+from tarragonway.fencing import (
+    FenceBook,
+    OrderLeaseBusy,
+    OrderLeaseGranted,
+    TakeOrderLease,
+)
+from tarragonway.lists.register import (
+    ApplyLists,
+    ListRegister,
+    ListsApplied,
+    ListsConflict,
+    ListsRefused,
+)
+from tarragonway.quarantine import CrashRecorded, QuarantineBook, ReportCrash
+from tarragonway.requests.adoptions import (
+    AdoptionBook,
+    AdoptionGranted,
+    AdoptionLost,
+    AdoptRequest,
+)
+from tarragonway.state.view import (
+    Change,
+    EndpointChange,
+    EndpointRemoval,
+    ListsChange,
+    OwnerChange,
+    QuarantineChange,
+    View,
+)
+
+Command = (
+    ApplyLists
+    | ClaimCall
+    | ResolveCall
+    | QueryCall
+    | RetireOwner
+    | Observe
+    | MarkLeaving
+    | TakeOrderLease
+    | ReportCrash
+    | AdoptRequest
+)
+
+Result = (
+    ListsApplied
+    | ListsConflict
+    | ListsRefused
+    | ClaimGranted
+    | ClaimHeld
+    | BodyMismatch
+    | ResolveAccepted
+    | ResolveRefused
+    | EndpointsChanged
+    | OrderLeaseGranted
+    | OrderLeaseBusy
+    | CrashRecorded
+    | AdoptionGranted
+    | AdoptionLost
+)
+
+RECENT_CHANGES = 2000
+
+
+class Stamped(msgspec.Struct, frozen=True):
+    """A command with the leader's wall-clock time, as it stands in the log."""
+
+    now_ms: int
+    command: Command
+
+
+class _Content(msgspec.Struct):
+    """Everything that snapshots hold."""
+
+    now_ms: int = 0
+    version: int = 0
+    lists: ListRegister = msgspec.field(default_factory=ListRegister)
+    claims: ClaimBook = msgspec.field(default_factory=ClaimBook)
+    endpoints: EndpointTable = msgspec.field(default_factory=EndpointTable)
+    fences: FenceBook = msgspec.field(default_factory=FenceBook)
+    quarantine: QuarantineBook = msgspec.field(default_factory=QuarantineBook)
+    adoptions: AdoptionBook = msgspec.field(default_factory=AdoptionBook)
+
+
+_encoder = msgspec.msgpack.Encoder()
+_stamped_decoder = msgspec.msgpack.Decoder(Stamped)
+_content_decoder = msgspec.msgpack.Decoder(_Content)
+
+
+def encode_command(command: Command, now_ms: int) -> bytes:
+    """Return the log entry's payload for a command."""
+    return _encoder.encode(Stamped(now_ms, command))
+
+
+class StateMachine:
+    """Applies committed commands in log order.
+
+    Equal logs give equal content. Time comes from the commands and never goes back,
+    whatever the leaders' clocks do.
+    """
+
+    def __init__(self) -> None:
+        self.content = _Content()
+        self._recent: list[tuple[int, Change]] = []
+
+    def apply_payload(self, payload: bytes) -> Result:
+        """Apply one committed log entry."""
+        stamped = _stamped_decoder.decode(payload)
+        return self.apply(stamped.command, stamped.now_ms)
+
+    def apply(self, command: Command, stamp_ms: int) -> Result:
+        """Apply one command at the given time."""
+        content = self.content
+        content.now_ms = max(content.now_ms, stamp_ms)
+        now_ms = content.now_ms
+        match command:
+            case ClaimCall():
+                return content.claims.claim(command, now_ms)
+            case ResolveCall():
+                return content.claims.resolve(command, now_ms)
+            case QueryCall():
+                return content.claims.query(command, now_ms)
+            case RetireOwner():
+                return content.claims.retire(command, now_ms)
+            case TakeOrderLease():
+                return content.fences.take(command, now_ms)
+            case _:
+                return self._apply_visible(command, now_ms)
+
+    def _apply_visible(
+        self,
+        command: ApplyLists | Observe | MarkLeaving | ReportCrash | AdoptRequest,
+        now_ms: int,
+    ) -> Result:
+        """Apply a command whose effects every entry process follows."""
+        content = self.content
+        result: Result
+        match command:
+            case ApplyLists():
+                before = content.lists.revision
+                result = content.lists.apply(command)
+                if content.lists.revision != before:
+                    self._note_lists()
+            case Observe():
+                result = content.endpoints.observe(command, now_ms)
+                self._note_endpoints(result)
+            case MarkLeaving():
+                result = content.endpoints.mark(command, now_ms)
+                self._note_endpoints(result)
+            case ReportCrash():
+                result = content.quarantine.report(command, now_ms)
+                for fingerprint in result.quarantined:
+                    self._note(QuarantineChange(fingerprint))
+            case AdoptRequest(request, epoch, owner):
+                result = content.adoptions.adopt(command, now_ms)
+                if isinstance(result, AdoptionGranted):
+                    self._note(OwnerChange(request, epoch, owner))
+        return result
+
+    def make_view(self) -> View:
+        """Return the whole view of the present version."""
+        content = self.content
+        return View(
+            content.version,
+            content.lists.revision,
+            content.lists.accounts_text,
+            content.lists.plans_text,
+            dict(content.endpoints.rows),
+            dict.fromkeys(content.quarantine.quarantined, True),
+            {
+                key: (row.epoch, row.owner)
+                for key, row in content.adoptions.rows.items()
+            },
+        )
+
+    def list_changes(self, since: int) -> list[Change] | None:
+        """Return the changes after a version, or None if they are forgotten."""
+        if since == self.content.version:
+            return []
+        if not self._recent or since < self._recent[0][0] - 1:
+            return None
+        if since > self.content.version:
+            return None
+        return [change for version, change in self._recent if version > since]
+
+    def encode(self) -> bytes:
+        """Return the content for a snapshot."""
+        return _encoder.encode(self.content)
+
+    def restore(self, state: bytes) -> None:
+        """Replace the content by a snapshot's."""
+        self.content = _content_decoder.decode(state) if state else _Content()
+        self._recent.clear()
+
+    def _note_lists(self) -> None:
+        lists = self.content.lists
+        change = ListsChange(lists.revision, lists.accounts_text, lists.plans_text)
+        self._note(change)
+
+    def _note_endpoints(self, result: EndpointsChanged) -> None:
+        for endpoint_id in result.changed:
+            row = self.content.endpoints.rows.get(endpoint_id)
+            if row is None:
+                self._note(EndpointRemoval(endpoint_id))
+            else:
+                self._note(EndpointChange(row))
+
+    def _note(self, change: Change) -> None:
+        self.content.version += 1
+        self._recent.append((self.content.version, change))
+        if len(self._recent) > RECENT_CHANGES:
+            del self._recent[: RECENT_CHANGES // 2]
--- /dev/null
+++ b/tarragonway/state/view.py
@@ -0,0 +1,97 @@
+"""The part of the state that every entry process follows."""
+
+import msgspec
+import xxhash
+
+from tarragonway.core.ids import (
+    EndpointId,
+    Epoch,
+    Fingerprint,
+    ProcessName,
+    RequestId,
+    Revision,
+)
+from tarragonway.endpoints.model import Endpoint
+
+
+class ListsChange(msgspec.Struct, frozen=True, tag=True):
+    """New lists are in force."""
+
+    revision: Revision
+    accounts_text: str
+    plans_text: str
+
+
+class EndpointChange(msgspec.Struct, frozen=True, tag=True):
+    """An endpoint is new or different."""
+
+    endpoint: Endpoint
+
+
+class EndpointRemoval(msgspec.Struct, frozen=True, tag=True):
+    """An endpoint is no longer listed."""
+
+    endpoint: EndpointId
+
+
+class QuarantineChange(msgspec.Struct, frozen=True, tag=True):
+    """A content is refused from now on."""
+
+    fingerprint: Fingerprint
+
+
+class OwnerChange(msgspec.Struct, frozen=True, tag=True):
+    """A request was adopted."""
+
+    request: RequestId
+    epoch: Epoch
+    owner: ProcessName
+
+
+Change = ListsChange | EndpointChange | EndpointRemoval | QuarantineChange | OwnerChange
+
+
+class View(msgspec.Struct, tag=True):
+    """Lists, endpoints, quarantined contents and adopted requests at one version.
+
+    Examples
+    --------
+    >>> view = View()
+    >>> view.apply(QuarantineChange("f"))
+    >>> view.quarantined
+    {'f': True}
+    """
+
+    version: int = 0
+    revision: Revision = Revision(0)
+    accounts_text: str = ""
+    plans_text: str = ""
+    endpoints: dict[EndpointId, Endpoint] = {}
+    quarantined: dict[Fingerprint, bool] = {}
+    owners: dict[RequestId, tuple[Epoch, ProcessName]] = {}
+
+    def apply(self, change: Change) -> None:
+        """Apply one change; the caller sets the version."""
+        match change:
+            case ListsChange(revision, accounts_text, plans_text):
+                self.revision = revision
+                self.accounts_text = accounts_text
+                self.plans_text = plans_text
+            case EndpointChange(endpoint):
+                self.endpoints[endpoint.id] = endpoint
+            case EndpointRemoval(endpoint_id):
+                self.endpoints.pop(endpoint_id, None)
+            case QuarantineChange(fingerprint):
+                self.quarantined[fingerprint] = True
+            case OwnerChange(request, epoch, owner):
+                self.owners[request] = (epoch, owner)
+
+    def compute_digest(self) -> str:
+        """Return a digest of lists and endpoints, for the infrequent full check."""
+        content = (
+            self.revision,
+            self.accounts_text,
+            self.plans_text,
+            sorted(self.endpoints.items()),
+        )
+        return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(content))
--- /dev/null
+++ b/tarragonway/watch/client.py
@@ -0,0 +1,149 @@
+"""The entry process's side of the watch, and the freshness of its view."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.hashes import rank_by_hash
+from tarragonway.core.ids import ProcessName
+from tarragonway.lists import Lists, check_lists
+from tarragonway.state import View
+from tarragonway.watch.messages import WatchPoll, WatchPush, WatchReply
+
+FULL_CHECK_POLLS = 30
+
+_log = structlog.get_logger()
+
+
+class WatchClient:
+    """Keeps a view up to date and knows until when it may be relied on.
+
+    New requests are taken only while ``is_fresh``: a poll that was *sent* within the
+    bound has been answered. A change is therefore in force everywhere once it has been
+    committed for as long as the bound, also at processes that are cut off.
+
+    Parameters
+    ----------
+    own : ProcessName
+        This process.
+    control : list of ProcessName
+        Control processes.
+    poll_s, bound_s : float
+        Time between polls, and how long a confirmation lasts.
+    send : callable
+        Sends a poll to a control process.
+    counters : Counters
+        Receives ``watch.*`` counters.
+    """
+
+    def __init__(
+        self,
+        own: ProcessName,
+        control: list[ProcessName],
+        poll_s: float,
+        bound_s: float,
+        send: Callable[[ProcessName, WatchPoll], object],
+        counters: Counters,
+    ) -> None:
+        self.view = View()
+        self.lists: Lists = check_lists("", "")
+        self.on_change: Callable[[], None] = lambda: None
+        self._servers = [ProcessName(n) for n in rank_by_hash(own, list(control))]
+        self._poll_s = poll_s
+        self._bound_s = bound_s
+        self._send = send
+        self._counters = counters
+        self._calls = itertools.count(1)
+        self._sent: dict[int, float] = {}
+        self._confirmed_at = float("-inf")
+        self._answered = asyncio.Event()
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the view was confirmed within the bound."""
+        age = asyncio.get_running_loop().time() - self._confirmed_at
+        return age < self._bound_s
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the last confirmed poll was sent."""
+        return asyncio.get_running_loop().time() - self._confirmed_at
+
+    async def run(self) -> None:
+        """Poll until the task is cancelled; turn to the next server on silence."""
+        loop = asyncio.get_running_loop()
+        while True:
+            started = loop.time()
+            self._answered.clear()
+            self._poll(started)
+            try:
+                await asyncio.wait_for(self._answered.wait(), self._poll_s)
+            except TimeoutError:
+                self._servers = [*self._servers[1:], self._servers[0]]
+                self._counters.increment("watch.unanswered")
+                continue
+            await asyncio.sleep(max(0.0, started + self._poll_s - loop.time()))
+
+    def receive_reply(self, reply: WatchReply) -> None:
+        """Take over a confirmed state."""
+        sent_at = self._sent.pop(reply.call, None)
+        if sent_at is None:
+            return
+        if reply.view is not None:
+            if not self._replace(reply.view):
+                return
+        elif not self._advance(reply):
+            return
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+        self._answered.set()
+
+    def receive_push(self, push: WatchPush) -> None:
+        """Take over changes that directly follow the present version."""
+        if push.base == self.view.version:
+            self._apply(push.changes, push.version)
+
+    def _poll(self, now: float) -> None:
+        call = next(self._calls)
+        digest = self.view.compute_digest() if call % FULL_CHECK_POLLS == 0 else ""
+        expired = [c for c, at in self._sent.items() if now - at > self._bound_s]
+        for old in expired:
+            del self._sent[old]
+        self._sent[call] = now
+        self._send(self._servers[0], WatchPoll(call, self.view.version, digest))
+
+    def _replace(self, view: View) -> bool:
+        if view.revision < self.view.revision:
+            self._counters.increment("watch.older_refused")
+            return False
+        self.view = view
+        self._refresh_lists()
+        self.on_change()
+        return True
+
+    def _advance(self, reply: WatchReply) -> bool:
+        """Apply a reply's changes; those that a push brought already are skipped."""
+        if reply.version <= self.view.version:
+            return True
+        base = reply.version - len(reply.changes)
+        missing = reply.changes[self.view.version - base :]
+        if base > self.view.version:
+            return False
+        self._apply(missing, reply.version)
+        return True
+
+    def _apply(self, changes: tuple, version: int) -> None:
+        before = self.view.revision
+        for change in changes:
+            self.view.apply(change)
+        self.view.version = version
+        if self.view.revision != before:
+            self._refresh_lists()
+        self.on_change()
+
+    def _refresh_lists(self) -> None:
+        view = self.view
+        self.lists = check_lists(view.accounts_text, view.plans_text)
+        _log.info("lists in force", revision=view.revision)
--- /dev/null
+++ b/tarragonway/watch/server.py
@@ -0,0 +1,116 @@
+"""The control process's side of the watch.
+
+One confirmed read answers all polls that arrived before it started, so that the
+leader's work grows with the number of control processes, not of entry processes.
+
+References
+----------
+KEP-5237, "Convert route controller to watch-based reconciliation": changes are pushed,
+and an infrequent full pass (here a digest) repairs what was missed.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from tarragonway.control.driver import LogDriver, NotLeader
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ProcessName
+from tarragonway.watch.messages import WatchPoll, WatchPush, WatchReply
+
+SUBSCRIPTION_S = 5.0
+CONFIRM_RETRY_S = 0.05
+
+
+class _Poll(msgspec.Struct, frozen=True):
+    sender: ProcessName
+    body: WatchPoll
+
+
+class WatchServer:
+    """Answers polls and pushes changes.
+
+    Parameters
+    ----------
+    driver : LogDriver
+        Source of the state.
+    confirm : callable
+        Returns an index that covers everything acknowledged, or NotLeader.
+    send : callable
+        Sends a message to an entry process.
+    counters : Counters
+        Receives ``watch.*`` counters.
+    """
+
+    def __init__(
+        self,
+        driver: LogDriver,
+        confirm: Callable[[], Awaitable[int | NotLeader]],
+        send: Callable[[ProcessName, WatchReply | WatchPush], object],
+        counters: Counters,
+    ) -> None:
+        self._driver = driver
+        self._confirm = confirm
+        self._send = send
+        self._counters = counters
+        self._polls: list[_Poll] = []
+        self._wake = asyncio.Event()
+        self._subscribers: dict[ProcessName, tuple[int, float]] = {}
+
+    def receive(self, sender: ProcessName, poll: WatchPoll) -> None:
+        """Queue one poll."""
+        self._polls.append(_Poll(sender, poll))
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Answer polls until the task is cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            polls, self._polls = self._polls, []
+            index = await self._confirm()
+            if isinstance(index, NotLeader):
+                # Unanswered polls are repeated by their senders.
+                self._counters.increment("watch.unconfirmed")
+                await asyncio.sleep(CONFIRM_RETRY_S)
+                continue
+            await self._driver.wait_applied(index)
+            for poll in polls:
+                self._answer(poll)
+
+    def push_changes(self) -> None:
+        """Send what is new to everyone who polled lately."""
+        machine = self._driver.machine
+        version = machine.content.version
+        now = asyncio.get_running_loop().time()
+        for name, (base, polled_at) in list(self._subscribers.items()):
+            if now - polled_at > SUBSCRIPTION_S:
+                del self._subscribers[name]
+                continue
+            changes = machine.list_changes(base)
+            if changes:
+                self._subscribers[name] = (version, polled_at)
+                self._send(name, WatchPush(base, version, tuple(changes)))
+                self._counters.increment("watch.pushes")
+
+    def _answer(self, poll: _Poll) -> None:
+        machine = self._driver.machine
+        version = machine.content.version
+        self._counters.increment("watch.polls")
+        now = asyncio.get_running_loop().time()
+        self._subscribers[poll.sender] = (version, now)
+        changes = machine.list_changes(poll.body.version)
+        stale = poll.body.digest and self._differs(poll.body)
+        if changes is None or stale:
+            self._counters.increment("watch.views")
+            reply = WatchReply(poll.body.call, version, (), machine.make_view())
+        else:
+            reply = WatchReply(poll.body.call, version, tuple(changes))
+        self._send(poll.sender, reply)
+
+    def _differs(self, poll: WatchPoll) -> bool:
+        machine = self._driver.machine
+        if poll.version != machine.content.version:
+            return False
+        return machine.make_view().compute_digest() != poll.digest
--- /dev/null
+++ b/tarragonway/wire.py
@@ -0,0 +1,40 @@
+"""All messages that travel between the system's processes."""
+
+from tarragonway.consensus import Packet
+from tarragonway.control.messages import (
+    ControlCall,
+    ControlRedirect,
+    ControlReply,
+    JoinRequest,
+    ReadIndexCall,
+    ReadIndexReply,
+)
+from tarragonway.limits.messages import ShareCall, ShareReply
+from tarragonway.requests.messages import (
+    CopyAck,
+    CopyProgress,
+    CopyRecord,
+    CopyStale,
+    Heartbeat,
+)
+from tarragonway.watch.messages import WatchPoll, WatchPush, WatchReply
+
+WireMessage = (
+    Packet
+    | ControlCall
+    | ControlReply
+    | ControlRedirect
+    | JoinRequest
+    | ReadIndexCall
+    | ReadIndexReply
+    | WatchPoll
+    | WatchReply
+    | WatchPush
+    | ShareCall
+    | ShareReply
+    | CopyRecord
+    | CopyProgress
+    | CopyAck
+    | CopyStale
+    | Heartbeat
+)
