--- a/standins/engine.py
+++ b/standins/engine.py
@@ -67,6 +67,7 @@
         self.orders: list[dict] = []
         self.fence = 0
         self.seen = 0
+        self.refused = 0
 
     def make_app(self) -> web.Application:
         """Return the HTTP application."""
@@ -96,6 +97,7 @@
     async def complete(self, request: web.Request) -> web.StreamResponse:
         """Stream one answer."""
         if self.leaving:
+            self.refused += 1
             headers = {"X-Endpoint-State": "leaving"}
             return web.Response(status=503, headers=headers, text="leaving")
         body = await request.json()
@@ -199,7 +201,7 @@
 
     async def get_stats(self, request: web.Request) -> web.Response:
         """Return what a test wants to know."""
-        stats = {"seen": self.seen, "running": self.running, "orders": self.orders}
+        stats = {"seen": self.seen, "refused": self.refused, "orders": self.orders}
         return web.json_response(stats)
 
 
--- a/tarragonway/entry/plain.py
+++ b/tarragonway/entry/plain.py
@@ -34,6 +34,7 @@
 from tarragonway.endpoints import Endpoint
 from tarragonway.entry.dispatch import Demand, Dispatcher
 from tarragonway.entry.gate import Caller, Gate
+from tarragonway.entry.guard import SendGuard, open_guarded_session
 from tarragonway.entry.problems import write_problem, write_unknown
 from tarragonway.limits import ShareHolder
 from tarragonway.lists import Service, ServiceKind
@@ -132,14 +133,13 @@
         self._counters = counters
         self._budget = RetryBudget()
         self._pooled: aiohttp.ClientSession | None = None
-        self._fresh: aiohttp.ClientSession | None = None
+        self._guarded: aiohttp.ClientSession | None = None
         self._jobs: set[asyncio.Task] = set()
 
     def open(self) -> None:
         """Create the connection pools; needs a running loop.
 
-        Claimed calls never use a pooled connection: the client library repeats PUT and
-        DELETE by itself when a pooled connection breaks.
+        Claimed calls have a connection each, guarded against repeats.
         """
         timeout = aiohttp.ClientTimeout(
             total=self._timing.call_timeout_s, sock_connect=CONNECT_TIMEOUT_S
@@ -149,17 +149,13 @@
             timeout=timeout,
             auto_decompress=False,
         )
-        self._fresh = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=timeout,
-            auto_decompress=False,
-        )
+        self._guarded = open_guarded_session(timeout)
 
     async def close(self) -> None:
         """Close all connections."""
         for job in self._jobs:
             job.cancel()
-        for session in (self._pooled, self._fresh):
+        for session in (self._pooled, self._guarded):
             if session is not None:
                 await session.close()
 
@@ -312,7 +308,7 @@
             if loop.time() - asked_at > self._timing.claim_send_limit_s:
                 self._dispatcher.release(endpoint.id)
                 return NeverSent("the claim is too old to be used")
-            result = await self._send(call, endpoint, self._fresh, key)
+            result = await self._send(call, endpoint, self._guarded, key)
             failed = not isinstance(result, Answer)
             self._dispatcher.release(endpoint.id, failed)
             if not isinstance(result, NeverSent):
@@ -403,6 +399,7 @@
         headers = dict(call.headers)
         if key:
             headers["Idempotency-Key"] = key
+        guard = SendGuard()
         url = endpoint.url + call.path + (f"?{call.query}" if call.query else "")
         try:
             async with session.request(
@@ -411,10 +408,12 @@
                 data=call.body or None,
                 headers=headers,
                 allow_redirects=False,
+                trace_request_ctx=guard,
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return NeverSent(str(error))
+            # A guarded call that broke once may fail to connect in a repeat.
+            return MaybeSent(str(error)) if guard.opened else NeverSent(str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return MaybeSent(repr(error))
         if response.headers.get("X-Endpoint-State") == "leaving":
--- a/tarragonway/limits/ledger.py
+++ b/tarragonway/limits/ledger.py
@@ -13,7 +13,6 @@
 from tarragonway.limits.messages import ShareGrant, ShareWish
 
 CLOCK_DRIFT = 1.1
-MIN_DEMAND_PER_S = 0.1
 
 
 class Limit(msgspec.Struct, frozen=True):
@@ -27,30 +26,33 @@
     per_s: float
     concurrent: int
     demand: float
+    running: int
     end: float
 
 
 class ShareLedger:
     """Divides limits among entry processes by demand.
 
+    A share is what its holder needs at present and an equal part of what nobody needs,
+    so that a process that has been idle can serve a burst at once.
+
     Parameters
     ----------
     lease_s : float
         How long a share may be used, counted by its holder from before it asked.
     entries : int
-        Number of entry processes; a first share is at most one part of so many, so
-        that the first to ask does not make the others wait.
+        Number of entry processes.
     started : float
         When this process became the leader, on the clock of ``now``.
 
     Examples
     --------
     >>> ledger = ShareLedger(5.0, entries=2)
-    >>> wish = ShareWish("a", 3.0, 0)
+    >>> wish = ShareWish("a", 4.0, 0)
     >>> ledger.answer("entry-1", (wish,), lambda _: Limit(10.0, 4), 0.0)
-    [ShareGrant(account='a', per_s=5.0, concurrent=2)]
+    [ShareGrant(account='a', per_s=7.0, concurrent=2)]
     >>> ledger.answer("entry-2", (wish,), lambda _: Limit(10.0, 4), 0.0)
-    [ShareGrant(account='a', per_s=5.0, concurrent=2)]
+    [ShareGrant(account='a', per_s=3.0, concurrent=2)]
     """
 
     def __init__(
@@ -103,11 +105,11 @@
             wanted_per_s = wish.held_per_s
             wanted_concurrent = wish.held_concurrent
         else:
-            fraction = self._compute_fraction(wish, others)
-            if entry not in shares:
-                fraction = min(fraction, 1 / self.entries)
-            wanted_per_s = limit.per_s * fraction
-            wanted_concurrent = max(1, round(limit.concurrent * fraction))
+            demand = sum(share.demand for share in others)
+            wanted_per_s = self._divide(limit.per_s, wish.demand_per_s, demand)
+            running = sum(share.running for share in others)
+            places = self._divide(limit.concurrent, wish.running, running)
+            wanted_concurrent = max(1, int(places))
         grant = ShareGrant(
             wish.account,
             min(wanted_per_s, free_per_s),
@@ -115,7 +117,9 @@
             min(max(wanted_concurrent, wish.running), free_concurrent),
         )
         end = now + self.lease_s * CLOCK_DRIFT
-        shares[entry] = _Share(grant.per_s, grant.concurrent, wish.demand_per_s, end)
+        shares[entry] = _Share(
+            grant.per_s, grant.concurrent, wish.demand_per_s, wish.running, end
+        )
         return grant
 
     def _is_recovering(self, now: float, registered: frozenset[ProcessName]) -> bool:
@@ -123,6 +127,9 @@
             return False
         return not registered <= self._reported
 
-    def _compute_fraction(self, wish: ShareWish, others: list[_Share]) -> float:
-        own = max(wish.demand_per_s, MIN_DEMAND_PER_S)
-        return own / (own + sum(share.demand for share in others))
+    def _divide(self, limit: float, own: float, others: float) -> float:
+        """Return the own need with an equal part of the rest, or a fair cut of it."""
+        needed = own + others
+        if needed <= limit:
+            return own + (limit - needed) / self.entries
+        return limit * own / needed
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,29 @@
+"""Deployments of real processes, one for each test file that asks for one."""
+
+import asyncio
+
+import pytest
+
+from standins.deployment import Deployment
+
+CONTROL = 3
+ENTRIES = 4
+
+
+def start_deployment(folder, name="vardveislusjodur", options=(), **more):
+    """Start a small deployment."""
+    more = {"control": CONTROL, "entries": ENTRIES, **more}
+    deployment = Deployment(name, folder, **more)
+    try:
+        asyncio.run(deployment.start(list(options)))
+    except BaseException:
+        deployment.stop()
+        raise
+    return deployment
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    started = start_deployment(tmp_path_factory.mktemp("deployment"))
+    yield started
+    started.stop()
