--- a/tarragonway/limits/holder.py
+++ b/tarragonway/limits/holder.py
@@ -76,7 +76,8 @@
         for grant in reply.grants:
             account = self._accounts.get(grant.account)
             if account is not None:
-                if account.end == float("-inf"):
+                if not account.per_s:
+                    # A first share comes with its burst.
                     account.bucket = TokenBucket(grant.per_s, now)
                 account.bucket.set_rate(grant.per_s, now)
                 account.per_s = grant.per_s
