Measure decisions, costs and the path; weigh endpoints by their pace

Cause: the decisions had no measurement. Change: reports lag in the replay; speed relative to the median pace; the plan tries each allowed loss; the engine starts while copies travel; a new account asks for a share at once. The leader of the log case was none with 5 and 9 replicas; it now checks.

--- /dev/null
+++ b/bench/costs.py
@@ -0,0 +1,265 @@
+"""Slopes of processor time, memory and bytes, for ``docs/CAPACITY.md``."""
+
+import asyncio
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgspec
+
+from bench.tables import Slope, fit_slope
+from tarragonway.claims import ClaimBook, ClaimCall
+from tarragonway.consensus import (
+    Member,
+    Membership,
+    Parameters,
+    RaftLog,
+    Replica,
+    Snapshot,
+)
+from tarragonway.consensus.messages import Packet, VoteReply
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import Epoch, ProcessName
+from tarragonway.endpoints import Endpoint, Observe
+from tarragonway.entry.streams import format_events
+from tarragonway.lists.register import ApplyLists
+from tarragonway.requests.live import LiveRequest
+from tarragonway.requests.messages import CopyProgress, ProgressPart
+from tarragonway.requests.model import RequestRecord
+from tarragonway.state import StateMachine
+from tarragonway.state.machine import encode_command
+from tarragonway.transport import Mailbox
+
+KEY = b"k" * 32
+
+
+def _time_us(work: Callable[[], object]) -> float:
+    """Return the processor time of ``work`` in microseconds, the best of three."""
+    times = []
+    for _ in range(3):
+        gc.collect()
+        started = time.process_time()
+        work()
+        times.append((time.process_time() - started) * 1e6)
+    return min(times)
+
+
+def _weigh_bytes(make: Callable[[], object]) -> float:
+    """Return the memory that the result of ``make`` holds, in bytes."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def _sizes(quick: bool, *sizes: int) -> list[int]:
+    return [size // 4 for size in sizes] if quick else list(sizes)
+
+
+def make_endpoint(number: int) -> Endpoint:
+    """Return an endpoint row of usual length."""
+    return Endpoint(
+        f"radgjafi-{number:04d}",  # type: ignore[arg-type]
+        "radgjafi",  # type: ignore[arg-type]
+        f"zone-{number % 5}",  # type: ignore[arg-type]
+        f"http://10.0.{number % 250}.{number // 250}:8000",
+        "gpu-8",
+        3.2,
+    )
+
+
+def measure_state(seed: int, quick: bool) -> list[Slope]:
+    """Memory and snapshot time of claims, and the view's size by endpoints."""
+    slopes = []
+    sizes = _sizes(quick, 4000, 8000, 16000)
+    memory = [_weigh_bytes(lambda n=n: _fill_claims(n)) for n in sizes]  # type: ignore[misc]
+    slopes.append(
+        fit_slope("state", "memory a claim", "B", sizes, memory),
+    )
+    books = [_fill_claims(n) for n in sizes]
+    snapshots = [_time_us(lambda b=b: msgspec.msgpack.encode(b)) for b in books]  # type: ignore[misc]
+    slopes.append(fit_slope("state", "snapshot time a claim", "us", sizes, snapshots))
+    counts = [165, 330, 660]
+    machines = [_fill_endpoints(n) for n in counts]
+    weights = [_weigh_bytes(lambda n=n: _fill_endpoints(n)) for n in counts]  # type: ignore[misc]
+    slopes.append(fit_slope("state", "memory an endpoint", "B", counts, weights))
+    views = [len(msgspec.msgpack.encode(m.make_view())) for m in machines]
+    slopes.append(
+        fit_slope("state", "bytes of a whole view an endpoint", "B", counts, views)
+    )
+    return slopes
+
+
+def _fill_claims(count: int) -> ClaimBook:
+    book = ClaimBook()
+    for number in range(count):
+        call = ClaimCall(
+            "parish",  # type: ignore[arg-type]
+            f"key-{number:012d}",  # type: ignore[arg-type]
+            f"{number:032x}",  # type: ignore[arg-type]
+            f"{number:024x}",  # type: ignore[arg-type]
+            "entry-1",  # type: ignore[arg-type]
+            "0011223344556677",  # type: ignore[arg-type]
+            40_000,
+        )
+        book.claim(call, 0)
+    return book
+
+
+def _fill_endpoints(count: int) -> StateMachine:
+    machine = StateMachine()
+    rows = tuple(make_endpoint(n) for n in range(count))
+    machine.apply(Observe(rows), 0)
+    return machine
+
+
+def measure_log(seed: int, quick: bool) -> list[Slope]:
+    """Leader's processor time for a command, by group size and by commands."""
+    slopes = []
+    counts = _sizes(quick, 1000, 2000, 4000)
+    for size in (3, 5, 9):
+        times = [_time_us(lambda n=n, s=size: _run_log(s, n)) for n in counts]  # type: ignore[misc]
+        title = f"leader's time a command, {size} replicas"
+        slopes.append(fit_slope("log", title, "us", counts, times))
+    sizes = [3.0, 5.0, 9.0]
+    beats = [_time_us(lambda s=s: _run_heartbeats(int(s), 2000)) / 2000 for s in sizes]  # type: ignore[misc]
+    slopes.append(
+        fit_slope("log", "leader's time a heartbeat a replica", "us", sizes, beats)
+    )
+    return slopes
+
+
+def _make_leader(size: int) -> Replica:
+    members = tuple(Member(f"c{n}.a", f"c{n}") for n in range(size))  # type: ignore[arg-type]
+    first = Snapshot(0, 0, Membership(members, ()))
+    replica = Replica(
+        members[0].id, Parameters(), random.Random(1), None, first, RaftLog()
+    )
+    while not replica.take_output().messages:
+        replica.tick()
+    for pre in (True, False):
+        for member in members[1:]:
+            replica.receive(member.id, VoteReply(1, True, pre))
+    replica.take_output()
+    return replica
+
+
+def _run_log(size: int, count: int) -> None:
+    from tarragonway.consensus.messages import AppendReply
+
+    leader = _make_leader(size)
+    peers = [m.id for m in leader.membership.voters][1:]
+    machine = StateMachine()
+    for number in range(count):
+        change = ApplyLists(f"c{number}", number, "", "", "ada")  # type: ignore[arg-type]
+        leader.propose(encode_command(change, number))
+        output = leader.take_output()
+        for _, message in output.messages:
+            packet = Packet("x", "a", "b", message)  # type: ignore[arg-type]
+            msgspec.msgpack.encode(packet)
+        last = leader.last_index
+        for peer in peers:
+            leader.receive(peer, AppendReply(leader.term, True, last, last - 1, 1))
+        for entry in leader.take_output().committed:
+            if entry.payload:
+                machine.apply_payload(entry.payload)
+    if machine.content.lists.revision != count:
+        raise RuntimeError("the commands were not committed")
+
+
+def _run_heartbeats(size: int, count: int) -> None:
+    from tarragonway.consensus.messages import AppendReply
+
+    leader = _make_leader(size)
+    peers = [m.id for m in leader.membership.voters][1:]
+    for number in range(count):
+        leader.tick()
+        leader.tick()
+        for _, message in leader.take_output().messages:
+            msgspec.msgpack.encode(Packet("x", "a", "b", message))  # type: ignore[arg-type]
+        last = leader.last_index
+        for peer in peers:
+            reply = AppendReply(leader.term, True, last, last, number)
+            leader.receive(peer, reply)
+
+
+def measure_messages(seed: int, quick: bool) -> list[Slope]:
+    """Both ends' processor time for a message of the mailbox, by its size."""
+    count = 2000 if quick else 8000
+    sizes = [50, 200, 800, 3200]
+    costs = [asyncio.run(_send_many(size, count)) for size in sizes]
+    slope = fit_slope("messages", "both ends' time a byte", "us", sizes, costs)
+    return [slope]
+
+
+async def _send_many(size: int, count: int) -> float:
+    a, b = ProcessName("a"), ProcessName("b")
+    peers = {a: "127.0.0.1:9871", b: "127.0.0.1:9872"}
+    done = asyncio.Event()
+    received = 0
+
+    def receive(_: object) -> None:
+        nonlocal received
+        received += 1
+        if received == count:
+            done.set()
+
+    one = Mailbox(a, peers[a], peers, KEY, str, Counters())
+    two = Mailbox(b, peers[b], peers, KEY, str, Counters())
+    one.open(receive)
+    two.open(receive)
+    body = "x" * size
+    while not one.send(b, body) or received == 0:
+        await asyncio.sleep(0.01)
+    received = 0
+    started = time.process_time()
+    for _ in range(count):
+        while not one.send(b, body):
+            await asyncio.sleep(0.001)
+    await asyncio.wait_for(done.wait(), 30)
+    cost = (time.process_time() - started) * 1e6 / count
+    one.close()
+    two.close()
+    return cost
+
+
+def measure_tokens(seed: int, quick: bool) -> list[Slope]:
+    """Processor time and copied bytes for a generated token."""
+    counts = _sizes(quick, 4000, 8000, 16000)
+    times = [_time_us(lambda n=n: _relay_tokens(n)) for n in counts]  # type: ignore[misc]
+    parts = [1, 8, 64]
+    weights = [len(msgspec.msgpack.encode(_make_progress(n))) for n in parts]
+    return [
+        fit_slope("tokens", "event time a token", "us", counts, times),
+        fit_slope("tokens", "copied bytes a token", "B", parts, weights),
+    ]
+
+
+def _make_record() -> RequestRecord:
+    return RequestRecord(
+        "0123456789abcdef_entry-1_entry-2_entry-3",  # type: ignore[arg-type]
+        "a",  # type: ignore[arg-type]
+        "radgjafi",  # type: ignore[arg-type]
+        "f",  # type: ignore[arg-type]
+        5,
+        b"{}",
+        "entry-1",  # type: ignore[arg-type]
+        Epoch(1),
+    )
+
+
+def _make_progress(count: int) -> CopyProgress:
+    part = ProgressPart(_make_record().id, Epoch(1), 1000, ("token ",) * count)
+    return CopyProgress((part,))
+
+
+def _relay_tokens(count: int) -> None:
+    live = LiveRequest(_make_record(), copied=False)
+    for position in range(count):
+        live.add_token(position, "token ")
+        format_events(live.record, position, live.tokens[position : position + 1])
--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,79 @@
+"""Processor time and bytes that control costs while nothing is asked."""
+
+import asyncio
+import os
+import pathlib
+import tempfile
+
+import msgspec
+
+from bench.tables import Slope, fit_slope
+from standins.deployment import Deployment
+
+ENTRY_COUNTS = (4, 8, 16)
+CONTROL_COUNT = 3
+SETTLE_S = 2.0
+
+
+class Use(msgspec.Struct):
+    """Use of one kind of process in a second: core per cent and bytes sent."""
+
+    core_percent: float
+    sent_bytes: float
+
+
+def measure_idle(seed: int, quick: bool) -> list[Slope]:
+    """Measure all roles with three numbers of entry processes."""
+    window_s = 3.0 if quick else 10.0
+    uses = [asyncio.run(_measure(count, window_s)) for count in ENTRY_COUNTS]
+    slopes = []
+    for role in ("leader", "follower", "entry"):
+        for field, unit in (("core_percent", "%"), ("sent_bytes", "B/s")):
+            costs = [getattr(use[role], field) for use in uses]
+            title = f"{role}: {field.replace('_', ' ')} an entry process"
+            slopes.append(fit_slope("idle", title, unit, ENTRY_COUNTS, costs))
+    return slopes
+
+
+async def _measure(entries: int, window_s: float) -> dict[str, Use]:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="tarragonway-bench-"))
+    deployment = Deployment("vardveislusjodur", folder, CONTROL_COUNT, entries)
+    try:
+        await deployment.start()
+        leader = await deployment.find_leader()
+        await asyncio.sleep(SETTLE_S)
+        before = await _read(deployment)
+        await asyncio.sleep(window_s)
+        after = await _read(deployment)
+    finally:
+        deployment.stop()
+    roles: dict[str, list[Use]] = {"leader": [], "follower": [], "entry": []}
+    for name, (cpu_s, sent) in after.items():
+        use = Use(
+            100 * (cpu_s - before[name][0]) / window_s,
+            (sent - before[name][1]) / window_s,
+        )
+        kind = "entry" if name.startswith("entry") else "follower"
+        roles["leader" if name == leader else kind].append(use)
+    return {role: _average(uses) for role, uses in roles.items()}
+
+
+async def _read(deployment: Deployment) -> dict[str, tuple[float, float]]:
+    ticks_a_second = os.sysconf("SC_CLK_TCK")
+    result = {}
+    for peer in [*deployment.cluster.control, *deployment.cluster.entry]:
+        dump = await deployment.read_dump(peer.name)
+        pid = deployment.processes[peer.name].pid
+        fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+        parts = fields.split()
+        cpu_s = (int(parts[11]) + int(parts[12])) / ticks_a_second
+        sent = dump.get("counters", {}).get("mailbox.sent_bytes", 0)
+        result[peer.name] = (cpu_s, float(sent))
+    return result
+
+
+def _average(uses: list[Use]) -> Use:
+    return Use(
+        sum(use.core_percent for use in uses) / len(uses),
+        sum(use.sent_bytes for use in uses) / len(uses),
+    )
--- /dev/null
+++ b/bench/model.py
@@ -0,0 +1,146 @@
+"""Replay of an arrival trace on a virtual clock, with the stand-ins' service times."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import msgspec
+
+SLOTS = 8
+
+
+class Job(msgspec.Struct):
+    """One request of a trace; ``work_s`` is its time in a slot."""
+
+    at: float
+    account: str
+    priority: int
+    work_s: float
+    prefix: str = ""
+
+
+class Server(msgspec.Struct):
+    """An endpoint with slots and a queue served by priority."""
+
+    name: str
+    zone: str
+    speed: float = 1.0
+    busy: int = 0
+    reported: int = 0
+    measured: int = 0
+    waiting: list = []
+    cache: set = set()
+
+    @property
+    def load(self) -> int:
+        """Requests running and waiting."""
+        return self.busy + len(self.waiting)
+
+
+class Result(msgspec.Struct):
+    """Response times by class, and prefix cache hits."""
+
+    quick_s: list[float]
+    long_s: list[float]
+    hits: int
+    total: int
+
+
+def make_trace(source: random.Random, seconds: float, scale: float) -> list[Job]:
+    """Return quick questions at a steady rate and a batch of long work on top."""
+    jobs = []
+    for account, rate in (("assessors", 12.0), ("guides", 8.0)):
+        at = 0.0
+        while at < seconds:
+            at += source.expovariate(rate * scale)
+            prefix = f"{account}-{int(source.paretovariate(1.2)) % 40}"
+            jobs.append(Job(at, account, 1, source.uniform(0.1, 0.3), prefix))
+    for number in range(int(40 * scale * seconds / 20)):
+        at = seconds * 0.3 + source.expovariate(0.5)
+        jobs.append(Job(at, "batch", 7, source.uniform(3, 6), f"dossier-{number % 15}"))
+    return sorted(jobs, key=lambda job: job.at)
+
+
+class Replay:
+    """Runs a trace to its end on a virtual clock.
+
+    Parameters
+    ----------
+    servers : list of Server
+        Endpoints.
+    choose : callable
+        Picks the endpoint of a job.
+    on_report : callable
+        Told of an endpoint's lagging load report.
+    on_end : callable
+        Told of an endpoint, a job that ended there and the time it took.
+    lag_s : float
+        Time between reports, and the age of what they say.
+    hit_saving : float
+        Part of the work that a cached prefix saves.
+    """
+
+    def __init__(
+        self,
+        servers: list[Server],
+        choose: Callable[[Job, list[Server]], Server],
+        on_report: Callable[[Server], None],
+        on_end: Callable[[Server, Job, float], None],
+        lag_s: float,
+        hit_saving: float = 0.4,
+    ) -> None:
+        self._servers = servers
+        self._choose = choose
+        self._on_report = on_report
+        self._on_end = on_end
+        self._lag_s = lag_s
+        self._hit_saving = hit_saving
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = itertools.count()
+        self._result = Result([], [], 0, 0)
+
+    def run(self, jobs: list[Job]) -> Result:
+        """Run all jobs."""
+        for job in jobs:
+            self._plan(job.at, lambda now, job=job: self._arrive(job, now))  # type: ignore[misc]
+        for tick in range(int(jobs[-1].at / self._lag_s) + 1):
+            self._plan(tick * self._lag_s, self._report)
+        while self._events:
+            now, _, handle = heapq.heappop(self._events)
+            handle(now)
+        return self._result
+
+    def _plan(self, at: float, handle: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._order), handle))
+
+    def _arrive(self, job: Job, now: float) -> None:
+        server = self._choose(job, self._servers)
+        if server.busy < SLOTS:
+            self._start(server, job, now)
+        else:
+            heapq.heappush(server.waiting, (job.priority, next(self._order), job))
+
+    def _start(self, server: Server, job: Job, now: float) -> None:
+        server.busy += 1
+        hit = job.prefix in server.cache
+        server.cache.add(job.prefix)
+        self._result.total += 1
+        self._result.hits += hit
+        work_s = job.work_s * (1 - self._hit_saving * hit) / server.speed
+        self._plan(now + work_s, lambda then: self._end(server, job, work_s, then))
+
+    def _end(self, server: Server, job: Job, work_s: float, now: float) -> None:
+        server.busy -= 1
+        self._on_end(server, job, work_s)
+        quick = job.priority == 1
+        times = self._result.quick_s if quick else self._result.long_s
+        times.append(now - job.at)
+        if server.waiting:
+            self._start(server, heapq.heappop(server.waiting)[2], now)
+
+    def _report(self, now: float) -> None:
+        for server in self._servers:
+            # What is published now was true one lag ago.
+            server.reported, server.measured = server.measured, server.load
+            self._on_report(server)
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,135 @@
+"""The real processes: added latency, throughput and memory."""
+
+import asyncio
+import itertools
+import json
+import pathlib
+import random
+import re
+import tempfile
+import time
+
+import aiohttp
+
+from bench.tables import Row, compute_percentile_ms
+from standins.deployment import Deployment
+from standins.load import make_headers
+
+ACCOUNT = "heritage-assessors"
+
+
+def measure_path(seed: int, quick: bool) -> list[Row]:
+    """Compare requests through the system with requests to the engine itself."""
+    return asyncio.run(_measure(seed, quick))
+
+
+async def _measure(seed: int, quick: bool) -> list[Row]:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="tarragonway-bench-"))
+    deployment = Deployment("vardveislusjodur", folder)
+    try:
+        _raise_limits(folder)
+        await deployment.start(["--token-ms", "5", "--slots", "64"])
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            rows = await _compare(deployment, session, 60 if quick else 300)
+            rows.append(await _measure_rate(deployment, session, seed, quick))
+        rows.append(_measure_memory(deployment))
+        return rows
+    finally:
+        deployment.stop()
+
+
+def _raise_limits(folder: pathlib.Path) -> None:
+    path = folder / "plans.toml"
+    text = re.sub(r"requests_per_s = \d+", "requests_per_s = 100000", path.read_text())
+    path.write_text(re.sub(r"concurrent = \d+", "concurrent = 4000", text))
+
+
+async def _compare(
+    deployment: Deployment, session: aiohttp.ClientSession, count: int
+) -> list[Row]:
+    engines = [
+        item["url"]
+        for item in deployment.instances.values()
+        if item["service"] == deployment.model
+    ]
+    entries = ["http://" + peer.http for peer in deployment.cluster.entry]
+    direct: list[list[float]] = [[], []]
+    through: list[list[float]] = [[], []]
+    for number in range(count):
+        for urls, result in ((engines, direct), (entries, through)):
+            url = urls[number % len(urls)]
+            first, gaps = await _time_stream(session, url, deployment.model, number)
+            result[0].append(first)
+            result[1] += gaps
+    rows = []
+    for index, figure in enumerate(("first token", "between tokens")):
+        for percent in (50, 99):
+            rows.append(
+                Row(
+                    "path",
+                    f"{figure} p{percent}",
+                    "engine itself",
+                    compute_percentile_ms(direct[index], percent),
+                    compute_percentile_ms(through[index], percent),
+                    "ms",
+                )
+            )
+    return rows
+
+
+async def _time_stream(
+    session: aiohttp.ClientSession, url: str, model: str, number: int
+) -> tuple[float, list[float]]:
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": f"question {number}"}],
+        "max_tokens": 12,
+        "stream": True,
+    }
+    times = [time.perf_counter()]
+    async with session.post(
+        url + "/v1/chat/completions", json=body, headers=make_headers(ACCOUNT)
+    ) as response:
+        async for line in response.content:
+            if line.startswith(b"data: {") and b"content" in line:
+                times.append(time.perf_counter())
+    steps = [b - a for a, b in itertools.pairwise(times)]
+    return steps[0], steps[1:]
+
+
+async def _measure_rate(
+    deployment: Deployment, session: aiohttp.ClientSession, seed: int, quick: bool
+) -> Row:
+    """Send idempotent plain calls as fast as answers come back."""
+    source = random.Random(seed)
+    entries = [peer.http for peer in deployment.cluster.entry]
+    ends = time.perf_counter() + (3 if quick else 10)
+    done = 0
+
+    async def work() -> None:
+        nonlocal done
+        while time.perf_counter() < ends:
+            url = f"http://{source.choice(entries)}/services/{deployment.plain}/cases/1"
+            async with session.get(url, headers=make_headers(ACCOUNT)) as response:
+                await response.read()
+                done += response.status == 200
+
+    started = time.perf_counter()
+    await asyncio.gather(*(work() for _ in range(32)))
+    rate = done / (time.perf_counter() - started)
+    return Row("path", "plain calls a second, 8 entries", "-", 0.0, rate, "req/s")
+
+
+def _measure_memory(deployment: Deployment) -> Row:
+    sizes = {"entry": [0.0], "control": [0.0]}
+    for name, process in deployment.processes.items():
+        kind = name.partition("-")[0]
+        if kind in sizes:
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+            line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+            sizes[kind].append(int(line.split()[1]) / 1024)
+    print(json.dumps({"largest control process MB": round(max(sizes["control"]), 1)}))
+    return Row(
+        "path", "memory of an entry process", "budget", 128.0, max(sizes["entry"]), "MB"
+    )
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,64 @@
+"""The program behind ``bin/bench``."""
+
+import argparse
+import json
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from bench.costs import (
+    measure_log,
+    measure_messages,
+    measure_state,
+    measure_tokens,
+)
+from bench.decisions import (
+    measure_capacity,
+    measure_queue,
+    measure_retries,
+    measure_routing,
+    measure_shares,
+)
+from bench.idle import measure_idle
+from bench.path import measure_path
+from bench.tables import Row, Slope, print_rows
+
+CASES: dict[str, Callable[[int, bool], Sequence[Row | Slope]]] = {
+    "routing": measure_routing,
+    "queue": measure_queue,
+    "retries": measure_retries,
+    "shares": measure_shares,
+    "capacity": measure_capacity,
+    "state": measure_state,
+    "log": measure_log,
+    "messages": measure_messages,
+    "tokens": measure_tokens,
+    "idle": measure_idle,
+    "path": measure_path,
+}
+
+
+def main() -> None:
+    """Run the cases and print their rows."""
+    parser = argparse.ArgumentParser("bin/bench", description=__doc__)
+    parser.add_argument("cases", nargs="*", metavar="CASE", help=", ".join(CASES))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--quick", action="store_true", help="end within a minute")
+    arguments = parser.parse_args()
+    unknown = set(arguments.cases) - set(CASES)
+    if unknown:
+        parser.error(f"unknown case {sorted(unknown)[0]!r}")
+    everything: list[Row | Slope] = []
+    for name in arguments.cases or CASES:
+        rows = CASES[name](arguments.seed, arguments.quick)
+        everything += rows
+        if not arguments.json:
+            print(f"-- {name} (seed {arguments.seed})")
+            print_rows(rows)
+    if arguments.json:
+        print(json.dumps([msgspec.to_builtins(row) for row in everything]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/tables.py
@@ -0,0 +1,82 @@
+"""Rows of measurements, percentiles and fitted slopes."""
+
+import statistics
+from collections.abc import Sequence
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+MICROSECONDS = 1_000_000
+
+
+class Row(msgspec.Struct):
+    """One measured figure; ``ratio`` is this version over the baseline."""
+
+    case: str
+    figure: str
+    baseline: str
+    before: float
+    after: float
+    unit: str
+
+    @property
+    def ratio(self) -> float:
+        """Return this version's figure divided by the baseline's."""
+        return self.after / self.before if self.before else 0.0
+
+
+class Slope(msgspec.Struct):
+    """A cost that grows by ``slope`` for each unit of size.
+
+    ``sizes`` and ``costs`` are what was measured, ``fit`` is the correlation squared.
+    """
+
+    case: str
+    figure: str
+    unit: str
+    sizes: list[float]
+    costs: list[float]
+    slope: float
+    base: float
+    fit: float
+
+
+def fit_slope(
+    case: str,
+    figure: str,
+    unit: str,
+    sizes: Sequence[float],
+    costs: Sequence[float],
+) -> Slope:
+    """Fit a straight line through three or more measured sizes."""
+    line = statistics.linear_regression(sizes, costs)
+    fit = statistics.correlation(sizes, costs) ** 2
+    return Slope(
+        case, figure, unit, list(sizes), list(costs), line.slope, line.intercept, fit
+    )
+
+
+def compute_percentile_ms(seconds: Sequence[float], percent: float) -> float:
+    """Return a percentile in milliseconds."""
+    histogram = HdrHistogram(1, 600 * MICROSECONDS, 3)
+    for value in seconds:
+        histogram.record_value(max(1, int(value * MICROSECONDS)))
+    return histogram.get_value_at_percentile(percent) / 1000
+
+
+def print_rows(rows: Sequence[Row | Slope]) -> None:
+    """Print measurements for people."""
+    for row in rows:
+        if isinstance(row, Slope):
+            sizes = "/".join(f"{s:g}" for s in row.sizes)
+            costs = "/".join(f"{c:.4g}" for c in row.costs)
+            print(
+                f"{row.case:<10}{row.figure:<46}{row.slope:>12.4g} {row.unit} "
+                f"(base {row.base:.4g}, R2 {row.fit:.3f}; sizes {sizes}: {costs})"
+            )
+        else:
+            print(
+                f"{row.case:<10}{row.figure:<38}{row.baseline:<24}"
+                f"{row.before:>10.4g}{row.after:>10.4g} {row.unit:<10}"
+                f"ratio {row.ratio:.3f}"
+            )
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -101,6 +101,7 @@
         text = (source / "cluster.toml").read_text()
         for old, new in replace.items():
             text = text.replace(old, new)
+        text = _add_entries(text, entries)
         addresses = sorted(set(re.findall(r"127\.0\.0\.1:\d+", text)))
         ports = find_free_ports(len(addresses))
         for address, port in zip(addresses, ports, strict=True):
@@ -297,6 +298,20 @@
             process.wait()
 
 
+def _add_entries(text: str, count: int) -> str:
+    """Add entry processes beyond those of the example, in its zones."""
+    zones = re.findall(r'(?m)^zone = "(.*)"$', text)
+    listed = text.count("[[entry]]")
+    for number in range(listed, count):
+        text += (
+            f'\n[[entry]]\nname = "entry-{number + 1}"\n'
+            f'zone = "{zones[number % 3]}"\n'
+            f'mailbox = "127.0.0.1:{60_000 + number}"\n'
+            f'http = "127.0.0.1:{61_000 + number}"\n'
+        )
+    return text
+
+
 def _drop_tables(text: str, table: str, keep: int) -> str:
     """Keep the first tables of one kind."""
     blocks = re.split(r"(?m)^(?=\[)", text)
--- /dev/null
+++ b/tarragonway/capacity/plan.py
@@ -0,0 +1,133 @@
+"""Pure plan of least cost that keeps the latency target after losing a zone."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from tarragonway.core.ids import ZoneName
+
+
+class Offer(msgspec.Struct, frozen=True):
+    """Instances that a zone sells: ``price`` an hour each, ``slots`` requests at once.
+
+    ``available`` is how many starts are expected to succeed.
+    """
+
+    zone: ZoneName
+    machine_class: str
+    reclaimable: bool
+    price: float
+    slots: int
+    available: int
+
+
+class Purchase(msgspec.Struct, frozen=True):
+    """A number of instances of one offer."""
+
+    offer: Offer
+    count: int
+
+
+class CapacityPolicy(msgspec.Struct, frozen=True):
+    """Constants of the plan.
+
+    ``shrink_fraction`` is how much cheaper a smaller plan must be before a running one
+    is given up, against flapping.
+    """
+
+    shrink_fraction: float = 0.15
+
+
+def plan_capacity(
+    offers: Sequence[Offer],
+    needed_slots: int,
+    policy: CapacityPolicy,
+    running: Sequence[Purchase] = (),
+) -> list[Purchase]:
+    """Return the cheapest purchases that leave ``needed_slots`` without any one zone.
+
+    On-demand instances stay when their zone's reclaimable ones are reclaimed, so a
+    zone's loss counts its reclaimable slots only. For each loss that might be allowed,
+    the cheapest instances are bought until the rest suffices; the cheapest of these
+    plans wins. If no plan suffices, the one that leaves most is returned.
+
+    Examples
+    --------
+    >>> offers = [Offer(ZoneName(z), "g", True, 1.0, 8, 9) for z in "abc"]
+    >>> plan = plan_capacity(offers, 32, CapacityPolicy())
+    >>> sorted((p.offer.zone, p.count) for p in plan)
+    [('a', 2), ('b', 2), ('c', 2)]
+    """
+    losses = {0}
+    for offer in offers:
+        losses |= {offer.slots * n for n in range(1, offer.available + 1)}
+    plans = [_fill_with_loss(offers, needed_slots, loss) for loss in sorted(losses)]
+    enough = [plan for plan in plans if compute_worst_loss(plan) >= needed_slots]
+    if not enough:
+        return max(plans, key=compute_worst_loss, default=[])
+    plan = min(enough, key=compute_cost)
+    keeps = compute_worst_loss(running) >= needed_slots
+    limit = compute_cost(running) * (1 - policy.shrink_fraction)
+    if keeps and compute_cost(plan) > limit:
+        return list(running)
+    return plan
+
+
+def plan_on_demand(offers: Sequence[Offer], needed_slots: int) -> list[Purchase]:
+    """Return the cheapest plan of on-demand instances alone."""
+    usable = [offer for offer in offers if not offer.reclaimable]
+    return _fill(sorted(usable, key=lambda o: o.price / o.slots), needed_slots)
+
+
+def plan_cheapest_zone(offers: Sequence[Offer], needed_slots: int) -> list[Purchase]:
+    """Return the cheapest plan without regard to losses."""
+    return _fill(sorted(offers, key=lambda o: o.price / o.slots), needed_slots)
+
+
+def compute_cost(plan: Sequence[Purchase]) -> float:
+    """Return a plan's price an hour."""
+    return sum(item.offer.price * item.count for item in plan)
+
+
+def compute_worst_loss(plan: Sequence[Purchase]) -> int:
+    """Return the slots left when the zone is reclaimed that hurts most."""
+    offers = [item.offer for item in plan]
+    return _compute_left(offers, [item.count for item in plan])
+
+
+def _compute_left(offers: Sequence[Offer], counts: Sequence[int]) -> int:
+    total = sum(o.slots * c for o, c in zip(offers, counts, strict=True))
+    losses: dict[ZoneName, int] = {}
+    for offer, count in zip(offers, counts, strict=True):
+        if offer.reclaimable:
+            losses[offer.zone] = losses.get(offer.zone, 0) + offer.slots * count
+    return total - max(losses.values(), default=0)
+
+
+def _fill_with_loss(
+    offers: Sequence[Offer], needed_slots: int, loss: int
+) -> list[Purchase]:
+    """Buy the cheapest slots with at most ``loss`` reclaimable ones in a zone."""
+    wanted = needed_slots + loss
+    exposed: dict[ZoneName, int] = {}
+    plan = []
+    for offer in sorted(offers, key=lambda o: o.price / o.slots):
+        count = min(offer.available, -(-wanted // offer.slots))
+        if offer.reclaimable:
+            room = loss - exposed.get(offer.zone, 0)
+            count = min(count, room // offer.slots)
+            exposed[offer.zone] = exposed.get(offer.zone, 0) + count * offer.slots
+        if count > 0:
+            plan.append(Purchase(offer, count))
+            wanted -= count * offer.slots
+    return plan
+
+
+def _fill(offers: Sequence[Offer], needed_slots: int) -> list[Purchase]:
+    plan = []
+    for offer in offers:
+        count = min(offer.available, -(-needed_slots // offer.slots))
+        if count > 0:
+            plan.append(Purchase(offer, count))
+            needed_slots -= count * offer.slots
+    return plan
--- a/tarragonway/entry/dispatch.py
+++ b/tarragonway/entry/dispatch.py
@@ -123,6 +123,10 @@
             self._subsets[service] = pick_subset(self._own, active)
         self._wake.set()
 
+    def note_pace(self, endpoint: EndpointId, seconds: float) -> None:
+        """Note the time between two tokens of an endpoint."""
+        self._board.record_pace(endpoint, seconds)
+
     def note_refused(self, endpoint: EndpointId) -> None:
         """Note that an endpoint said itself that it is leaving."""
         self._refused.add(endpoint)
@@ -223,16 +227,22 @@
         if listed is None:
             return []
         now = asyncio.get_running_loop().time()
+        usable = [
+            endpoint
+            for endpoint in self._subsets.get(service, [])
+            if not self.is_leaving(endpoint.id) and endpoint.id not in avoid
+        ]
+        speeds = self._board.compute_speeds([endpoint.id for endpoint in usable])
         return [
             Candidate(
                 endpoint.id,
                 endpoint.zone,
                 self._board.get_expected(endpoint.id),
                 listed.endpoint_slots,
+                speed,
                 self._board.is_ejected(endpoint.id, now),
             )
-            for endpoint in self._subsets.get(service, [])
-            if not self.is_leaving(endpoint.id) and endpoint.id not in avoid
+            for endpoint, speed in zip(usable, speeds, strict=True)
         ]
 
     def _refuse(self, demand: Demand) -> Refusal:
--- a/tarragonway/entry/models.py
+++ b/tarragonway/entry/models.py
@@ -155,10 +155,10 @@
                 return await self._answer_whole(live, demand)
             finally:
                 self._shares.release(account)
-        protected = await self._keeper.protect(live)
-        if not protected:
-            self._counters.increment("models.unprotected")
+        # The engine starts while the copies travel; nothing is told before they arrive.
         task = self._start(self._run_accepted(live, demand, account))
+        if not await self._keeper.protect(live):
+            self._counters.increment("models.unprotected")
         self._counters.increment("models.accepted")
         if deferred:
             return _write_accepted(live.record.id)
--- a/tarragonway/limits/holder.py
+++ b/tarragonway/limits/holder.py
@@ -93,6 +93,7 @@
         if account is None:
             account = _Account(TokenBucket(0.0, loop.time()))
             self._accounts[account_id] = account
+            self._ask()
         account.arrivals += 1
         deadline = loop.time() + FIRST_SHARE_WAIT_LEASES * self._lease_s
         while account.end <= loop.time() or not account.concurrent:
--- a/tarragonway/requests/runner.py
+++ b/tarragonway/requests/runner.py
@@ -142,8 +142,12 @@
     ) -> StreamEnd:
         events = self._engines.stream(endpoint, call)
         may_move = self._move_kv
+        loop = asyncio.get_running_loop()
+        started_at, started_from = 0.0, 0
         try:
             async for event in events:
+                if isinstance(event, EngineToken) and not started_at:
+                    started_at, started_from = loop.time(), event.position
                 if isinstance(event, EngineFinished | EngineRefused | EngineBroken):
                     return event
                 self._take(live, event)
@@ -158,6 +162,10 @@
                     may_move = False
         finally:
             await events.aclose()  # type: ignore[attr-defined]
+            count = len(live.tokens) - started_from - 1
+            if started_at and count > 0:
+                pace_s = (loop.time() - started_at) / count
+                self._dispatcher.note_pace(endpoint.id, pace_s)
         return EngineBroken("no event")
 
     def _take(self, live: LiveRequest, event: EngineEvent) -> None:
--- a/tarragonway/routing/choice.py
+++ b/tarragonway/routing/choice.py
@@ -14,6 +14,7 @@
 
     ``expected`` is the last reported number of requests, corrected by what this
     process has sent and finished since; ``slots`` is how many run at once.
+    ``speed`` is its pace relative to the others' (1.0 is usual, less is slower).
     ``ejected`` endpoints have failed lately and are used only if nothing else is left.
     """
 
@@ -21,6 +22,7 @@
     zone: ZoneName
     expected: float
     slots: int
+    speed: float = 1.0
     ejected: bool = False
 
 
@@ -88,16 +90,18 @@
     mean = sum(_compute_fill(c) for c in candidates) / len(candidates)
     for endpoint_id in rank_by_hash(prefix, list(by_id))[:2]:
         candidate = by_id[EndpointId(endpoint_id)]
-        room = (candidate.expected + 1) / candidate.slots
+        room = (candidate.expected + 1) / (candidate.slots * candidate.speed)
         if room <= policy.affinity_bound * (mean + 1 / candidate.slots):
             return candidate
     return None
 
 
 def _compute_fill(candidate: Candidate) -> float:
-    return candidate.expected / candidate.slots
+    return candidate.expected / (candidate.slots * candidate.speed)
 
 
 def _compute_cost(candidate: Candidate, zone: ZoneName, policy: RoutingPolicy) -> float:
+    # An idle slow endpoint still costs more than an idle fast one.
+    fill = (candidate.expected + 1) / (candidate.slots * candidate.speed)
     penalty = 0.0 if candidate.zone == zone else policy.zone_penalty
-    return _compute_fill(candidate) + penalty
+    return fill + penalty
--- a/tarragonway/routing/loads.py
+++ b/tarragonway/routing/loads.py
@@ -1,9 +1,15 @@
 """What this process knows of its endpoints' load."""
 
+import statistics
+from collections.abc import Sequence
+
 import msgspec
 
 from tarragonway.core.ids import EndpointId
 
+PACE_WEIGHT = 0.1
+SPEED_MIN = 0.1
+SPEED_MAX = 2.0
 EJECT_FAILURES = 3
 EJECT_BASE_S = 1.0
 EJECT_MAX_S = 30.0
@@ -13,6 +19,7 @@
     reported: float = 0.0
     since_report: int = 0
     running: int = 0
+    pace_s: float = 0.0
     failures: int = 0
     ejected_until: float = float("-inf")
 
@@ -44,6 +51,34 @@
         row.reported = load
         row.since_report = 0
 
+    def record_pace(self, endpoint: EndpointId, seconds: float) -> None:
+        """Note the time that a unit of work took, such as one token."""
+        row = self._get(endpoint)
+        if not row.pace_s:
+            row.pace_s = seconds
+        row.pace_s += (seconds - row.pace_s) * PACE_WEIGHT
+
+    def compute_speeds(self, endpoints: Sequence[EndpointId]) -> list[float]:
+        """Return each endpoint's pace relative to the median of those that have one.
+
+        Examples
+        --------
+        >>> board = LoadBoard()
+        >>> for endpoint, seconds in (("e1", 0.1), ("e2", 0.1), ("e3", 0.2)):
+        ...     board.record_pace(endpoint, seconds)
+        >>> board.compute_speeds(["e1", "e2", "e3", "e4"])
+        [1.0, 1.0, 0.5, 1.0]
+        """
+        paces = [self._get(endpoint).pace_s for endpoint in endpoints]
+        known = [pace for pace in paces if pace]
+        if not known:
+            return [1.0] * len(paces)
+        usual = statistics.median_low(known)
+        return [
+            min(SPEED_MAX, max(SPEED_MIN, usual / pace)) if pace else 1.0
+            for pace in paces
+        ]
+
     def record_start(self, endpoint: EndpointId) -> None:
         """Note that a request was sent."""
         row = self._get(endpoint)
