Check the core protocols by model and tell only recorded 'not run'

Cause: a refusal before the claim (no control, a limit, a stop) told 'not_run' also to a resend whose first try had run. Writing the claim's specification showed it; the mutant REFUSAL_SAYS_NOT_RUN is that fault, and the process test failed first (outcome not_run after an arrival). Ruled out: asking for the record before each refusal (there may be no control to ask). Change: refusals say 'refused'; 'not_run' comes from a record or from an attempt that held the claim and opened no connection. Shares are asked from the leader alone while it answers.

--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, for exhaustive exploration."""
--- /dev/null
+++ b/specs/agreement.py
@@ -0,0 +1,204 @@
+"""Specification of election, commit and the replacement of a member with a lost disk.
+
+Members a, b and c form the group; c loses its disk and returns as d, which is added
+before c is removed. After that b is lost too. Elections and appends are single steps
+over any quorum, which covers every order of their messages that matters to safety,
+because a voter's answer depends on its durable state alone. ``tarragonway.consensus``
+holds the code.
+"""
+
+import enum
+import itertools
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+MAX_TERM = 4
+MAX_LOG = 3
+NAMES = ("a", "b", "c", "d")
+OLD = frozenset("abc")
+GROWN = frozenset("abcd")
+NEW = frozenset("abd")
+
+Log = tuple[tuple[int, str], ...]
+
+
+class Mutant(enum.Enum):
+    """Faults that the exploration must find."""
+
+    NONE = "none"
+    VOTE_FORGOTTEN = "a wiped member keeps its identity and votes again"
+    SWAP_AT_ONCE = "the new member replaces the old one in one step"
+    STALE_LOG_WINS = "votes are given without comparing the logs"
+    OLD_TERM_COUNTED = "an entry of an earlier term is committed by counting"
+
+
+class State(NamedTuple):
+    """Each member's term, log and presence; leaders by term; committed entries."""
+
+    terms: tuple[int, ...] = (0, 0, 0, 0)
+    logs: tuple[Log, ...] = ((), (), (), ())
+    present: tuple[bool, ...] = (True, True, True, False)
+    leaders: tuple[int, ...] = (-1,) * (MAX_TERM + 1)
+    committed: Log = ()
+    safe: bool = True
+    losses: int = 0
+
+
+def make_protocol(mutant: Mutant = Mutant.NONE) -> Protocol:
+    """Return the specification, with one fault if wanted."""
+
+    def list_steps(values: tuple) -> list[tuple[str, tuple]]:
+        state = State(*values)
+        steps = _list_losses(state, mutant)
+        for member in range(len(NAMES)):
+            if state.present[member]:
+                steps += _list_elections(state, member, mutant)
+                steps += _list_leader(state, member, mutant)
+        return [(name, tuple(after)) for name, after in steps]
+
+    return Protocol(
+        name="agreement",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=list_steps,
+        invariants={"one_history": lambda s: s["safe"]},
+    )
+
+
+def read_config(log: Log) -> frozenset[str]:
+    """Return the voters according to the latest change in a log."""
+    kinds = {kind for _, kind in log}
+    if "remove" in kinds or "swap" in kinds:
+        return NEW
+    return GROWN if "add" in kinds else OLD
+
+
+def _list_losses(state: State, mutant: Mutant) -> list[tuple[str, State]]:
+    steps = []
+    if state.losses == 0 and state.present[2]:
+        if mutant is Mutant.VOTE_FORGOTTEN:
+            wiped = _set(state, 2, term=0, log=())
+            steps.append(("c is wiped", wiped._replace(losses=1)))
+        else:
+            present = (*state.present[:2], False, True)
+            steps.append(("c returns as d", state._replace(present=present, losses=1)))
+    if state.losses == 1 and ("remove" in {kind for _, kind in state.committed}):
+        present = (state.present[0], False, *state.present[2:])
+        steps.append(("b is lost", state._replace(present=present, losses=2)))
+    return steps
+
+
+def _list_elections(
+    state: State, member: int, mutant: Mutant
+) -> list[tuple[str, State]]:
+    steps: list[tuple[str, State]] = []
+    config = read_config(state.logs[member])
+    if NAMES[member] not in config:
+        return steps
+    for term in range(state.terms[member] + 1, MAX_TERM + 1):
+        able = [
+            i
+            for i, name in enumerate(NAMES)
+            if name in config
+            and state.present[i]
+            and (i == member or _would_vote(state, i, member, term, mutant))
+        ]
+        for voters in itertools.combinations(able, len(config) // 2 + 1):
+            if member in voters:
+                after = _elect(state, member, term, voters)
+                steps.append((f"elect {NAMES[member]} in {term}", after))
+    return steps
+
+
+def _would_vote(
+    state: State, voter: int, candidate: int, term: int, mutant: Mutant
+) -> bool:
+    if state.terms[voter] >= term:
+        return False
+    if mutant is Mutant.STALE_LOG_WINS:
+        return True
+    return _rank(state.logs[candidate]) >= _rank(state.logs[voter])
+
+
+def _rank(log: Log) -> tuple[int, int]:
+    return (log[-1][0] if log else 0, len(log))
+
+
+def _elect(state: State, member: int, term: int, voters: tuple[int, ...]) -> State:
+    terms = tuple(term if i in voters else old for i, old in enumerate(state.terms))
+    safe = state.safe and state.leaders[term] in (-1, member)
+    log = state.logs[member]
+    # A leader must hold everything that is committed.
+    safe = safe and log[: len(state.committed)] == state.committed
+    leaders = tuple(member if t == term else old for t, old in enumerate(state.leaders))
+    after = state._replace(terms=terms, leaders=leaders, safe=safe)
+    if len(log) < MAX_LOG:
+        after = _set(after, member, log=(*log, (term, "noop")))
+    return after
+
+
+def _list_leader(state: State, member: int, mutant: Mutant) -> list[tuple[str, State]]:
+    term = state.terms[member]
+    if not term or state.leaders[term] != member:
+        return []
+    log = state.logs[member]
+    steps = []
+    for other, name in enumerate(NAMES):
+        if other == member or not state.present[other] or state.terms[other] > term:
+            continue
+        for count in range(1, len(log) + 1):
+            if state.logs[other][:count] != log[:count]:
+                copied = _set(state, other, term=term, log=log[:count])
+                steps.append((f"{NAMES[member]} appends {count} to {name}", copied))
+    steps += _list_commits(state, member, mutant)
+    own = [kind for t, kind in state.committed if t == term]
+    change = _pick_change(state, log, mutant)
+    if change and own and len(log) < MAX_LOG and log == state.committed:
+        grown = _set(state, member, log=(*log, (term, change)))
+        steps.append((f"{NAMES[member]} proposes {change}", grown))
+    return steps
+
+
+def _list_commits(state: State, member: int, mutant: Mutant) -> list[tuple[str, State]]:
+    log = state.logs[member]
+    config = read_config(log)
+    for count in range(len(log), len(state.committed), -1):
+        holders = [
+            name
+            for i, name in enumerate(NAMES)
+            if name in config
+            and state.present[i]
+            and state.logs[i][:count] == log[:count]
+        ]
+        current = log[count - 1][0] == state.terms[member]
+        counted = current or mutant is Mutant.OLD_TERM_COUNTED
+        if counted and len(holders) >= len(config) // 2 + 1:
+            same = log[: len(state.committed)] == state.committed
+            after = state._replace(committed=log[:count], safe=state.safe and same)
+            return [(f"{NAMES[member]} commits {count}", after)]
+    return []
+
+
+def _pick_change(state: State, log: Log, mutant: Mutant) -> str:
+    kinds = {kind for _, kind in log}
+    if not state.present[3]:
+        return ""
+    if mutant is Mutant.SWAP_AT_ONCE:
+        return "" if "swap" in kinds else "swap"
+    if "add" not in kinds:
+        return "add"
+    return "" if "remove" in kinds else "remove"
+
+
+def _set(
+    state: State, member: int, term: int | None = None, log: Log | None = None
+) -> State:
+    if term is not None:
+        terms = tuple(term if i == member else t for i, t in enumerate(state.terms))
+        state = state._replace(terms=terms)
+    if log is not None:
+        logs = tuple(log if i == member else old for i, old in enumerate(state.logs))
+        state = state._replace(logs=logs)
+    return state
--- /dev/null
+++ b/specs/claims.py
@@ -0,0 +1,147 @@
+"""Specification of a claim's life with two entry processes and late messages.
+
+Two attempts, through two entry processes, are made for one key. Every message may be
+late, lost or delivered twice, a process may stop at any point or be frozen for any
+time between two of its steps, and the lease may end at any time. ``tarragonway.claims``
+holds the code.
+"""
+
+import enum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+ATTEMPTS = (0, 1)
+
+
+class Mutant(enum.Enum):
+    """Faults that the exploration must find."""
+
+    NONE = "none"
+    SEND_BEFORE_CLAIM = "send before the claim is granted"
+    QUERY_WITHOUT_MARK = "not_run is told without a mark"
+    EXPIRY_FREES = "an expired claim becomes absent"
+    REFUSAL_SAYS_NOT_RUN = "a refusal before the claim is told as not_run"
+    LOST_ANSWER_IS_NOT_RUN = "a lost answer is told as not_run"
+
+
+class State(NamedTuple):
+    """Record, holder, and each attempt's phase, claim message and result message."""
+
+    record: str = "absent"
+    holder: int = -1
+    phase: tuple[str, str] = ("idle", "idle")
+    asking: tuple[bool, bool] = (False, False)
+    result: tuple[str, str] = ("", "")
+    runs: int = 0
+    told_not_run: bool = False
+
+
+def make_protocol(mutant: Mutant = Mutant.NONE) -> Protocol:
+    """Return the specification, with one fault if wanted."""
+
+    def list_steps(values: tuple) -> list[tuple[str, tuple]]:
+        state = State(*values)
+        steps = _list_common(state, mutant)
+        for attempt in ATTEMPTS:
+            steps += _list_owner(state, attempt, mutant)
+            steps += _list_messages(state, attempt)
+        return [(name, tuple(after)) for name, after in steps]
+
+    return Protocol(
+        name="claims",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=list_steps,
+        invariants={
+            "at_most_once": lambda s: s["runs"] <= 1,
+            "not_run_is_true": lambda s: not (s["told_not_run"] and s["runs"]),
+        },
+    )
+
+
+def _list_common(state: State, mutant: Mutant) -> list[tuple[str, State]]:
+    steps = []
+    if state.record == "claimed":
+        freed = mutant is Mutant.EXPIRY_FREES
+        record = "absent" if freed else "unknown"
+        steps.append(("lease ends", state._replace(record=record)))
+    if state.record in ("absent", "not_run"):
+        marked = "absent" if mutant is Mutant.QUERY_WITHOUT_MARK else "not_run"
+        record = marked if state.record == "absent" else "not_run"
+        steps.append(("query", state._replace(record=record, told_not_run=True)))
+    return steps
+
+
+def _list_owner(state: State, attempt: int, mutant: Mutant) -> list[tuple[str, State]]:
+    phase = state.phase[attempt]
+    steps = []
+    if phase != "stopped":
+        steps.append((f"stop {attempt}", _set_phase(state, attempt, "stopped")))
+    if phase == "idle":
+        asked = _set_phase(state, attempt, "asked")
+        steps.append((f"ask {attempt}", _set_asking(asked, attempt, True)))
+    if phase == "asked":
+        told = state.told_not_run or mutant is Mutant.REFUSAL_SAYS_NOT_RUN
+        given_up = _set_phase(state, attempt, "ended")._replace(told_not_run=told)
+        steps.append((f"give up {attempt}", given_up))
+    early = mutant is Mutant.SEND_BEFORE_CLAIM and phase == "asked"
+    if phase == "granted" or early:
+        sent = _set_phase(state, attempt, "sent")._replace(runs=state.runs + 1)
+        steps.append((f"send {attempt}", sent))
+    if phase == "granted":
+        failed = _set_result(_set_phase(state, attempt, "ended"), attempt, "not_run")
+        steps.append((f"no connection {attempt}", failed._replace(told_not_run=True)))
+    if phase == "sent":
+        ended = _set_phase(state, attempt, "ended")
+        steps.append((f"answer {attempt}", _set_result(ended, attempt, "done")))
+        if mutant is Mutant.LOST_ANSWER_IS_NOT_RUN:
+            lost = _set_result(ended, attempt, "not_run")._replace(told_not_run=True)
+        else:
+            lost = _set_result(ended, attempt, "unknown")
+        steps.append((f"answer lost {attempt}", lost))
+    return steps
+
+
+def _list_messages(state: State, attempt: int) -> list[tuple[str, State]]:
+    steps = []
+    if state.asking[attempt]:
+        gone = _set_asking(state, attempt, False)
+        steps.append((f"claim lost {attempt}", gone))
+        for heard in (True, False):
+            # Without removal the message may be delivered again.
+            steps.append((f"claim {attempt}", _claim(state, attempt, heard)))
+    result = state.result[attempt]
+    if result:
+        lost = _set_result(state, attempt, "")
+        steps.append((f"result lost {attempt}", lost))
+        mine = state.holder == attempt
+        if mine and state.record in ("claimed", "unknown"):
+            steps.append((f"result {attempt}", lost._replace(record=result)))
+    return steps
+
+
+def _claim(state: State, attempt: int, heard: bool) -> State:
+    if state.record == "absent":
+        state = state._replace(record="claimed", holder=attempt)
+    granted = state.record == "claimed" and state.holder == attempt
+    if not heard or state.phase[attempt] != "asked":
+        return state
+    return _set_phase(state, attempt, "granted" if granted else "ended")
+
+
+def _set_phase(state: State, attempt: int, phase: str) -> State:
+    return state._replace(phase=_put(state.phase, attempt, phase))
+
+
+def _set_asking(state: State, attempt: int, asking: bool) -> State:
+    return state._replace(asking=_put(state.asking, attempt, asking))
+
+
+def _set_result(state: State, attempt: int, result: str) -> State:
+    return state._replace(result=_put(state.result, attempt, result))
+
+
+def _put(pair: tuple, position: int, value: object) -> tuple:
+    return tuple(value if i == position else old for i, old in enumerate(pair))
--- a/standins/load.py
+++ b/standins/load.py
@@ -233,7 +233,7 @@
                 outcome = json.loads(text).get("outcome", "")
                 if outcome == "unknown" and response.status != 409:
                     return "unknown", text
-                if "never will" in text:
+                if outcome == "not_run":
                     return "not_run", text
                 return "again", text
         except (aiohttp.ClientError, OSError, ValueError) as error:
--- a/tarragonway/control/client.py
+++ b/tarragonway/control/client.py
@@ -68,6 +68,15 @@
                     self._turn()
                     await asyncio.sleep(min(BUSY_PAUSE_S, left_s))
 
+    @property
+    def target(self) -> ProcessName:
+        """The process that is taken for the leader."""
+        return self._target
+
+    def note_leader(self, leader: ProcessName) -> None:
+        """Note which process answered as the leader."""
+        self._target = leader
+
     def receive(self, reply: ControlReply | ControlRedirect) -> None:
         """Take an answer from the mailbox."""
         future = self._waiting.pop(reply.call, None)
--- a/tarragonway/core/outcomes.py
+++ b/tarragonway/core/outcomes.py
@@ -8,8 +8,9 @@
 class Outcome(enum.Enum):
     """What a caller may rely on about a request.
 
-    ``NOT_RUN`` states that the request did not run and never will under its key;
-    ``UNKNOWN`` that it may have run and will not be sent again.
+    ``REFUSED`` states that this try was not accepted; ``NOT_RUN`` that the request did
+    not run and never will under its key; ``UNKNOWN`` that it may have run and will not
+    be sent again.
     """
 
     DONE = "done"
@@ -50,15 +51,16 @@
     retry_after_s : float
         Seconds after which a new try makes sense; 0 if a new try cannot help.
     outcome : Outcome
-        Outcome to report, ``NOT_RUN`` unless the request may have run.
+        Outcome to report. ``REFUSED`` says that this try was not accepted, and nothing
+        of earlier tries under the same key; ``NOT_RUN`` needs a record that shows it.
 
     Examples
     --------
     >>> Refusal(RefusalReason.LIMIT, "plan limit reached", 2.0).outcome
-    <Outcome.NOT_RUN: 'not_run'>
+    <Outcome.REFUSED: 'refused'>
     """
 
     reason: RefusalReason
     detail: str
     retry_after_s: float = 0.0
-    outcome: Outcome = Outcome.NOT_RUN
+    outcome: Outcome = Outcome.REFUSED
--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -292,6 +292,7 @@
             case ControlReply() | ControlRedirect() as answer:
                 self._control.receive(answer)
             case ShareReply() as shares:
+                self._control.note_leader(sender)
                 self._shares.receive(shares)
             case _:
                 self._receive_from_entry(sender, delivery.body)
@@ -312,9 +313,12 @@
                 self._counters.increment("entry.unexpected")
 
     def _send_share_call(self, call: ShareCall) -> None:
-        """Send to all control processes: only the leader answers."""
+        """Send to the leader, or to all control processes if it is silent."""
         if not self._registered:
             return
+        if not self._shares.is_unanswered:
+            self._mailbox.send(self._control.target, call)
+            return
         for name in self._control_names:
             self._mailbox.send(name, call)
 
--- a/tarragonway/entry/plain.py
+++ b/tarragonway/entry/plain.py
@@ -271,8 +271,7 @@
             case Answer():
                 return _write_answer(result)
             case NeverSent(reason):
-                detail = f"no endpoint took the call: {reason}"
-                return write_problem(Refusal(RefusalReason.NO_ENDPOINT, detail))
+                return _write_not_run(f"no endpoint took the call: {reason}")
             case MaybeSent(reason):
                 self._counters.increment("plain.unknown")
                 return write_unknown(f"the call may have run: {reason}")
@@ -332,7 +331,7 @@
                 return write_problem(Refusal(RefusalReason.BODY_MISMATCH, detail))
         # The claim may be granted later; nothing was sent and nothing will be.
         await self._resolve(call, key, attempt, ClaimState.NOT_RUN, None, wait=False)
-        return write_problem(_refuse_without_control(Outcome.NOT_RUN))
+        return write_problem(_refuse_without_control(Outcome.REFUSED))
 
     async def _answer_held(
         self, call: PlainCall, key: CallKey, record: ClaimRecord
@@ -458,6 +457,12 @@
     return web.Response(status=answer.status, body=answer.body, headers=headers)
 
 
+def _write_not_run(detail: str) -> web.Response:
+    """Return the answer for a key whose record shows that it did not run."""
+    refusal = Refusal(RefusalReason.NO_ENDPOINT, detail, 0.0, Outcome.NOT_RUN)
+    return write_problem(refusal)
+
+
 def _write_record(record: ClaimRecord) -> web.Response:
     match record.state:
         case ClaimState.DONE if record.answer is not None:
@@ -467,8 +472,7 @@
             refusal = Refusal(RefusalReason.NOT_FOUND, detail, 0.0, Outcome.DONE)
             return write_problem(refusal)
         case ClaimState.NOT_RUN:
-            detail = "the call did not run and never will under this key"
-            return write_problem(Refusal(RefusalReason.NO_ENDPOINT, detail))
+            return _write_not_run("the call did not run and never will under this key")
     return write_unknown("the call may have run; it will not be sent again")
 
 
--- a/tarragonway/limits/holder.py
+++ b/tarragonway/limits/holder.py
@@ -56,6 +56,11 @@
         self._granted = asyncio.Event()
         self._asked_at = float("-inf")
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether more than one call waits for its answer."""
+        return len(self._sent) > 1
+
     async def run(self) -> None:
         """Renew shares until the task is cancelled."""
         period_s = self._lease_s / RENEWALS_A_LEASE
