--- /dev/null
+++ b/tarragonway/claims/tests/test_book.py
@@ -0,0 +1,125 @@
+"""The claim book against the statements that callers were told."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tarragonway.claims import (
+    Answer,
+    ClaimBook,
+    ClaimCall,
+    ClaimGranted,
+    ClaimState,
+    QueryCall,
+    ResolveCall,
+    Retention,
+    RetireOwner,
+)
+
+KEYS = st.sampled_from(["k1", "k2", "k3"])
+OWNERS = st.sampled_from(["entry-1", "entry-2", "entry-3"])
+LEASE_MS = 1000
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Late, repeated and lost commands from processes that stop and freeze."""
+
+    def __init__(self):
+        super().__init__()
+        self.book = ClaimBook(retention=Retention(20_000, 10**9))
+        self.now = 0
+        self.sent = {}
+        self.granted = {}
+        self.not_run = set()
+        self.answers = {}
+        self.asked = []
+        self.starts = dict.fromkeys(["entry-1", "entry-2", "entry-3"], 0)
+
+    def ask(self, call):
+        if isinstance(self.book.claim(call, self.now), ClaimGranted):
+            known = self.granted.setdefault(call.key, call.attempt)
+            assert known == call.attempt, "two attempts hold one key"
+
+    @rule(key=KEYS, owner=OWNERS)
+    def claim(self, key, owner):
+        attempt = f"a{len(self.asked)}"
+        start = f"s{self.starts[owner]}"
+        call = ClaimCall("acc", key, "f", attempt, owner, start, LEASE_MS)
+        self.asked.append(call)
+        self.ask(call)
+
+    @rule(position=st.integers(0, 50))
+    def repeat_claim(self, position):
+        if self.asked:
+            self.ask(self.asked[position % len(self.asked)])
+
+    @rule(key=KEYS)
+    def send(self, key):
+        """The holder sends, however late; it never sends twice."""
+        attempt = self.granted.get(key)
+        if attempt and attempt not in self.sent and key not in self.not_run:
+            self.sent[attempt] = key
+
+    @rule(key=KEYS, late=st.booleans())
+    def resolve(self, key, late):
+        attempt = self.granted.get(key)
+        if attempt is None:
+            return
+        if attempt in self.sent:
+            answer = Answer(200, "text/plain", key.encode())
+            call = ResolveCall("acc", key, attempt, ClaimState.DONE, answer)
+            self.answers[key] = answer
+        else:
+            # The holder found no connection and has told its caller.
+            self.not_run.add(key)
+            call = ResolveCall("acc", key, attempt, ClaimState.NOT_RUN)
+        self.book.resolve(call, self.now + (2 * LEASE_MS if late else 0))
+
+    @rule(key=KEYS)
+    def query(self, key):
+        record = self.book.query(QueryCall("acc", key), self.now).record
+        if record.state is ClaimState.NOT_RUN:
+            self.not_run.add(key)
+        if record.state is ClaimState.DONE and record.answer:
+            assert record.answer == self.answers[key]
+
+    @rule(owner=OWNERS)
+    def restart_owner(self, owner):
+        self.starts[owner] += 1
+        self.book.retire(RetireOwner(owner, f"s{self.starts[owner]}"), self.now)
+
+    @rule(passed=st.sampled_from([1, LEASE_MS, 30_000]))
+    def wait(self, passed):
+        self.now += passed
+
+    @invariant()
+    def nothing_runs_twice_and_no_denied_call_ran(self):
+        keys = list(self.sent.values())
+        assert len(keys) == len(set(keys))
+        assert not self.not_run & set(keys)
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+def test_key_is_recognised_after_its_answer_was_dropped():
+    book = ClaimBook(retention=Retention(10, 10**6))
+    call = ClaimCall("acc", "old", "f", "a1", "entry-1", "s", LEASE_MS)
+    book.claim(call, 0)
+    answer = Answer(200, "", b"x")
+    book.resolve(ResolveCall("acc", "old", "a1", ClaimState.DONE, answer), 1)
+    again = ClaimCall("acc", "old", "f", "a2", "entry-2", "s", LEASE_MS)
+    held = book.claim(again, 10_000)
+    assert held.record.state is ClaimState.DONE
+    assert held.record.answer is None
+
+
+def test_open_claim_becomes_unknown_with_its_lease():
+    book = ClaimBook()
+    book.claim(ClaimCall("acc", "k", "f", "a1", "entry-1", "s", LEASE_MS), 0)
+    early = book.query(QueryCall("acc", "k"), LEASE_MS - 1).record.state
+    late = book.query(QueryCall("acc", "k"), LEASE_MS).record.state
+    assert (early, late) == (ClaimState.CLAIMED, ClaimState.UNKNOWN)
--- a/tarragonway/entry/blame.py
+++ b/tarragonway/entry/blame.py
@@ -1,13 +1,20 @@
-"""Reports of endpoints that crash under a request."""
+"""Reports of endpoints that crash under a request, and probation of suspects."""
 
 import asyncio
 
 from tarragonway.control.client import ControlClient
 from tarragonway.core.counters import Counters
-from tarragonway.core.outcomes import Outcome, Refusal, RefusalReason
+from tarragonway.core.ids import Fingerprint
+from tarragonway.core.outcomes import Refusal, RefusalReason
 from tarragonway.endpoints import Endpoint
 from tarragonway.entry.dispatch import Dispatcher
-from tarragonway.quarantine import CrashRecorded, ReportCrash
+from tarragonway.quarantine import (
+    CrashRecorded,
+    EndProbation,
+    ProbationAnswer,
+    ReportCrash,
+    TakeProbation,
+)
 from tarragonway.requests.live import LiveRequest
 from tarragonway.watch.client import WatchClient
 
@@ -23,7 +30,7 @@
     control : ControlClient
         Receives reports.
     watch : WatchClient
-        Source of quarantined contents.
+        Source of suspected and quarantined contents.
     dispatcher : Dispatcher
         Knows leaving endpoints.
     counters : Counters
@@ -41,9 +48,10 @@
         self._watch = watch
         self._dispatcher = dispatcher
         self._counters = counters
+        self._reported: set[Fingerprint] = set()
 
     async def report(self, live: LiveRequest, endpoint: Endpoint) -> Refusal | None:
-        """Count a crash unless a reclaim explains it; return a refusal if too many."""
+        """Record a crash unless a reclaim explains it; return why to give up, if so."""
         if not self._dispatcher.is_leaving(endpoint.id):
             # The notice or the list may arrive after the connection broke.
             await asyncio.sleep(EXPLAIN_WAIT_S)
@@ -52,10 +60,43 @@
             return None
         self._counters.increment("blame.reported")
         fingerprint = live.record.fingerprint
-        command = ReportCrash(endpoint.id, (fingerprint,), False)
+        self._reported.add(fingerprint)
+        command = ReportCrash(endpoint.id, fingerprint)
         result = await self._control.call(command, REPORT_TIMEOUT_S)
-        added = isinstance(result, CrashRecorded) and fingerprint in result.quarantined
-        if added or fingerprint in self._watch.view.quarantined:
-            detail = "this content has crashed endpoints and is not run again"
-            return Refusal(RefusalReason.QUARANTINED, detail, 0.0, Outcome.REFUSED)
+        if isinstance(result, CrashRecorded) and result.quarantined:
+            return make_quarantine_refusal()
+        return self.check(fingerprint)
+
+    def check(self, fingerprint: Fingerprint) -> Refusal | None:
+        """Return the refusal of a quarantined content."""
+        if fingerprint in self._watch.view.quarantined:
+            return make_quarantine_refusal()
         return None
+
+    def is_suspect(self, live: LiveRequest) -> bool:
+        """Return whether a request may run on probation only."""
+        fingerprint = live.record.fingerprint
+        return fingerprint in self._reported or fingerprint in self._watch.view.suspects
+
+    async def take_probation(self, live: LiveRequest, endpoint: Endpoint) -> bool:
+        """Return whether a suspect may run at an endpoint now."""
+        command = TakeProbation(endpoint.id, live.record.fingerprint)
+        result = await self._control.call(command, REPORT_TIMEOUT_S)
+        self._counters.increment("blame.probations")
+        return isinstance(result, ProbationAnswer) and result.granted
+
+    async def end_probation(
+        self, live: LiveRequest, endpoint: Endpoint, cleared: bool
+    ) -> None:
+        """Free an endpoint for the next suspect."""
+        fingerprint = live.record.fingerprint
+        if cleared:
+            self._reported.discard(fingerprint)
+        command = EndProbation(endpoint.id, fingerprint, cleared)
+        await self._control.call(command, REPORT_TIMEOUT_S)
+
+
+def make_quarantine_refusal() -> Refusal:
+    """Return the refusal of contents that crash endpoints."""
+    detail = "this content has crashed endpoints and is not run again"
+    return Refusal(RefusalReason.QUARANTINED, detail)
--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -140,17 +140,17 @@
             self._dispatcher,
             self._engines,
             self._keeper.note_progress,
-            self._blame.report,
+            self._blame,
             self._counters,
         )
         self._models = ModelCalls(
             self._name,
             self._gate,
             self._shares,
-            self._watch,
             self._keeper,
             self._partners,
             runner,
+            self._blame,
             timing.request_deadline_s,
             self._counters,
         )
--- a/tarragonway/entry/models.py
+++ b/tarragonway/entry/models.py
@@ -12,12 +12,12 @@
 from tarragonway.core.ids import (
     AccountId,
     Epoch,
-    Fingerprint,
     ProcessName,
     RequestId,
     ServiceName,
 )
 from tarragonway.core.outcomes import Refusal, RefusalReason
+from tarragonway.entry.blame import CrashReporter
 from tarragonway.entry.dispatch import Demand
 from tarragonway.entry.gate import Caller, Gate
 from tarragonway.entry.problems import write_problem
@@ -30,7 +30,6 @@
 from tarragonway.requests.naming import make_request_id
 from tarragonway.requests.partners import Partners
 from tarragonway.requests.runner import Runner
-from tarragonway.watch.client import WatchClient
 
 PREFIX_BYTES = 512
 
@@ -67,7 +66,7 @@
     ----------
     own : ProcessName
         This process.
-    gate, shares, watch, keeper, partners, runner
+    gate, shares, keeper, partners, runner, blame
         Parts of the entry process.
     deadline_s : float
         Longest wait of an accepted request for an endpoint.
@@ -80,20 +79,20 @@
         own: ProcessName,
         gate: Gate,
         shares: ShareHolder,
-        watch: WatchClient,
         keeper: CopyKeeper,
         partners: Partners,
         runner: Runner,
+        blame: CrashReporter,
         deadline_s: float,
         counters: Counters,
     ) -> None:
         self._own = own
         self._gate = gate
         self._shares = shares
-        self._watch = watch
         self._keeper = keeper
         self._partners = partners
         self._runner = runner
+        self._blame = blame
         self._deadline_s = deadline_s
         self._counters = counters
         self._tasks: set[asyncio.Task] = set()
@@ -116,7 +115,7 @@
             detail = f"{service.name} is not a model service"
             return write_problem(Refusal(RefusalReason.BAD_REQUEST, detail))
         account = AccountId(caller.account.id)
-        refusal = self._check_quarantine(compute_fingerprint(account, body))
+        refusal = self._blame.check(compute_fingerprint(account, body))
         refusal = refusal or await self._shares.admit(account)
         if refusal is not None:
             return write_problem(refusal)
@@ -240,13 +239,6 @@
             _hash_prefix(chat),
         )
 
-    def _check_quarantine(self, fingerprint: Fingerprint) -> Refusal | None:
-        if fingerprint not in self._watch.view.quarantined:
-            return None
-        self._counters.increment("models.quarantined")
-        detail = "this content has crashed endpoints and is not run again"
-        return Refusal(RefusalReason.QUARANTINED, detail)
-
     def _start(self, coroutine: Any) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
--- /dev/null
+++ b/tarragonway/limits/tests/test_ledger.py
@@ -0,0 +1,55 @@
+"""The sum of shares stays within the limit, through losses and new leaders."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonway.limits import Limit, ShareLedger
+from tarragonway.limits.messages import ShareWish
+
+LEASE_S = 3.0
+ENTRIES = 5
+LIMIT = Limit(100.0, 20)
+NAMES = frozenset(f"entry-{n}" for n in range(ENTRIES))
+
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, ENTRIES - 1),
+        st.floats(0, 300),
+        st.floats(0, 2),
+        st.booleans(),
+    ),
+    max_size=80,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(STEPS)
+def test_sum_of_shares_never_exceeds_the_limit(steps):
+    ledger = ShareLedger(LEASE_S, ENTRIES)
+    held = {}
+    now = 0.0
+    for entry, demand, passed, new_leader in steps:
+        now += passed
+        if new_leader:
+            ledger = ShareLedger(LEASE_S, ENTRIES, now)
+        name = f"entry-{entry}"
+        rate, places, end = held.get(name, (0.0, 0, 0.0))
+        alive = end > now
+        wish = ShareWish("a", demand, 0, rate if alive else 0.0, places if alive else 0)
+        grant = ledger.answer(name, (wish,), lambda _: LIMIT, now, NAMES)[0]
+        # The holder counts its lease from before it asked.
+        held[name] = (grant.per_s, grant.concurrent, now + LEASE_S)
+        live = [share for share in held.values() if share[2] > now]
+        assert sum(share[0] for share in live) <= LIMIT.per_s + 1e-6
+        assert sum(share[1] for share in live) <= LIMIT.concurrent
+
+
+def test_new_leader_grants_anew_once_all_have_reported():
+    ledger = ShareLedger(LEASE_S, 2, started=0.0)
+    both = frozenset({"entry-1", "entry-2"})
+    wish = (ShareWish("a", 1.0, 0),)
+    first = ledger.answer("entry-1", wish, lambda _: LIMIT, 0.1, both)[0]
+    assert first.concurrent == 0
+    ledger.answer("entry-2", (), lambda _: LIMIT, 0.2, both)
+    second = ledger.answer("entry-1", wish, lambda _: LIMIT, 0.3, both)[0]
+    assert second.concurrent > 0
--- a/tarragonway/quarantine/__init__.py
+++ b/tarragonway/quarantine/__init__.py
@@ -1,10 +1,21 @@
 """Quarantine of requests that crash the endpoints that run them."""
 
 from tarragonway.quarantine.book import (
-    CRASH_LIMIT_ENDPOINTS,
     CrashRecorded,
+    EndProbation,
+    ProbationAnswer,
+    ProbationEnded,
     QuarantineBook,
     ReportCrash,
+    TakeProbation,
 )
 
-__all__ = ["CRASH_LIMIT_ENDPOINTS", "CrashRecorded", "QuarantineBook", "ReportCrash"]
+__all__ = [
+    "CrashRecorded",
+    "EndProbation",
+    "ProbationAnswer",
+    "ProbationEnded",
+    "QuarantineBook",
+    "ReportCrash",
+    "TakeProbation",
+]
--- /dev/null
+++ b/tarragonway/quarantine/tests/test_book.py
@@ -0,0 +1,50 @@
+"""No innocent content is quarantined, whatever runs beside the guilty one."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonway.quarantine import (
+    EndProbation,
+    QuarantineBook,
+    ReportCrash,
+    TakeProbation,
+)
+
+ENDPOINT_BOUND = 2
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(2, 8), st.integers(1, 20), st.integers(0, 10_000))
+def test_only_the_guilty_content_is_quarantined(endpoints, innocents, seed):
+    source = random.Random(seed)
+    book = QuarantineBook()
+    names = ["bad"] + [f"good{n}" for n in range(innocents)]
+    waiting = list(names)
+    running = {f"e{n}": [] for n in range(endpoints)}
+    crashes = 0
+    for now in range(5000):
+        if not waiting and not any(running.values()):
+            break
+        source.shuffle(waiting)
+        for name in list(waiting):
+            endpoint = source.choice(list(running))
+            wish = TakeProbation(endpoint, name)
+            if name in book.suspects and not book.take(wish, now).granted:
+                continue
+            waiting.remove(name)
+            running[endpoint].append(name)
+        endpoint = source.choice(list(running))
+        if "bad" in running[endpoint]:
+            crashes += 1
+            for name in running[endpoint]:
+                if not book.report(ReportCrash(endpoint, name), now).quarantined:
+                    waiting.append(name)
+        else:
+            for name in running[endpoint]:
+                book.end(EndProbation(endpoint, name, True), now)
+        running[endpoint] = []
+    assert set(book.quarantined) == {"bad"}
+    assert crashes == ENDPOINT_BOUND
+    assert not waiting
--- a/tarragonway/requests/runner.py
+++ b/tarragonway/requests/runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import msgspec
 
@@ -19,6 +19,7 @@
     StreamCall,
 )
 from tarragonway.engines.adapter import EngineEvent, EnginePrefill
+from tarragonway.entry.blame import CrashReporter
 from tarragonway.entry.dispatch import Demand, Dispatcher
 from tarragonway.requests.live import LiveRequest
 from tarragonway.requests.model import RequestState
@@ -48,9 +49,8 @@
         Opens streams.
     note_progress : callable
         Called when a request has new tokens or has ended.
-    report_crash : callable
-        Called with a request and an endpoint that broke under it; returns a refusal if
-        the request must not run again.
+    blame : CrashReporter
+        Is told of endpoints that broke under a request, and of suspects.
     counters : Counters
         Receives ``runner.*`` counters.
     move_kv : bool
@@ -62,14 +62,14 @@
         dispatcher: Dispatcher,
         engines: EngineClient,
         note_progress: Callable[[LiveRequest], None],
-        report_crash: Callable[[LiveRequest, Endpoint], Awaitable[Refusal | None]],
+        blame: CrashReporter,
         counters: Counters,
         move_kv: bool = True,
     ) -> None:
         self._dispatcher = dispatcher
         self._engines = engines
         self._note_progress = note_progress
-        self._report_crash = report_crash
+        self._blame = blame
         self._counters = counters
         self._move_kv = move_kv
 
@@ -84,7 +84,7 @@
             if isinstance(endpoint, Refusal):
                 return self._fail(live, endpoint)
             before = len(live.tokens)
-            end = await self._run_at(live, endpoint, kv, demand.priority)
+            end = await self._run_watched(live, endpoint, kv, demand.priority)
             kv = end.kv if isinstance(end, Moved) else ""
             if isinstance(end, EngineFinished):
                 self._finish(live, RequestState.DONE)
@@ -106,7 +106,10 @@
         self, live: LiveRequest, endpoint: Endpoint, end: EngineRefused | EngineBroken
     ) -> Refusal | None:
         """Return why the request must not be tried again, if so."""
+        fingerprint = live.record.fingerprint
         match end:
+            case EngineRefused(_, _, True) if self._blame.check(fingerprint):
+                return self._blame.check(fingerprint)
             case EngineRefused(reason, _, True):
                 return Refusal(RefusalReason.BAD_REQUEST, reason)
             case EngineRefused(_, leaving, _):
@@ -114,7 +117,24 @@
                     self._dispatcher.note_refused(endpoint.id)
                 return None
             case EngineBroken():
-                return await self._report_crash(live, endpoint)
+                return await self._blame.report(live, endpoint)
+
+    async def _run_watched(
+        self, live: LiveRequest, endpoint: Endpoint, kv: str, priority: int
+    ) -> StreamEnd:
+        """Run at an endpoint; a suspect only as the single suspect there."""
+        if not self._blame.is_suspect(live):
+            return await self._run_at(live, endpoint, kv, priority)
+        if not await self._blame.take_probation(live, endpoint):
+            self._dispatcher.release(endpoint.id)
+            refusal = self._blame.check(live.record.fingerprint)
+            reason = refusal.detail if refusal else "another suspect runs there"
+            return EngineRefused(reason, permanent=refusal is not None)
+        end = await self._run_at(live, endpoint, kv, priority)
+        if not isinstance(end, EngineBroken):
+            cleared = isinstance(end, EngineFinished)
+            await self._blame.end_probation(live, endpoint, cleared)
+        return end
 
     async def _run_at(
         self, live: LiveRequest, endpoint: Endpoint, kv: str, priority: int
--- a/tarragonway/state/machine.py
+++ b/tarragonway/state/machine.py
@@ -14,6 +14,7 @@
     ResolveRefused,
     RetireOwner,
 )
+from tarragonway.core.ids import Fingerprint
 from tarragonway.endpoints import EndpointTable, MarkLeaving, Observe
 from tarragonway.endpoints.model import EndpointsChanged
 from tarragonway.fencing import (
@@ -29,7 +30,15 @@
     ListsConflict,
     ListsRefused,
 )
-from tarragonway.quarantine import CrashRecorded, QuarantineBook, ReportCrash
+from tarragonway.quarantine import (
+    CrashRecorded,
+    EndProbation,
+    ProbationAnswer,
+    ProbationEnded,
+    QuarantineBook,
+    ReportCrash,
+    TakeProbation,
+)
 from tarragonway.requests.adoptions import (
     AdoptionBook,
     AdoptionGranted,
@@ -56,6 +65,8 @@
     | MarkLeaving
     | TakeOrderLease
     | ReportCrash
+    | TakeProbation
+    | EndProbation
     | AdoptRequest
 )
 
@@ -72,6 +83,8 @@
     | OrderLeaseGranted
     | OrderLeaseBusy
     | CrashRecorded
+    | ProbationAnswer
+    | ProbationEnded
     | AdoptionGranted
     | AdoptionLost
 )
@@ -141,12 +154,19 @@
                 return content.claims.retire(command, now_ms)
             case TakeOrderLease():
                 return content.fences.take(command, now_ms)
+            case TakeProbation():
+                return content.quarantine.take(command, now_ms)
             case _:
                 return self._apply_visible(command, now_ms)
 
     def _apply_visible(
         self,
-        command: ApplyLists | Observe | MarkLeaving | ReportCrash | AdoptRequest,
+        command: ApplyLists
+        | Observe
+        | MarkLeaving
+        | ReportCrash
+        | EndProbation
+        | AdoptRequest,
         now_ms: int,
     ) -> Result:
         """Apply a command whose effects every entry process follows."""
@@ -166,8 +186,11 @@
                 self._note_endpoints(result)
             case ReportCrash():
                 result = content.quarantine.report(command, now_ms)
-                for fingerprint in result.quarantined:
-                    self._note(QuarantineChange(fingerprint))
+                self._note_suspect(command.fingerprint)
+            case EndProbation():
+                result = content.quarantine.end(command, now_ms)
+                if command.cleared:
+                    self._note_suspect(command.fingerprint)
             case AdoptRequest(request, epoch, owner):
                 result = content.adoptions.adopt(command, now_ms)
                 if isinstance(result, AdoptionGranted):
@@ -184,6 +207,7 @@
             content.lists.plans_text,
             dict(content.endpoints.rows),
             dict.fromkeys(content.quarantine.quarantined, True),
+            dict.fromkeys(content.quarantine.suspects, True),
             {
                 key: (row.epoch, row.owner)
                 for key, row in content.adoptions.rows.items()
@@ -222,6 +246,13 @@
             else:
                 self._note(EndpointChange(row))
 
+    def _note_suspect(self, fingerprint: Fingerprint) -> None:
+        book = self.content.quarantine
+        change = QuarantineChange(
+            fingerprint, fingerprint in book.quarantined, fingerprint in book.suspects
+        )
+        self._note(change)
+
     def _note(self, change: Change) -> None:
         self.content.version += 1
         self._recent.append((self.content.version, change))
--- a/tarragonway/state/view.py
+++ b/tarragonway/state/view.py
@@ -35,9 +35,11 @@
 
 
 class QuarantineChange(msgspec.Struct, frozen=True, tag=True):
-    """A content is refused from now on."""
+    """A content is refused, suspected or cleared from now on."""
 
     fingerprint: Fingerprint
+    quarantined: bool
+    suspected: bool
 
 
 class OwnerChange(msgspec.Struct, frozen=True, tag=True):
@@ -57,7 +59,7 @@
     Examples
     --------
     >>> view = View()
-    >>> view.apply(QuarantineChange("f"))
+    >>> view.apply(QuarantineChange("f", True, False))
     >>> view.quarantined
     {'f': True}
     """
@@ -68,6 +70,7 @@
     plans_text: str = ""
     endpoints: dict[EndpointId, Endpoint] = {}
     quarantined: dict[Fingerprint, bool] = {}
+    suspects: dict[Fingerprint, bool] = {}
     owners: dict[RequestId, tuple[Epoch, ProcessName]] = {}
 
     def apply(self, change: Change) -> None:
@@ -81,8 +84,9 @@
                 self.endpoints[endpoint.id] = endpoint
             case EndpointRemoval(endpoint_id):
                 self.endpoints.pop(endpoint_id, None)
-            case QuarantineChange(fingerprint):
-                self.quarantined[fingerprint] = True
+            case QuarantineChange(fingerprint, quarantined, suspected):
+                _set_flag(self.quarantined, fingerprint, quarantined)
+                _set_flag(self.suspects, fingerprint, suspected)
             case OwnerChange(request, epoch, owner):
                 self.owners[request] = (epoch, owner)
 
@@ -95,3 +99,10 @@
             sorted(self.endpoints.items()),
         )
         return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(content))
+
+
+def _set_flag(rows: dict[Fingerprint, bool], key: Fingerprint, value: bool) -> None:
+    if value:
+        rows[key] = True
+    else:
+        rows.pop(key, None)
