--- a/standins/engine.py
+++ b/standins/engine.py
@@ -78,6 +78,7 @@
         app.router.add_post("/kv/import", self.import_kv)
         app.router.add_get("/load", self.get_load)
         app.router.add_post("/orders", self.order)
+        app.router.add_get("/orders", self.get_orders)
         app.router.add_post("/test/leave", self.leave)
         app.router.add_get("/test/stats", self.get_stats)
         app.on_startup.append(self.start)
@@ -192,6 +193,11 @@
         self.orders.append(order)
         return web.json_response({"orders": len(self.orders)})
 
+    async def get_orders(self, request: web.Request) -> web.Response:
+        """Return the version that is loaded or being loaded."""
+        version = self.orders[-1]["model_version"] if self.orders else ""
+        return web.json_response({"model_version": version})
+
     async def leave(self, request: web.Request) -> web.Response:
         """Refuse new work now and end after the notice."""
         notice_s = float((await request.json())["notice_s"])
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -38,7 +38,9 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.errors import SettingsError
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+from tarragonway.endpoints import EndpointState
 from tarragonway.endpoints.watcher import PlatformWatcher
+from tarragonway.fencing.orderer import Orderer, Wanted
 from tarragonway.limits.ledger import ShareLedger
 from tarragonway.limits.messages import ShareCall
 from tarragonway.process import run_daemon
@@ -135,6 +137,15 @@
                 self._counters,
             )
             self._spawn(watcher.run())
+        self._spawn(
+            Orderer(
+                self._driver.own.id,
+                lambda: self._driver.is_leader,
+                self._list_wanted,
+                self._driver.propose,
+                self._counters,
+            ).run()
+        )
         self._runner = web.AppRunner(self._admin.make_app(), access_log=None)
         await self._runner.setup()
         host, _, port = self._peer.http.partition(":")
@@ -201,6 +212,17 @@
         finally:
             self._read_calls.pop(call, None)
 
+    def _list_wanted(self) -> list[Wanted]:
+        """Return the endpoints with a model version to load."""
+        services = self._shares.read_lists().services
+        return [
+            Wanted(row, services[row.service].model_version)
+            for row in self._driver.machine.content.endpoints.rows.values()
+            if row.state is EndpointState.ACTIVE
+            and row.service in services
+            and services[row.service].model_version
+        ]
+
     # Messages
 
     def _receive(self, delivery: Delivery[WireMessage]) -> None:
--- a/tarragonway/control/shares.py
+++ b/tarragonway/control/shares.py
@@ -35,18 +35,20 @@
         if self._driver.replica.term != self._term:
             self._term = self._driver.replica.term
             self._ledger = ShareLedger(self._ledger.lease_s, self._ledger.entries, now)
-        self._refresh_lists()
+        self.read_lists()
         registered = frozenset(self._driver.machine.content.claims.owners)
         grants = self._ledger.answer(
             sender, call.wishes, self._get_limit, now, registered
         )
         return ShareReply(call.call, self._ledger.lease_s, tuple(grants))
 
-    def _refresh_lists(self) -> None:
+    def read_lists(self) -> Lists:
+        """Return the lists in force here, parsed once a revision."""
         register = self._driver.machine.content.lists
         if register.revision != self._revision:
             self._lists = check_lists(register.accounts_text, register.plans_text)
             self._revision = register.revision
+        return self._lists
 
     def _get_limit(self, account_id: AccountId) -> Limit | None:
         account = self._lists.accounts.get(account_id)
--- /dev/null
+++ b/tarragonway/fencing/orderer.py
@@ -0,0 +1,136 @@
+"""Orders to engines: one control process at a time brings each to its wanted state."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import msgspec
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import MemberId
+from tarragonway.endpoints import Endpoint
+from tarragonway.fencing.book import OrderLeaseGranted, TakeOrderLease
+
+ORDER_LEASE_S = 6.0
+ORDER_LIMIT_S = 3.0
+CHECK_INTERVAL_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class Wanted(msgspec.Struct, frozen=True):
+    """An endpoint and the model version that it should have."""
+
+    endpoint: Endpoint
+    model_version: str
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Body of an order; an engine that checks ``fence`` refuses a lower one."""
+
+    fence: int
+    model_version: str
+
+
+class EngineState(msgspec.Struct, frozen=True):
+    """What an engine has loaded or is loading."""
+
+    model_version: str = ""
+
+
+class Orderer:
+    """Compares engines with what is wanted, and orders where they differ.
+
+    An order is sent only while the lease lasts, counted from before it was asked for,
+    with the order's own time limit left; a process that was frozen meanwhile sends
+    nothing. The next holder waits until every order of the former one has ended (see
+    :class:`FenceBook`) and reads the engine's state again before it orders, so this
+    holds for engines that ignore the fencing number too. One order is under way at a
+    time, which keeps the weight store's load at one model.
+
+    Parameters
+    ----------
+    own : MemberId
+        This process's incarnation.
+    is_leader : callable
+        Whether this process leads.
+    list_wanted : callable
+        Endpoints with what they should have.
+    propose : callable
+        Puts a command into the log.
+    counters : Counters
+        Receives ``orders.*`` counters.
+    """
+
+    def __init__(
+        self,
+        own: MemberId,
+        is_leader: Callable[[], bool],
+        list_wanted: Callable[[], list[Wanted]],
+        propose: Callable[[TakeOrderLease], Awaitable[object]],
+        counters: Counters,
+    ) -> None:
+        self._own = own
+        self._is_leader = is_leader
+        self._list_wanted = list_wanted
+        self._propose = propose
+        self._counters = counters
+
+    async def run(self) -> None:
+        """Compare and order until the task is cancelled."""
+        timeout = aiohttp.ClientTimeout(total=ORDER_LIMIT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                for wanted in self._list_wanted() if self._is_leader() else []:
+                    await self.bring(session, wanted)
+
+    async def bring(self, session: aiohttp.ClientSession, wanted: Wanted) -> None:
+        """Order one endpoint if it differs from what is wanted."""
+        if await self._matches(session, wanted):
+            return
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + ORDER_LEASE_S
+        command = TakeOrderLease(
+            wanted.endpoint.id,
+            self._own,
+            int(ORDER_LEASE_S * 1000),
+            int(ORDER_LIMIT_S * 1000),
+        )
+        granted = await self._propose(command)
+        if not isinstance(granted, OrderLeaseGranted):
+            self._counters.increment("orders.busy")
+            return
+        if await self._matches(session, wanted):
+            return
+        if loop.time() >= ends:
+            self._counters.increment("orders.lease_ended")
+            return
+        order = Order(granted.fence, wanted.model_version)
+        await self._send(session, wanted.endpoint, order)
+
+    async def _matches(self, session: aiohttp.ClientSession, wanted: Wanted) -> bool:
+        """Return whether there is nothing to order; also if the engine is silent."""
+        try:
+            async with session.get(f"{wanted.endpoint.url}/orders") as response:
+                state = msgspec.json.decode(await response.read(), type=EngineState)
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+            self._counters.increment("orders.unreadable")
+            return True
+        return state.model_version == wanted.model_version
+
+    async def _send(
+        self, session: aiohttp.ClientSession, endpoint: Endpoint, order: Order
+    ) -> None:
+        body = msgspec.json.encode(order)
+        headers = {"Content-Type": "application/json"}
+        url = f"{endpoint.url}/orders"
+        try:
+            async with session.post(url, data=body, headers=headers) as response:
+                refused = response.status == 409
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self._counters.increment("orders.failed")
+            return
+        self._counters.increment("orders.refused" if refused else "orders.sent")
+        _log.info("order", endpoint=endpoint.id, fence=order.fence, refused=refused)
--- /dev/null
+++ b/tarragonway/fencing/tests/test_orderer.py
@@ -0,0 +1,96 @@
+"""Orders under a lease, with a holder that is frozen and wakes late."""
+
+import asyncio
+import types
+
+import aiohttp
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from standins.engine import Engine
+from tarragonway.core.counters import Counters
+from tarragonway.endpoints import Endpoint
+from tarragonway.fencing import FenceBook
+from tarragonway.fencing.orderer import ORDER_LEASE_S, ORDER_LIMIT_S, Orderer, Wanted
+
+WAIT_MS = int(1000 * (ORDER_LEASE_S + ORDER_LIMIT_S))
+
+
+class Control:
+    """Two orderers over one book, with a clock that the test advances."""
+
+    def __init__(self, checks_fence):
+        options = types.SimpleNamespace(
+            slots=1, lag=60, no_kv=False, checks_fence=checks_fence
+        )
+        self.engine = Engine(options)
+        self.book = FenceBook()
+        self.now_s = 0.0
+        self.pauses = {}
+
+    def make_orderer(self, name):
+        async def propose(command):
+            result = self.book.take(command, int(self.now_s * 1000))
+            await self.pauses.get(name, asyncio.sleep)(0)
+            return result
+
+        return Orderer(name, lambda: True, list, propose, Counters())
+
+
+async def start(control, monkeypatch):
+    app = web.Application()
+    app.router.add_post("/orders", control.engine.order)
+    app.router.add_get("/orders", control.engine.get_orders)
+    server = TestServer(app)
+    await server.start_server()
+    loop = asyncio.get_running_loop()
+    real = loop.time
+    monkeypatch.setattr(loop, "time", lambda: real() + control.now_s)
+    endpoint = Endpoint("e1", "s", "a", str(server.make_url("")).rstrip("/"))
+    return server, endpoint
+
+
+async def test_frozen_holder_orders_nothing_when_it_wakes(monkeypatch):
+    """The engine ignores fencing numbers: only the lease protects it."""
+    control = Control(checks_fence=False)
+    server, endpoint = await start(control, monkeypatch)
+    wake = asyncio.Event()
+
+    async def freeze(_):
+        await wake.wait()
+
+    control.pauses["old"] = freeze
+    old, new = control.make_orderer("old"), control.make_orderer("new")
+    async with aiohttp.ClientSession() as session:
+        late = asyncio.create_task(old.bring(session, Wanted(endpoint, "v1")))
+        while not control.book.leases:
+            await asyncio.sleep(0)
+        await new.bring(session, Wanted(endpoint, "v2"))
+        assert control.engine.orders == []
+        control.now_s += WAIT_MS / 1000
+        await new.bring(session, Wanted(endpoint, "v2"))
+        wake.set()
+        await late
+    versions = [order["model_version"] for order in control.engine.orders]
+    assert versions == ["v2"]
+    await server.close()
+
+
+async def test_checking_engine_refuses_an_old_number(monkeypatch):
+    control = Control(checks_fence=True)
+    server, endpoint = await start(control, monkeypatch)
+    control.engine.fence = 7
+    async with aiohttp.ClientSession() as session:
+        await control.make_orderer("old").bring(session, Wanted(endpoint, "v1"))
+    assert control.engine.orders == []
+    await server.close()
+
+
+async def test_engine_that_matches_gets_no_order(monkeypatch):
+    control = Control(checks_fence=True)
+    server, endpoint = await start(control, monkeypatch)
+    async with aiohttp.ClientSession() as session:
+        for _ in range(3):
+            await control.make_orderer("one").bring(session, Wanted(endpoint, "v1"))
+    assert len(control.engine.orders) == 1
+    await server.close()
--- a/tarragonway/lists/model.py
+++ b/tarragonway/lists/model.py
@@ -54,7 +54,8 @@
     """A service that the system routes to.
 
     ``idempotent`` and ``non_idempotent`` name routes such as ``POST /bookings``; a
-    route stands for itself and for the paths below it. POST, PUT, PATCH and DELETE
+    route stands for itself and for the paths below it. Engines of a service with a
+    ``model_version`` are ordered to load it. POST, PUT, PATCH and DELETE
     of a plain service are non-idempotent unless they are listed as idempotent.
     """
 
@@ -62,6 +63,7 @@
     kind: ServiceKind
     endpoint_slots: Annotated[int, Meta(ge=1, le=4096)] = 8
     deadline_s: Seconds = 30.0
+    model_version: Annotated[str, Meta(max_length=100)] = ""
     idempotent: list[Route] = []
     non_idempotent: list[Route] = []
 
