Hand running requests over with their caches when a stop is cut short

Cause: at the stop deadline the drain was cancelled and the process closed before its requests were handed over; peers adopted after the silence time and computed all again. Ruled out: exporting while tokens still come in (41 tokens were computed twice, since the record ran ahead of the cache). Change: the runner of the process awaits a hand-over; requests pause, their caches are exported, peers get record and cache reference and adopt at once.

--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -160,6 +160,9 @@
         while self._driver.is_leader:
             await asyncio.sleep(self._settings.cluster.timing.tick_s)
 
+    async def hand_over(self) -> None:
+        """Do nothing: the log is on the other replicas already."""
+
     async def close(self) -> None:
         """Stop all tasks and close the sockets and files."""
         for task in [*self._tasks, *self._jobs]:
--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -212,14 +212,15 @@
         self._gate.stopping = True
         self._keeper.stopping = True
         await asyncio.sleep(LINGER_S)
-        try:
-            await self._models.wait_idle()
-            await self._plain.wait_idle()
-        except asyncio.CancelledError:
-            handed = self._keeper.hand_over()
-            self._counters.increment("requests.handed_over", handed)
-            await asyncio.sleep(LINGER_S / 5)
-            raise
+        await self._models.wait_idle()
+        await self._plain.wait_idle()
+
+    async def hand_over(self) -> None:
+        """Give accepted requests that still run to peers."""
+        handed = await self._models.hand_over()
+        self._counters.increment("requests.handed_over", handed)
+        # The mailbox needs a moment to send what was queued.
+        await asyncio.sleep(LINGER_S / 5)
 
     async def close(self) -> None:
         """Stop all tasks and close the sockets."""
--- a/tarragonway/entry/models.py
+++ b/tarragonway/entry/models.py
@@ -123,9 +123,24 @@
 
     async def adopt(self, record: RequestRecord) -> None:
         """Run an adopted request to its end."""
-        live = LiveRequest(record, copied=True)
+        live = LiveRequest(msgspec.structs.replace(record, kv=""), copied=True)
+        self._start(self._run_adopted(live, record.kv))
         await self._keeper.protect(live)
-        self._start(self._run_adopted(live))
+
+    async def hand_over(self) -> int:
+        """Give what still runs, with its KV cache, to peers; return how many requests.
+
+        The caches stay exported for as long as the engines keep them.
+        """
+        running = self._keeper.list_running()
+        for live in running:
+            live.paused = True
+        exports = [self._runner.export_running(live) for live in running]
+        caches = await asyncio.gather(*exports)
+        for live, kv in zip(running, caches, strict=True):
+            self._keeper.send_final(live, kv)
+        self._keeper.announce_stop()
+        return len(running)
 
     async def wait_idle(self) -> None:
         """Return once no request runs here."""
@@ -195,7 +210,7 @@
         finally:
             self._shares.release(account)
 
-    async def _run_adopted(self, live: LiveRequest) -> Refusal | None:
+    async def _run_adopted(self, live: LiveRequest, kv: str) -> Refusal | None:
         chat = _body_decoder.decode(live.record.body)
         now = asyncio.get_running_loop().time()
         demand = Demand(
@@ -206,7 +221,7 @@
             now + self._deadline_s,
             _hash_prefix(chat),
         )
-        return await self._runner.run(live, demand)
+        return await self._runner.run(live, demand, kv)
 
     def _make_live(
         self, caller: Caller, service: Service, body: bytes, copied: bool
--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -19,6 +19,7 @@
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
 EXIT_STOP_CUT_SHORT = 3
+HAND_OVER_S = 3.0
 
 _log = structlog.get_logger()
 
@@ -34,6 +35,10 @@
         """Refuse new work and return once work in flight has ended."""
         ...
 
+    async def hand_over(self) -> None:
+        """Give work that could not be finished in time to peers."""
+        ...
+
     async def close(self) -> None:
         """Close everything."""
         ...
@@ -131,6 +136,10 @@
         return 0
     drain.cancel()
     _log.warning("stop is cut short")
+    try:
+        await asyncio.wait_for(daemon.hand_over(), HAND_OVER_S)
+    except TimeoutError:
+        _log.error("not everything could be handed over")
     return EXIT_STOP_CUT_SHORT
 
 
--- a/tarragonway/requests/keeper.py
+++ b/tarragonway/requests/keeper.py
@@ -80,6 +80,7 @@
         counters: Counters,
     ) -> None:
         self.stopping = False
+        self._handed_over = False
         self._own = own
         self._incarnation = incarnation
         self._partners = partners
@@ -163,20 +164,24 @@
 
     def count_running(self) -> int:
         """Return how many owned requests still run."""
+        return len(self.list_running())
+
+    def list_running(self) -> list[LiveRequest]:
+        """Return the owned requests that still run."""
         running = RequestState.RUNNING
-        return sum(live.state is running for live in self._owned.values())
-
-    def hand_over(self) -> int:
-        """Tell peers to adopt what still runs here; return how many requests."""
-        running = [
-            live for live in self._owned.values() if live.state is RequestState.RUNNING
-        ]
-        for live in running:
-            self._send_parts(live.record.id, final=True)
-        self.stopping = True
+        return [live for live in self._owned.values() if live.state is running]
+
+    def send_final(self, live: LiveRequest, kv: str) -> None:
+        """Give peers all of a request that this process will not finish."""
+        record = msgspec.structs.replace(live.make_record(), kv=kv)
+        for name in self._sent.get(live.record.id, {}):
+            self._send(name, CopyRecord(record))
+
+    def announce_stop(self) -> None:
+        """Tell the partners to adopt at once what this process owns."""
+        self._handed_over = True
         for name in self._partners.chosen:
             self._send(name, Heartbeat(Incarnation(""), True))
-        return len(running)
 
     # Holder
 
@@ -250,13 +255,11 @@
             self._send(name, CopyProgress(tuple(parts)))
             self._counters.increment("copies.progress_messages")
 
-    def _send_parts(self, request: RequestId, final: bool) -> None:
-        self._flush({request})
-
     async def _beat_forever(self) -> None:
         while True:
-            for name in self._partners.chosen:
-                self._send(name, Heartbeat(self._incarnation, self.stopping))
+            if not self._handed_over:
+                for name in self._partners.chosen:
+                    self._send(name, Heartbeat(self._incarnation, self.stopping))
             await asyncio.sleep(HEARTBEAT_S)
             self._partners.widen()
 
--- a/tarragonway/requests/live.py
+++ b/tarragonway/requests/live.py
@@ -6,10 +6,18 @@
 import msgspec
 
 from tarragonway.core.errors import InvariantError
-from tarragonway.core.ids import EndpointId, ProcessName
+from tarragonway.core.ids import ProcessName
+from tarragonway.endpoints import Endpoint
 from tarragonway.requests.model import RequestRecord, RequestState
 
 
+class EngineStream(msgspec.Struct, frozen=True):
+    """The engine's stream that generates a request's tokens at present."""
+
+    endpoint: Endpoint
+    stream: str
+
+
 class LiveRequest:
     """Tokens and end of one request, and how much of it may be shown.
 
@@ -33,7 +41,8 @@
         self.acknowledged: dict[ProcessName, int] = {}
         self.finish_acknowledged = False
         self.abandoned = False
-        self.endpoint: EndpointId | None = None
+        self.paused = False
+        self.stream: EngineStream | None = None
         self.prefilled = bool(record.tokens) or record.epoch > 1
         self.finished_at = 0.0
         self._released = 0
@@ -55,12 +64,14 @@
     def add_token(self, position: int, text: str) -> None:
         """Add the next token; one that is there already is ignored.
 
+        A paused request takes none, so that its tokens stay behind the exported cache.
+
         Raises
         ------
         InvariantError
             If a position was skipped.
         """
-        if position < len(self.tokens):
+        if position < len(self.tokens) or self.paused:
             return
         if position > len(self.tokens):
             raise InvariantError(
--- a/tarragonway/requests/model.py
+++ b/tarragonway/requests/model.py
@@ -35,6 +35,8 @@
         The caller's JSON body.
     tokens : tuple of str
         Generated pieces; a piece's position is its index.
+    kv : str
+        Reference to exported KV cache, if the owner hands the request over.
     """
 
     id: RequestId
@@ -48,3 +50,4 @@
     state: RequestState = RequestState.RUNNING
     tokens: tuple[str, ...] = ()
     error: str = ""
+    kv: str = ""
--- a/tarragonway/requests/runner.py
+++ b/tarragonway/requests/runner.py
@@ -21,7 +21,7 @@
 from tarragonway.engines.adapter import EngineEvent, EnginePrefill
 from tarragonway.entry.blame import CrashReporter
 from tarragonway.entry.dispatch import Demand, Dispatcher
-from tarragonway.requests.live import LiveRequest
+from tarragonway.requests.live import EngineStream, LiveRequest
 from tarragonway.requests.model import RequestState
 
 RETRY_PAUSE_S = 0.1
@@ -73,9 +73,20 @@
         self._counters = counters
         self._move_kv = move_kv
 
-    async def run(self, live: LiveRequest, demand: Demand) -> Refusal | None:
-        """Run the request; return a refusal if it cannot be finished."""
-        kv = ""
+    async def run(
+        self, live: LiveRequest, demand: Demand, kv: str = ""
+    ) -> Refusal | None:
+        """Run the request; return a refusal if it cannot be finished.
+
+        Parameters
+        ----------
+        live : LiveRequest
+            The request, with the tokens generated so far.
+        demand : Demand
+            What it needs of an endpoint.
+        kv : str
+            Reference to KV cache that a former owner exported.
+        """
         pause_s = RETRY_PAUSE_S
         avoid: frozenset[EndpointId] = frozenset()
         while not live.abandoned:
@@ -85,6 +96,9 @@
                 return self._fail(live, endpoint)
             before = len(live.tokens)
             end = await self._run_watched(live, endpoint, kv, demand.priority)
+            if live.paused:
+                # A peer finishes it: tokens that came since are not in the record.
+                return None
             kv = end.kv if isinstance(end, Moved) else ""
             if isinstance(end, EngineFinished):
                 self._finish(live, RequestState.DONE)
@@ -102,6 +116,12 @@
             self._counters.increment("runner.retries")
         return None
 
+    async def export_running(self, live: LiveRequest) -> str:
+        """Return a reference to the KV cache of a running request, if it can be had."""
+        if live.stream is None:
+            return ""
+        return await self._engines.export_kv(live.stream.endpoint, live.stream.stream)
+
     async def _judge(
         self, live: LiveRequest, endpoint: Endpoint, end: EngineRefused | EngineBroken
     ) -> Refusal | None:
@@ -139,7 +159,6 @@
     async def _run_at(
         self, live: LiveRequest, endpoint: Endpoint, kv: str, priority: int
     ) -> StreamEnd:
-        live.endpoint = endpoint.id
         failed = False
         try:
             handle = await self._engines.import_kv(endpoint, kv) if kv else ""
@@ -150,11 +169,12 @@
                 tuple(live.tokens),
                 handle,
             )
+            live.stream = EngineStream(endpoint, call.stream)
             end = await self._follow(live, endpoint, call)
             failed = isinstance(end, EngineBroken | EngineRefused)
             return end
         finally:
-            live.endpoint = None
+            live.stream = None
             self._dispatcher.release(endpoint.id, failed)
 
     async def _follow(
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -66,3 +66,10 @@
 def make_caller(deployment, session, seed=1):
     """Return a caller that uses all entry processes."""
     return Caller(deployment, session, random.Random(seed))
+
+
+async def sum_counter(deployment, name, without=""):
+    """Return a counter's sum over the entry processes."""
+    names = [p.name for p in deployment.cluster.entry if p.name != without]
+    dumps = [await deployment.read_dump(entry) for entry in names]
+    return sum(dump.get("counters", {}).get(name, 0) for dump in dumps)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,58 @@
+"""A stop that is cut short hands its requests and their caches to peers."""
+
+import asyncio
+import signal
+
+import aiohttp
+import pytest
+
+from tests.conftest import start_deployment
+from tests.helpers import LONG_ACCOUNT, make_caller, sum_counter, wait_until
+
+TOKENS = 400
+ADOPT_BOUND_S = 2.0
+
+
+@pytest.fixture
+def hurried(tmp_path):
+    timing = {"[platform]": "[timing]\nstop_deadline_s = 0.7\n\n[platform]"}
+    deployment = start_deployment(tmp_path, replace=timing)
+    yield deployment
+    deployment.stop()
+
+
+def test_stop_cut_short_hands_over_with_caches(hurried):
+    deployment = hurried
+
+    async def run():
+        async with aiohttp.ClientSession() as session:
+            caller = make_caller(deployment, session)
+            caller.entries = ["entry-1"]
+            tasks = [
+                asyncio.create_task(
+                    caller.stream("s", LONG_ACCOUNT, f"hand over {n} " * 30, TOKENS)
+                )
+                for n in range(8)
+            ]
+
+            async def all_run():
+                dump = await deployment.read_dump("entry-1")
+                return dump["running"] == 8
+
+            await wait_until(all_run)
+            caller.entries = ["entry-2", "entry-3", "entry-4"]
+            deployment.kill("entry-1", signal.SIGTERM)
+            assert await deployment.wait_end("entry-1") == 3
+            loop = asyncio.get_running_loop()
+            ended = loop.time()
+
+            async def all_adopted():
+                return await sum_counter(deployment, "requests.adopted") >= 8
+
+            await wait_until(all_adopted)
+            assert loop.time() - ended < ADOPT_BOUND_S
+            await asyncio.gather(*tasks)
+        assert [s for s in caller.samples if s.outcome != "ok"] == []
+        assert await sum_counter(deployment, "runner.recomputed_tokens") == 0
+
+    asyncio.run(run())
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,7 +8,7 @@
 
 from standins.demo import LONG_TOKENS, Demo
 from tests.conftest import start_deployment
-from tests.helpers import LONG_ACCOUNT, make_caller, wait_until
+from tests.helpers import LONG_ACCOUNT, make_caller, sum_counter, wait_until
 
 NOTICE_S = 1.0
 LEAVE_BOUND_S = 3.0
@@ -22,12 +22,6 @@
     deployment.stop()
 
 
-async def sum_counter(deployment, name, without=""):
-    names = [p.name for p in deployment.cluster.entry if p.name != without]
-    dumps = [await deployment.read_dump(entry) for entry in names]
-    return sum(dump.get("counters", {}).get(name, 0) for dump in dumps)
-
-
 def check_whole(caller):
     bad = [sample for sample in caller.samples if sample.outcome != "ok"]
     assert not bad
