Measure entry processes under load; drop the unfinished TLS table

Cause: processor time under load was not measured; [tls] served callers but broke the forwarding between entry processes and the operators' program, so it was half a feature. Ruled out: keeping it for callers only (the same port serves peers). Change: bench load; apply asks for revisions instead of whole dumps; no [tls] for now.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -58,15 +58,19 @@
     return {role: _average(uses) for role, uses in roles.items()}
 
 
+def read_cpu_s(deployment: Deployment, name: str) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    pid = deployment.processes[name].pid
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+    parts = fields.split()
+    return (int(parts[11]) + int(parts[12])) / os.sysconf("SC_CLK_TCK")
+
+
 async def _read(deployment: Deployment) -> dict[str, tuple[float, float]]:
-    ticks_a_second = os.sysconf("SC_CLK_TCK")
     result = {}
     for peer in [*deployment.cluster.control, *deployment.cluster.entry]:
         dump = await deployment.read_dump(peer.name)
-        pid = deployment.processes[peer.name].pid
-        fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
-        parts = fields.split()
-        cpu_s = (int(parts[11]) + int(parts[12])) / ticks_a_second
+        cpu_s = read_cpu_s(deployment, peer.name)
         sent = dump.get("counters", {}).get("mailbox.sent_bytes", 0)
         result[peer.name] = (cpu_s, float(sent))
     return result
--- a/bench/path.py
+++ b/bench/path.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import json
 import pathlib
 import random
 import re
@@ -27,7 +26,7 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="tarragonway-bench-"))
     deployment = Deployment("vardveislusjodur", folder)
     try:
-        _raise_limits(folder)
+        raise_limits(folder)
         await deployment.start(["--token-ms", "5", "--slots", "64"])
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
@@ -39,7 +38,8 @@
         deployment.stop()
 
 
-def _raise_limits(folder: pathlib.Path) -> None:
+def raise_limits(folder: pathlib.Path) -> None:
+    """Give all plans of a deployment limits that do not bind."""
     path = folder / "plans.toml"
     text = re.sub(r"requests_per_s = \d+", "requests_per_s = 100000", path.read_text())
     path.write_text(re.sub(r"concurrent = \d+", "concurrent = 4000", text))
@@ -122,14 +122,18 @@
 
 
 def _measure_memory(deployment: Deployment) -> Row:
-    sizes = {"entry": [0.0], "control": [0.0]}
+    control = read_memory_mb(deployment, "control")
+    print(f"  largest control process: {control:.1f} MB")
+    entry = read_memory_mb(deployment, "entry")
+    return Row("path", "memory of an entry process", "budget", 128.0, entry, "MB")
+
+
+def read_memory_mb(deployment: Deployment, kind: str) -> float:
+    """Return the resident memory of the largest process of one kind."""
+    sizes = [0.0]
     for name, process in deployment.processes.items():
-        kind = name.partition("-")[0]
-        if kind in sizes:
+        if name.startswith(kind):
             status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
             line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
-            sizes[kind].append(int(line.split()[1]) / 1024)
-    print(json.dumps({"largest control process MB": round(max(sizes["control"]), 1)}))
-    return Row(
-        "path", "memory of an entry process", "budget", 128.0, max(sizes["entry"]), "MB"
-    )
+            sizes.append(int(line.split()[1]) / 1024)
+    return max(sizes)
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,6 +20,7 @@
     measure_shares,
 )
 from bench.idle import measure_idle
+from bench.load import measure_load
 from bench.path import measure_path
 from bench.tables import Row, Slope, print_rows
 
@@ -34,6 +35,7 @@
     "messages": measure_messages,
     "tokens": measure_tokens,
     "idle": measure_idle,
+    "load": measure_load,
     "path": measure_path,
 }
 
--- a/tarragonway/control/admin.py
+++ b/tarragonway/control/admin.py
@@ -16,7 +16,7 @@
     ListsConflict,
     ListsRefused,
 )
-from tarragonway.process import check_operator, write_json
+from tarragonway.process import RevisionBody, check_operator, write_json
 from tarragonway.settings import Settings
 
 APPLY_TIMEOUT_S = 5.0
@@ -79,6 +79,7 @@
         app = web.Application(client_max_size=BODY_LIMIT_BYTES)
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/admin/dump", self._get_dump)
+        app.router.add_get("/admin/revision", self._get_revision)
         app.router.add_get("/admin/lists", self._get_lists)
         app.router.add_post("/admin/lists", self._post_lists)
         app.router.add_post("/admin/drain", self._post_drain)
@@ -92,6 +93,10 @@
         check_operator(request, self._settings.cluster)
         return write_json(self._make_dump())
 
+    async def _get_revision(self, request: web.Request) -> web.Response:
+        check_operator(request, self._settings.cluster)
+        return write_json(RevisionBody(self._driver.machine.content.lists.revision))
+
     async def _get_lists(self, request: web.Request) -> web.Response:
         check_operator(request, self._settings.cluster)
         index = await self._confirm()
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -44,7 +44,6 @@
 from tarragonway.limits.ledger import ShareLedger
 from tarragonway.limits.messages import ShareCall
 from tarragonway.process import run_daemon
-from tarragonway.process.runner import make_tls
 from tarragonway.settings import Settings
 from tarragonway.settings.load import find_control
 from tarragonway.transport import Delivery, Mailbox
@@ -67,18 +66,13 @@
         Checked settings.
     folder : pathlib.Path
         Data folder.
-    base : pathlib.Path
-        Folder of the settings file, for relative paths.
     """
 
-    def __init__(
-        self, settings: Settings, folder: pathlib.Path, base: pathlib.Path
-    ) -> None:
+    def __init__(self, settings: Settings, folder: pathlib.Path) -> None:
         peer = find_control(settings)
         assert peer is not None
         self._settings = settings
         self._peer = peer
-        self._base = base
         self._name = ProcessName(peer.name)
         statsd = settings.cluster.statsd
         self._counters = Counters.from_config(
@@ -114,8 +108,8 @@
         cls, settings: Settings, arguments: argparse.Namespace
     ) -> "ControlProcess":
         """Build the process inside the running loop's program."""
-        base = arguments.settings.parent
-        return cls(settings, base / settings.process.data_folder, base)
+        folder = arguments.settings.parent / settings.process.data_folder
+        return cls(settings, folder)
 
     async def start(self) -> None:
         """Open sockets and start tasks."""
@@ -149,8 +143,7 @@
         self._runner = web.AppRunner(self._admin.make_app(), access_log=None)
         await self._runner.setup()
         host, _, port = self._peer.http.partition(":")
-        tls = make_tls(self._settings, self._base)
-        await web.TCPSite(self._runner, host, int(port), ssl_context=tls).start()
+        await web.TCPSite(self._runner, host, int(port)).start()
 
     async def drain(self) -> None:
         """Hand leadership over and answer what is under way."""
--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -2,7 +2,6 @@
 
 import argparse
 import asyncio
-import pathlib
 import secrets
 from typing import Any
 
@@ -26,8 +25,7 @@
 from tarragonway.entry.problems import write_problem
 from tarragonway.limits import ShareHolder
 from tarragonway.limits.messages import ShareCall, ShareReply
-from tarragonway.process import check_operator, run_daemon, write_json
-from tarragonway.process.runner import make_tls
+from tarragonway.process import RevisionBody, check_operator, run_daemon, write_json
 from tarragonway.requests.adoptions import AdoptionGranted, AdoptionLost, AdoptRequest
 from tarragonway.requests.keeper import CopyKeeper
 from tarragonway.requests.messages import (
@@ -59,16 +57,13 @@
     ----------
     settings : Settings
         Checked settings.
-    base : pathlib.Path
-        Folder of the settings file, for relative paths.
     """
 
-    def __init__(self, settings: Settings, base: pathlib.Path) -> None:
+    def __init__(self, settings: Settings) -> None:
         peer = find_entry(settings)
         assert peer is not None
         self._settings = settings
         self._peer = peer
-        self._base = base
         self._name = ProcessName(peer.name)
         self._incarnation = Incarnation(secrets.token_hex(8))
         self._registered = False
@@ -180,7 +175,7 @@
         cls, settings: Settings, arguments: argparse.Namespace
     ) -> "EntryProcess":
         """Build the process from its settings."""
-        return cls(settings, arguments.settings.parent)
+        return cls(settings)
 
     async def start(self) -> None:
         """Open sockets and start tasks."""
@@ -204,8 +199,7 @@
         )
         await self._runner.setup()
         host, _, port = self._peer.http.partition(":")
-        tls = make_tls(self._settings, self._base)
-        await web.TCPSite(self._runner, host, int(port), ssl_context=tls).start()
+        await web.TCPSite(self._runner, host, int(port)).start()
 
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
@@ -266,6 +260,7 @@
         routes.add_route("*", "/services/{service}/{path:.*}", self._plain.handle)
         routes.add_get("/healthz", self._get_health)
         routes.add_get("/admin/dump", self._get_dump)
+        routes.add_get("/admin/revision", self._get_revision)
         return app
 
     async def _get_health(self, request: web.Request) -> web.Response:
@@ -281,6 +276,10 @@
         check_operator(request, self._settings.cluster)
         return write_json(self.make_dump())
 
+    async def _get_revision(self, request: web.Request) -> web.Response:
+        check_operator(request, self._settings.cluster)
+        return write_json(RevisionBody(self._watch.view.revision))
+
     # Messages
 
     def _receive(self, delivery: Delivery[WireMessage]) -> None:
--- a/tarragonway/operator/cli.py
+++ b/tarragonway/operator/cli.py
@@ -203,7 +203,7 @@
     loop = asyncio.get_running_loop()
     started = loop.time()
     while True:
-        replies = await client.call_all("/admin/dump")
+        replies = await client.call_all("/admin/revision")
         behind = [n for n, r in replies.items() if _get_revision(r) < revision]
         waited_s = loop.time() - started
         if not behind:
--- a/tarragonway/process/admin.py
+++ b/tarragonway/process/admin.py
@@ -31,6 +31,12 @@
     )
 
 
+class RevisionBody(msgspec.Struct, frozen=True):
+    """Answer to ``GET /admin/revision``."""
+
+    revision: int
+
+
 def write_json(content: Any, status: int = 200) -> web.Response:
     """Return a JSON response of any msgspec structure."""
     return web.Response(
--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -4,7 +4,6 @@
 import asyncio
 import pathlib
 import signal
-import ssl
 import sys
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -146,13 +145,3 @@
 def _print_dump(daemon: Daemon) -> None:
     text = msgspec.json.encode(daemon.make_dump()).decode()
     print(text, file=sys.stderr, flush=True)
-
-
-def make_tls(settings: Settings, folder: pathlib.Path) -> ssl.SSLContext | None:
-    """Return the HTTP server's TLS context, or None without a ``[tls]`` table."""
-    tls = settings.process.tls
-    if tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(folder / tls.certificate, folder / tls.key)
-    return context
--- a/tarragonway/settings/load.py
+++ b/tarragonway/settings/load.py
@@ -30,7 +30,6 @@
     process = read_toml(path, ProcessSettings)
     cluster_path = path.parent / process.cluster_file
     cluster = load_cluster(cluster_path)
-    _check_tls(path, process)
     key = _read_key(cluster_path, cluster)
     return Settings(process, cluster, key)
 
@@ -106,21 +105,6 @@
         )
 
 
-def _check_tls(path: pathlib.Path, process: ProcessSettings) -> None:
-    if process.tls is None:
-        return
-    for key in ("certificate", "key"):
-        target = path.parent / getattr(process.tls, key)
-        if not target.is_file():
-            raise SettingsError(
-                str(path),
-                f"there is no file {target}",
-                "create it or correct the path",
-                f"tls.{key}",
-                find_line(path.read_text(encoding="utf-8"), f"tls.{key}"),
-            )
-
-
 def _read_key(path: pathlib.Path, cluster: ClusterSettings) -> bytes:
     target = path.parent / cluster.key_file
     line = find_line(path.read_text(encoding="utf-8"), "key_file")
--- a/tarragonway/settings/model.py
+++ b/tarragonway/settings/model.py
@@ -85,13 +85,6 @@
     port: Annotated[int, Meta(ge=0, le=65_535)] = 0
 
 
-class Tls(_Part, frozen=True):
-    """Certificate files for the HTTP side."""
-
-    certificate: str
-    key: str
-
-
 class ClusterSettings(_Part, frozen=True):
     """Settings that all processes of one deployment share."""
 
@@ -113,7 +106,6 @@
     name: Name
     cluster_file: str
     data_folder: str = ""
-    tls: Tls | None = None
 
 
 class Settings(msgspec.Struct, frozen=True):
