Take an owner's progress for a sign of life, and beat to every holder

Cause: a profile of an entry process under plain load showed adopted requests although no process was lost. A holder judged owners by heartbeats alone, which are late on a busy machine, and heartbeats went to the present partners only, so that a holder from before a change of partners heard none at all. Two tests of the keeper failed first. A change that came before the waiting task had started was missed as well (the test hung). Ruled out: a longer silence time (adoption after a real loss would be slower). Change: progress counts; heartbeats go to partners and holders; waiting starts with the call.

--- a/bench/load.py
+++ b/bench/load.py
@@ -40,10 +40,13 @@
             counts = [300 * factor, 600 * factor, 900 * factor]
             calls = [await _cost(deployment, _run_calls(caller, n)) for n in counts]
             memory = read_memory_mb(deployment, "entry")
+            adopted = await _count_adopted(deployment)
     finally:
         deployment.stop()
     if any(sample.outcome != "ok" for sample in caller.samples):
         raise RuntimeError("a stream was lost")
+    if adopted:
+        raise RuntimeError(f"{adopted} requests were adopted from live owners")
     print(f"  largest entry process after the load: {memory:.1f} MB")
     return [
         fit_slope("load", "all entries' time a streamed token", "us", tokens, costs),
@@ -51,6 +54,12 @@
     ]
 
 
+async def _count_adopted(deployment: Deployment) -> int:
+    names = [peer.name for peer in deployment.cluster.entry]
+    dumps = [await deployment.read_dump(name) for name in names]
+    return sum(dump["counters"].get("requests.adopted", 0) for dump in dumps)
+
+
 async def _cost(deployment: Deployment, work) -> float:  # type: ignore[no-untyped-def]
     """Return the entry processes' processor time during ``work``, in microseconds."""
     names = [peer.name for peer in deployment.cluster.entry]
--- a/tarragonway/requests/keeper.py
+++ b/tarragonway/requests/keeper.py
@@ -180,7 +180,7 @@
     def announce_stop(self) -> None:
         """Tell the partners to adopt at once what this process owns."""
         self._handed_over = True
-        for name in self._partners.chosen:
+        for name in self._list_watchers():
             self._send(name, Heartbeat(Incarnation(""), True))
 
     # Holder
@@ -238,11 +238,12 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            dirty, self._dirty = self._dirty, set()
-            self._flush(dirty)
+            self.flush()
             await asyncio.sleep(FLUSH_S)
 
-    def _flush(self, requests: set[RequestId]) -> None:
+    def flush(self) -> None:
+        """Send all progress that peers have not been sent."""
+        requests, self._dirty = self._dirty, set()
         batches: dict[ProcessName, list[ProgressPart]] = {}
         for request in requests:
             live = self._owned.get(request)
@@ -257,21 +258,39 @@
 
     async def _beat_forever(self) -> None:
         while True:
-            if not self._handed_over:
-                for name in self._partners.chosen:
-                    self._send(name, Heartbeat(self._incarnation, self.stopping))
+            self.send_heartbeats()
             await asyncio.sleep(HEARTBEAT_S)
             self._partners.widen()
 
     async def _check_forever(self) -> None:
         while True:
             await asyncio.sleep(RESEND_S)
-            for live in list(self._owned.values()):
-                self._check_owned(live)
-            self._check_owners()
+            self.check_owned()
+            self.check_owners()
             self._prune()
 
-    def _check_owned(self, live: LiveRequest) -> None:
+    def send_heartbeats(self) -> None:
+        """Tell partners that this process lives."""
+        if self._handed_over:
+            return
+        for name in self._list_watchers():
+            self._send(name, Heartbeat(self._incarnation, self.stopping))
+
+    def _list_watchers(self) -> list[ProcessName]:
+        """Return the partners and everyone else who holds a copy that still runs."""
+        holders = {
+            name
+            for live in self.list_running()
+            for name in self._sent.get(live.record.id, {})
+        }
+        return [*self._partners.chosen, *sorted(holders - {*self._partners.chosen})]
+
+    def check_owned(self) -> None:
+        """Repeat lost messages of all owned requests, and replace lost peers."""
+        for live in list(self._owned.values()):
+            self._check_live(live)
+
+    def _check_live(self, live: LiveRequest) -> None:
         """Repeat lost messages, and replace lost peers."""
         if live.is_over:
             return
@@ -295,18 +314,25 @@
             self._dirty.add(live.record.id)
             self._wake.set()
 
-    def _check_owners(self) -> None:
+    def check_owners(self) -> None:
+        """Adopt the requests of owners that have fallen silent."""
         now = asyncio.get_running_loop().time()
         for request, copy in list(self._copies.items()):
             if copy.state is not RequestState.RUNNING or request in self._adopting:
                 continue
-            _, heard = self._owners.get(copy.record.owner, (None, copy.heard_at))
-            silence = now - heard
+            silence = now - self._find_sign_of_life(copy)
             if silence > self._silence_s * (1 + self._rank_as_heir(copy.record)):
                 self._adopting.add(request)
                 task = asyncio.create_task(self._adopt_copy(request, copy))
                 task.add_done_callback(_raise_failure)
 
+    def _find_sign_of_life(self, copy: _Copy) -> float:
+        """Return when the owner was last heard of; progress counts as heartbeats do."""
+        _, beat_at = self._owners.get(copy.record.owner, (None, copy.heard_at))
+        if beat_at == float("-inf"):
+            return beat_at
+        return max(beat_at, copy.heard_at)
+
     async def _adopt_copy(self, request: RequestId, copy: _Copy) -> None:
         try:
             await self._adopt(copy.make_record())
--- a/tarragonway/requests/live.py
+++ b/tarragonway/requests/live.py
@@ -1,7 +1,8 @@
 """A request that this process owns and runs."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any, Literal
 
 import msgspec
 
@@ -103,9 +104,9 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def wait_change(self) -> None:
-        """Return at the next change."""
-        await self._changed.wait()
+    def wait_change(self) -> Coroutine[Any, Any, Literal[True]]:
+        """Return a coroutine that ends with the first change after this call."""
+        return self._changed.wait()
 
     async def follow(self, start: int) -> AsyncIterator[list[str]]:
         """Yield released tokens from ``start`` on, until the request is over."""
--- /dev/null
+++ b/tarragonway/requests/tests/test_keeper.py
@@ -0,0 +1,191 @@
+"""Copies between an owner and its holders, with messages carried by the test."""
+
+import asyncio
+
+import pytest
+
+from tarragonway.core.counters import Counters
+from tarragonway.requests.keeper import CopyKeeper
+from tarragonway.requests.live import LiveRequest
+from tarragonway.requests.messages import (
+    CopyAck,
+    CopyProgress,
+    CopyRecord,
+    CopyStale,
+    Heartbeat,
+)
+from tarragonway.requests.model import RequestRecord, RequestState
+from tarragonway.requests.partners import Partners
+
+SILENCE_S = 2.0
+NAMES = ("e0", "e1", "e2")
+STEPS = 200
+ZONES = {f"e{n}": "abc"[n % 3] for n in range(8)}
+
+
+class Net:
+    """Keepers of several processes; the test advances the clock."""
+
+    def __init__(self, monkeypatch):
+        loop = asyncio.get_running_loop()
+        self.now = 0.0
+        real = loop.time()
+        monkeypatch.setattr(loop, "time", lambda: real + self.now)
+        self.queue = []
+        self.cut = set()
+        self.adopted = []
+        self.keepers = {name: self.make(name) for name in NAMES}
+
+    def make(self, name):
+        async def adopt(record):
+            self.adopted.append((name, record))
+
+        def send(to, body):
+            self.queue.append((name, to, body))
+
+        partners = Partners(name, ZONES, SILENCE_S)
+        partners.chosen = [other for other in NAMES if other != name]
+        return CopyKeeper(
+            name, "i", partners, SILENCE_S, send, adopt, lambda: True, Counters()
+        )
+
+    def deliver(self):
+        while self.queue:
+            source, target, body = self.queue.pop(0)
+            keeper = self.keepers.get(target)
+            if keeper is None or {source, target} & self.cut:
+                continue
+            match body:
+                case CopyRecord():
+                    keeper.receive_record(source, body)
+                case CopyProgress():
+                    keeper.receive_progress(source, body)
+                case CopyAck():
+                    keeper.receive_ack(source, body)
+                case CopyStale():
+                    keeper.receive_stale(body)
+                case Heartbeat():
+                    keeper.receive_heartbeat(source, body)
+
+    def beat(self, name):
+        self.keepers[name].send_heartbeats()
+        self.deliver()
+
+    async def check(self, name):
+        self.keepers[name].check_owners()
+        await asyncio.sleep(0)
+
+
+def make_live(owner="e0", epoch=1):
+    record = RequestRecord("x_e0_e1_e2", "acc", "svc", "f", 5, b"{}", owner, epoch)
+    return LiveRequest(record, copied=True)
+
+
+async def protect(net, live, owner="e0"):
+    net.beat(owner)
+    task = asyncio.create_task(net.keepers[owner].protect(live))
+    for _ in range(STEPS):
+        if task.done():
+            break
+        await asyncio.sleep(0)
+        net.deliver()
+    assert task.result()
+
+
+def add_token(net, live, owner="e0"):
+    live.add_token(len(live.tokens), "t ")
+    net.keepers[owner].note_progress(live)
+    net.keepers[owner].flush()
+
+
+@pytest.fixture
+async def net(monkeypatch):
+    return Net(monkeypatch)
+
+
+async def test_token_is_shown_only_once_a_peer_holds_it(net):
+    live = make_live()
+    await protect(net, live)
+    add_token(net, live)
+    assert live.released == 0
+    net.deliver()
+    assert live.released == 1
+
+
+async def test_owner_that_sends_progress_is_not_replaced(net):
+    """Heartbeats may be late on a busy machine while tokens still arrive."""
+    live = make_live()
+    await protect(net, live)
+    for _ in range(5):
+        net.now += SILENCE_S * 0.9
+        add_token(net, live)
+        net.deliver()
+        for name in ("e1", "e2"):
+            await net.check(name)
+    assert net.adopted == []
+
+
+async def test_holder_outside_the_partners_gets_heartbeats(net):
+    live = make_live()
+    await protect(net, live)
+    keeper = net.keepers["e0"]
+    keeper._partners.chosen = ["e5", "e6", "e7"]
+    for _ in range(4):
+        net.now += SILENCE_S * 0.9
+        net.beat("e0")
+        for name in ("e1", "e2"):
+            await net.check(name)
+    assert net.adopted == []
+
+
+async def test_silent_owner_is_replaced_by_the_first_heir(net):
+    live = make_live()
+    await protect(net, live)
+    add_token(net, live)
+    net.deliver()
+    net.now += SILENCE_S * 1.5
+    await net.check("e2")
+    assert net.adopted == []
+    await net.check("e1")
+    assert [name for name, _ in net.adopted] == ["e1"]
+    assert net.adopted[0][1].tokens == ("t ",)
+
+
+async def test_leaving_owner_is_replaced_at_once(net):
+    live = make_live()
+    await protect(net, live)
+    net.keepers["e0"].announce_stop()
+    net.deliver()
+    await net.check("e1")
+    assert [name for name, _ in net.adopted] == ["e1"]
+
+
+async def test_former_owner_is_stopped_by_a_later_epoch(net):
+    live = make_live()
+    await protect(net, live)
+    net.cut = {"e0"}
+    later = make_live("e1", epoch=2)
+    net.keepers["e1"].release_copy(later.record.id)
+    await protect(net, later, "e1")
+    net.cut = set()
+    add_token(net, live)
+    net.deliver()
+    assert live.abandoned
+    assert live.released == 0
+
+
+async def test_lost_progress_is_sent_again(net):
+    live = make_live()
+    await protect(net, live)
+    add_token(net, live)
+    net.queue.clear()
+    add_token(net, live)
+    live.finish(RequestState.DONE)
+    net.keepers["e0"].note_progress(live)
+    net.keepers["e0"].flush()
+    net.deliver()
+    net.keepers["e0"].check_owned()
+    net.keepers["e0"].flush()
+    net.deliver()
+    assert live.is_over
+    assert net.keepers["e1"].find_finished(live.record.id).tokens == ("t ", "t ")
