Share what daemons have in common, split plain calls, end stops surely

Cause: both daemons repeated sockets, tasks and failures; the module of plain calls did admission, sending and answers. Likely cause: wait_for of Python 3.11 loses a cancellation that meets its result, and the close waited for that task for ever.

--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import structlog
-from aiohttp import web
 
 from tarragonway.consensus import (
     DataFolder,
@@ -35,7 +34,6 @@
     ReadIndexReply,
 )
 from tarragonway.control.shares import ShareServer
-from tarragonway.core.counters import Counters
 from tarragonway.core.errors import SettingsError
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
 from tarragonway.endpoints import EndpointState
@@ -44,9 +42,10 @@
 from tarragonway.limits.ledger import ShareLedger
 from tarragonway.limits.messages import ShareCall
 from tarragonway.process import run_daemon
+from tarragonway.process.base import ProcessBase
 from tarragonway.settings import Settings
 from tarragonway.settings.load import find_control
-from tarragonway.transport import Delivery, Mailbox
+from tarragonway.transport import Delivery
 from tarragonway.watch.messages import WatchPoll
 from tarragonway.watch.server import WatchServer
 from tarragonway.wire import WireMessage
@@ -57,7 +56,7 @@
 _log = structlog.get_logger()
 
 
-class ControlProcess:
+class ControlProcess(ProcessBase):
     """A control process: mailbox, log, watch, platform duties, operators' interface.
 
     Parameters
@@ -71,21 +70,7 @@
     def __init__(self, settings: Settings, folder: pathlib.Path) -> None:
         peer = find_control(settings)
         assert peer is not None
-        self._settings = settings
-        self._peer = peer
-        self._name = ProcessName(peer.name)
-        statsd = settings.cluster.statsd
-        self._counters = Counters.from_config(
-            statsd.host, statsd.port, f"tarragonway.{peer.name}"
-        )
-        self._mailbox: Mailbox[WireMessage] = Mailbox(
-            self._name,
-            peer.mailbox,
-            settings.list_mailboxes(),
-            settings.cluster_key,
-            WireMessage,  # type: ignore[arg-type]
-            self._counters,
-        )
+        super().__init__(settings, peer)
         self._files = FolderFiles(folder)
         self._folder = DataFolder(self._files)
         self._driver = self._make_driver()
@@ -98,10 +83,6 @@
         self._admin = ControlAdmin(settings, self._driver, self.make_dump, self.confirm)
         self._calls = itertools.count(1)
         self._read_calls: dict[int, asyncio.Future] = {}
-        self._tasks: list[asyncio.Task] = []
-        self._jobs: set[asyncio.Task] = set()
-        self._runner: web.AppRunner | None = None
-        self.failure: asyncio.Future = asyncio.Future()
 
     @classmethod
     def from_config(
@@ -140,10 +121,7 @@
                 self._counters,
             ).run()
         )
-        self._runner = web.AppRunner(self._admin.make_app(), access_log=None)
-        await self._runner.setup()
-        host, _, port = self._peer.http.partition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        await self._serve(self._admin.make_app())
 
     async def drain(self) -> None:
         """Hand leadership over and answer what is under way."""
@@ -158,12 +136,8 @@
 
     async def close(self) -> None:
         """Stop all tasks and close the sockets and files."""
-        for task in [*self._tasks, *self._jobs]:
-            task.cancel()
-        await asyncio.gather(*self._tasks, *self._jobs, return_exceptions=True)
+        await self._stop_serving()
         self._mailbox.close()
-        if self._runner is not None:
-            await self._runner.cleanup()
         self._files.close()
 
     def make_dump(self) -> dict[str, Any]:
@@ -331,22 +305,6 @@
                         self._mailbox.send(ProcessName(peer.name), JoinRequest(own))
             await asyncio.sleep(JOIN_INTERVAL_S)
 
-    def _spawn(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._note_end)
-        self._tasks.append(task)
-
-    def _start_job(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
-        self._jobs.add(task)
-        task.add_done_callback(self._jobs.discard)
-
-    def _note_end(self, task: asyncio.Task) -> None:
-        if task.cancelled() or self.failure.done():
-            return
-        error = task.exception() or RuntimeError("a task ended")
-        self.failure.set_exception(error)
-
 
 def bootstrap(settings: Settings, folder: pathlib.Path) -> None:
     """Form a new group with this process as its only voter.
--- /dev/null
+++ b/tarragonway/entry/answers.py
@@ -0,0 +1,62 @@
+"""HTTP answers of calls to plain services, fresh or from a claim's record."""
+
+import msgspec
+from aiohttp import web
+
+from tarragonway.claims import Answer, ClaimRecord, ClaimState
+from tarragonway.core.outcomes import Outcome, Refusal, RefusalReason
+from tarragonway.entry.problems import write_problem, write_unknown
+
+
+class CallStatus(msgspec.Struct, frozen=True):
+    """Answer to a question about a key; ``status`` is the service's, if kept."""
+
+    outcome: Outcome
+    in_progress: bool
+    status: int = 0
+
+
+def write_answer(answer: Answer, replayed: bool = False) -> web.Response:
+    """Return a service's answer, marked if it comes from a claim's record."""
+    headers = {"X-Outcome": Outcome.DONE.value}
+    if answer.content_type:
+        headers["Content-Type"] = answer.content_type
+    if replayed:
+        headers["Idempotent-Replayed"] = "true"
+    return web.Response(status=answer.status, body=answer.body, headers=headers)
+
+
+def write_not_run(detail: str) -> web.Response:
+    """Return the answer for a key whose record shows that it did not run."""
+    refusal = Refusal(RefusalReason.NO_ENDPOINT, detail, 0.0, Outcome.NOT_RUN)
+    return write_problem(refusal)
+
+
+def write_record(record: ClaimRecord) -> web.Response:
+    """Return what a claim's record says, as the answer to a resend."""
+    match record.state:
+        case ClaimState.DONE if record.answer is not None:
+            return write_answer(record.answer, replayed=True)
+        case ClaimState.DONE:
+            detail = "the call has run; its answer is no longer kept"
+            refusal = Refusal(RefusalReason.NOT_FOUND, detail, 0.0, Outcome.DONE)
+            return write_problem(refusal)
+        case ClaimState.NOT_RUN:
+            return write_not_run("the call did not run and never will under this key")
+    return write_unknown("the call may have run; it will not be sent again")
+
+
+def describe_record(record: ClaimRecord) -> CallStatus:
+    """Return what a claim's record says, as the answer to a status question."""
+    if record.state is ClaimState.CLAIMED:
+        return CallStatus(Outcome.UNKNOWN, True)
+    status = record.answer.status if record.answer else 0
+    return CallStatus(Outcome(record.state.value), False, status)
+
+
+def write_in_progress() -> web.Response:
+    """Return the answer for a key whose first call is still under way."""
+    detail = "an earlier call with this key is under way"
+    return write_problem(
+        Refusal(RefusalReason.IN_PROGRESS, detail, 1.0, Outcome.UNKNOWN)
+    )
--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -11,7 +11,6 @@
 from tarragonway.claims import RetireOwner
 from tarragonway.control.client import ControlClient, NoControl
 from tarragonway.control.messages import ControlRedirect, ControlReply
-from tarragonway.core.counters import Counters
 from tarragonway.core.errors import SettingsError
 from tarragonway.core.ids import Epoch, Incarnation, ProcessName, ZoneName
 from tarragonway.core.outcomes import Refusal, RefusalReason
@@ -26,6 +25,7 @@
 from tarragonway.limits import ShareHolder
 from tarragonway.limits.messages import ShareCall, ShareReply
 from tarragonway.process import RevisionBody, check_operator, run_daemon, write_json
+from tarragonway.process.base import ProcessBase
 from tarragonway.requests.adoptions import AdoptionGranted, AdoptionLost, AdoptRequest
 from tarragonway.requests.keeper import CopyKeeper
 from tarragonway.requests.messages import (
@@ -40,7 +40,7 @@
 from tarragonway.requests.runner import Runner
 from tarragonway.settings import Settings
 from tarragonway.settings.load import find_entry
-from tarragonway.transport import Delivery, Mailbox
+from tarragonway.transport import Delivery
 from tarragonway.watch import WatchPush, WatchReply
 from tarragonway.watch.client import WatchClient
 from tarragonway.wire import WireMessage
@@ -50,7 +50,7 @@
 LINGER_S = 0.5
 
 
-class EntryProcess:
+class EntryProcess(ProcessBase):
     """An entry process: mailbox, watch, limits, requests and callers' interface.
 
     Parameters
@@ -62,29 +62,12 @@
     def __init__(self, settings: Settings) -> None:
         peer = find_entry(settings)
         assert peer is not None
-        self._settings = settings
-        self._peer = peer
-        self._name = ProcessName(peer.name)
+        super().__init__(settings, peer)
         self._incarnation = Incarnation(secrets.token_hex(8))
         self._registered = False
         self._control_names = [ProcessName(p.name) for p in settings.cluster.control]
-        statsd = settings.cluster.statsd
-        self._counters = Counters.from_config(
-            statsd.host, statsd.port, f"tarragonway.{peer.name}"
-        )
-        self._mailbox: Mailbox[WireMessage] = Mailbox(
-            self._name,
-            peer.mailbox,
-            settings.list_mailboxes(),
-            settings.cluster_key,
-            WireMessage,  # type: ignore[arg-type]
-            self._counters,
-        )
         self._make_control_side()
         self._make_request_side()
-        self._tasks: list[asyncio.Task] = []
-        self._runner: web.AppRunner | None = None
-        self.failure: asyncio.Future = asyncio.Future()
 
     def _make_control_side(self) -> None:
         timing = self._settings.cluster.timing
@@ -190,16 +173,12 @@
         self._spawn(self._keeper.run())
         await self._register()
         limits = self._settings.cluster.limits
-        self._runner = web.AppRunner(
+        await self._serve(
             self._make_app(),
-            access_log=None,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
             shutdown_timeout=LINGER_S,
         )
-        await self._runner.setup()
-        host, _, port = self._peer.http.partition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
 
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
@@ -219,11 +198,7 @@
     async def close(self) -> None:
         """Stop all tasks and close the sockets."""
         self._models.cancel()
-        if self._runner is not None:
-            await self._runner.cleanup()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stop_serving()
         for part in (self._engines, self._plain, self._fetch):
             await part.close()
         self._mailbox.close()
@@ -329,7 +304,7 @@
         command = RetireOwner(self._name, self._incarnation)
         result = await self._control.call(command, REGISTER_TIMEOUT_S)
         if isinstance(result, NoControl):
-            self._spawn_once(self._register())
+            self._start_job(self._register())
         else:
             self._registered = True
 
@@ -351,19 +326,6 @@
             case AdoptionLost(lost_epoch, owner):
                 self._keeper.note_owner(record.id, lost_epoch, owner)
 
-    def _spawn(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._note_end)
-        self._tasks.append(task)
-
-    def _spawn_once(self, coroutine: Any) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
-
-    def _note_end(self, task: asyncio.Task) -> None:
-        if task.cancelled() or self.failure.done():
-            return
-        self.failure.set_exception(task.exception() or RuntimeError("a task ended"))
-
 
 def _change_owner(
     record: RequestRecord, owner: ProcessName, epoch: Epoch
--- a/tarragonway/entry/dispatch.py
+++ b/tarragonway/entry/dispatch.py
@@ -95,7 +95,8 @@
         """Serve the queues until the task is cancelled."""
         while True:
             try:
-                await asyncio.wait_for(self._wake.wait(), QUEUE_CHECK_S)
+                async with asyncio.timeout(QUEUE_CHECK_S):
+                    await self._wake.wait()
             except TimeoutError:
                 if not any(self._queues.values()):
                     continue
--- a/tarragonway/entry/plain.py
+++ b/tarragonway/entry/plain.py
@@ -3,8 +3,6 @@
 import asyncio
 import secrets
 
-import aiohttp
-import msgspec
 from aiohttp import web
 
 from tarragonway.claims import (
@@ -32,17 +30,29 @@
 )
 from tarragonway.core.outcomes import Outcome, Refusal, RefusalReason
 from tarragonway.endpoints import Endpoint
+from tarragonway.entry.answers import (
+    describe_record,
+    write_answer,
+    write_in_progress,
+    write_not_run,
+    write_record,
+)
 from tarragonway.entry.dispatch import Demand, Dispatcher
-from tarragonway.entry.gate import Caller, Gate
-from tarragonway.entry.guard import SendGuard, open_guarded_session
+from tarragonway.entry.gate import Gate
 from tarragonway.entry.problems import write_problem, write_unknown
+from tarragonway.entry.sender import (
+    CallSender,
+    MaybeSent,
+    NeverSent,
+    PlainCall,
+    SendResult,
+)
 from tarragonway.limits import ShareHolder
-from tarragonway.lists import Service, ServiceKind
+from tarragonway.lists import ServiceKind
 from tarragonway.process import write_json
 from tarragonway.retries import RetryBudget
 from tarragonway.settings.model import Limits, Timing
 
-CONNECT_TIMEOUT_S = 1.0
 CLAIM_TIMEOUT_S = 2.5
 RESOLVE_TIMEOUT_S = 60.0
 LEASE_MARGIN_MS = 10_000
@@ -54,43 +64,6 @@
 _RETRY_STATUS = frozenset({502, 503, 504})
 
 
-class PlainCall(msgspec.Struct, frozen=True):
-    """One call to a plain service, read in full."""
-
-    caller: Caller
-    service: Service
-    method: str
-    path: str
-    query: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-    @property
-    def account(self) -> AccountId:
-        """The caller's client account."""
-        return AccountId(self.caller.account.id)
-
-
-class CallStatus(msgspec.Struct, frozen=True):
-    """Answer to a question about a key; ``status`` is the service's, if kept."""
-
-    outcome: Outcome
-    in_progress: bool
-    status: int = 0
-
-
-class NeverSent(msgspec.Struct, frozen=True):
-    """Sentinel: no connection was opened, so the service saw nothing."""
-
-    reason: str
-
-
-class MaybeSent(msgspec.Struct, frozen=True):
-    """Sentinel: the call may have reached the service."""
-
-    reason: str
-
-
 class PlainCalls:
     """Handlers of ``/services/{service}/...`` and ``GET /v1/calls/{key}``.
 
@@ -132,32 +105,18 @@
         self._limits = limits
         self._counters = counters
         self._budget = RetryBudget()
-        self._pooled: aiohttp.ClientSession | None = None
-        self._guarded: aiohttp.ClientSession | None = None
+        self._sender = CallSender(timing.call_timeout_s)
         self._jobs: set[asyncio.Task] = set()
 
     def open(self) -> None:
-        """Create the connection pools; needs a running loop.
-
-        Claimed calls have a connection each, guarded against repeats.
-        """
-        timeout = aiohttp.ClientTimeout(
-            total=self._timing.call_timeout_s, sock_connect=CONNECT_TIMEOUT_S
-        )
-        self._pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            timeout=timeout,
-            auto_decompress=False,
-        )
-        self._guarded = open_guarded_session(timeout)
+        """Create the connection pools; needs a running loop."""
+        self._sender.open()
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Stop recording results and close all connections."""
         for job in self._jobs:
             job.cancel()
-        for session in (self._pooled, self._guarded):
-            if session is not None:
-                await session.close()
+        await self._sender.close()
 
     async def wait_idle(self) -> None:
         """Return once all results are recorded."""
@@ -199,7 +158,7 @@
         held = await self._control.call(QueryCall(account, key), CLAIM_TIMEOUT_S)
         if not isinstance(held, ClaimHeld):
             return write_problem(_refuse_without_control(Outcome.UNKNOWN))
-        return write_json(_describe_record(held.record))
+        return write_json(describe_record(held.record))
 
     async def _read_call(self, request: web.Request) -> PlainCall | Refusal:
         caller = self._gate.identify(request)
@@ -233,7 +192,8 @@
             endpoint = await self._acquire(call, deadline, avoid)
             if isinstance(endpoint, Refusal):
                 return write_problem(endpoint)
-            result = await self._send(call, endpoint, self._pooled, "")
+            result = await self._sender.send(call, endpoint)
+            self._note_leaving(endpoint, result)
             good = isinstance(result, Answer) and result.status not in _RETRY_STATUS
             self._dispatcher.release(endpoint.id, failed=not good)
             if good or not self._budget.withdraw():
@@ -242,7 +202,7 @@
             avoid |= {endpoint.id}
         match result:
             case Answer():
-                return _write_answer(result)
+                return write_answer(result)
             case NeverSent(reason) | MaybeSent(reason):
                 detail = f"no endpoint of {call.service.name} answered: {reason}"
                 refusal = Refusal(RefusalReason.NO_ENDPOINT, detail, 1.0)
@@ -269,9 +229,9 @@
         await self._resolve(call, key, attempt, state, answer)
         match result:
             case Answer():
-                return _write_answer(result)
+                return write_answer(result)
             case NeverSent(reason):
-                return _write_not_run(f"no endpoint took the call: {reason}")
+                return write_not_run(f"no endpoint took the call: {reason}")
             case MaybeSent(reason):
                 self._counters.increment("plain.unknown")
                 return write_unknown(f"the call may have run: {reason}")
@@ -298,7 +258,7 @@
         endpoint: Endpoint,
         asked_at: float,
         deadline: float,
-    ) -> Answer | NeverSent | MaybeSent:
+    ) -> SendResult:
         """Send once; another endpoint is tried only if no connection was opened."""
         loop = asyncio.get_running_loop()
         avoid: frozenset[EndpointId] = frozenset()
@@ -307,7 +267,8 @@
             if loop.time() - asked_at > self._timing.claim_send_limit_s:
                 self._dispatcher.release(endpoint.id)
                 return NeverSent("the claim is too old to be used")
-            result = await self._send(call, endpoint, self._guarded, key)
+            result = await self._sender.send_once(call, endpoint, key)
+            self._note_leaving(endpoint, result)
             failed = not isinstance(result, Answer)
             self._dispatcher.release(endpoint.id, failed)
             if not isinstance(result, NeverSent):
@@ -348,8 +309,8 @@
             if isinstance(held, ClaimHeld):
                 record = held.record
         if record.state is ClaimState.CLAIMED:
-            return _write_in_progress()
-        return _write_record(record)
+            return write_in_progress()
+        return write_record(record)
 
     async def _resolve(
         self,
@@ -372,6 +333,10 @@
 
     # Both
 
+    def _note_leaving(self, endpoint: Endpoint, result: SendResult) -> None:
+        if isinstance(result, NeverSent) and result.leaving:
+            self._dispatcher.note_refused(endpoint.id)
+
     async def _acquire(
         self, call: PlainCall, deadline: float, avoid: frozenset[EndpointId]
     ) -> Endpoint | Refusal:
@@ -387,43 +352,8 @@
         )
         return await self._dispatcher.acquire(demand)
 
-    async def _send(
-        self,
-        call: PlainCall,
-        endpoint: Endpoint,
-        session: aiohttp.ClientSession | None,
-        key: str,
-    ) -> Answer | NeverSent | MaybeSent:
-        assert session is not None
-        headers = dict(call.headers)
-        if key:
-            headers["Idempotency-Key"] = key
-        guard = SendGuard()
-        url = endpoint.url + call.path + (f"?{call.query}" if call.query else "")
-        try:
-            async with session.request(
-                call.method,
-                url,
-                data=call.body or None,
-                headers=headers,
-                allow_redirects=False,
-                trace_request_ctx=guard,
-            ) as response:
-                body = await response.read()
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            # A guarded call that broke once may fail to connect in a repeat.
-            return MaybeSent(str(error)) if guard.opened else NeverSent(str(error))
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return MaybeSent(repr(error))
-        if response.headers.get("X-Endpoint-State") == "leaving":
-            # The endpoint says that it refused the call before doing anything.
-            self._dispatcher.note_refused(endpoint.id)
-            return NeverSent("the endpoint is leaving")
-        content_type = response.headers.get("Content-Type", "")
-        return Answer(response.status, content_type, body)
-
 
-def _judge(result: Answer | NeverSent | MaybeSent) -> ClaimState:
+def _judge(result: SendResult) -> ClaimState:
     match result:
         case Answer():
             return ClaimState.DONE
@@ -446,45 +376,3 @@
 def _refuse_without_control(outcome: Outcome) -> Refusal:
     detail = "the replicated state could not be reached"
     return Refusal(RefusalReason.NO_CONTROL, detail, 1.0, outcome)
-
-
-def _write_answer(answer: Answer, replayed: bool = False) -> web.Response:
-    headers = {"X-Outcome": Outcome.DONE.value}
-    if answer.content_type:
-        headers["Content-Type"] = answer.content_type
-    if replayed:
-        headers["Idempotent-Replayed"] = "true"
-    return web.Response(status=answer.status, body=answer.body, headers=headers)
-
-
-def _write_not_run(detail: str) -> web.Response:
-    """Return the answer for a key whose record shows that it did not run."""
-    refusal = Refusal(RefusalReason.NO_ENDPOINT, detail, 0.0, Outcome.NOT_RUN)
-    return write_problem(refusal)
-
-
-def _write_record(record: ClaimRecord) -> web.Response:
-    match record.state:
-        case ClaimState.DONE if record.answer is not None:
-            return _write_answer(record.answer, replayed=True)
-        case ClaimState.DONE:
-            detail = "the call has run; its answer is no longer kept"
-            refusal = Refusal(RefusalReason.NOT_FOUND, detail, 0.0, Outcome.DONE)
-            return write_problem(refusal)
-        case ClaimState.NOT_RUN:
-            return _write_not_run("the call did not run and never will under this key")
-    return write_unknown("the call may have run; it will not be sent again")
-
-
-def _describe_record(record: ClaimRecord) -> CallStatus:
-    if record.state is ClaimState.CLAIMED:
-        return CallStatus(Outcome.UNKNOWN, True)
-    status = record.answer.status if record.answer else 0
-    return CallStatus(Outcome(record.state.value), False, status)
-
-
-def _write_in_progress() -> web.Response:
-    detail = "an earlier call with this key is under way"
-    return write_problem(
-        Refusal(RefusalReason.IN_PROGRESS, detail, 1.0, Outcome.UNKNOWN)
-    )
--- /dev/null
+++ b/tarragonway/entry/sender.py
@@ -0,0 +1,128 @@
+"""Sending of calls to plain services, and what is known of a failure."""
+
+import aiohttp
+import msgspec
+
+from tarragonway.claims import Answer
+from tarragonway.core.ids import AccountId
+from tarragonway.endpoints import Endpoint
+from tarragonway.entry.gate import Caller
+from tarragonway.entry.guard import SendGuard, open_guarded_session
+from tarragonway.lists import Service
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class PlainCall(msgspec.Struct, frozen=True):
+    """One call to a plain service, read in full."""
+
+    caller: Caller
+    service: Service
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def account(self) -> AccountId:
+        """The caller's client account."""
+        return AccountId(self.caller.account.id)
+
+
+class NeverSent(msgspec.Struct, frozen=True):
+    """Sentinel: the service did nothing with the call.
+
+    No connection was opened, or the endpoint refused the call because it is leaving.
+    """
+
+    reason: str
+    leaving: bool = False
+
+
+class MaybeSent(msgspec.Struct, frozen=True):
+    """Sentinel: the call may have reached the service."""
+
+    reason: str
+
+
+SendResult = Answer | NeverSent | MaybeSent
+
+
+class CallSender:
+    """Connection pools to plain services.
+
+    Calls that may be repeated share connections. Claimed calls have a connection each,
+    guarded against repeats by the client library.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Longest time of one call.
+    """
+
+    def __init__(self, timeout_s: float) -> None:
+        self._timeout_s = timeout_s
+        self._pooled: aiohttp.ClientSession | None = None
+        self._guarded: aiohttp.ClientSession | None = None
+
+    def open(self) -> None:
+        """Create the connection pools; needs a running loop."""
+        timeout = aiohttp.ClientTimeout(
+            total=self._timeout_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self._pooled = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=timeout,
+            auto_decompress=False,
+        )
+        self._guarded = open_guarded_session(timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._guarded):
+            if session is not None:
+                await session.close()
+
+    async def send(self, call: PlainCall, endpoint: Endpoint) -> SendResult:
+        """Send a call that may be repeated."""
+        return await self._send(call, endpoint, self._pooled, "")
+
+    async def send_once(
+        self, call: PlainCall, endpoint: Endpoint, key: str
+    ) -> SendResult:
+        """Send a claimed call on a connection of its own."""
+        return await self._send(call, endpoint, self._guarded, key)
+
+    async def _send(
+        self,
+        call: PlainCall,
+        endpoint: Endpoint,
+        session: aiohttp.ClientSession | None,
+        key: str,
+    ) -> SendResult:
+        assert session is not None
+        headers = dict(call.headers)
+        if key:
+            headers["Idempotency-Key"] = key
+        guard = SendGuard()
+        url = endpoint.url + call.path + (f"?{call.query}" if call.query else "")
+        try:
+            async with session.request(
+                call.method,
+                url,
+                data=call.body or None,
+                headers=headers,
+                allow_redirects=False,
+                trace_request_ctx=guard,
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # A guarded call that broke once may fail to connect in a repeat.
+            return MaybeSent(str(error)) if guard.opened else NeverSent(str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return MaybeSent(repr(error))
+        if response.headers.get("X-Endpoint-State") == "leaving":
+            return NeverSent("the endpoint is leaving", True)
+        content_type = response.headers.get("Content-Type", "")
+        return Answer(response.status, content_type, body)
--- a/tarragonway/limits/holder.py
+++ b/tarragonway/limits/holder.py
@@ -167,6 +167,7 @@
 
     async def _wait_for_grant(self) -> None:
         try:
-            await asyncio.wait_for(self._granted.wait(), ASK_INTERVAL_S)
+            async with asyncio.timeout(ASK_INTERVAL_S):
+                await self._granted.wait()
         except TimeoutError:
             return
--- a/tarragonway/watch/client.py
+++ b/tarragonway/watch/client.py
@@ -80,7 +80,8 @@
             self._answered.clear()
             self._poll(started)
             try:
-                await asyncio.wait_for(self._answered.wait(), self._poll_s)
+                async with asyncio.timeout(self._poll_s):
+                    await self._answered.wait()
             except TimeoutError:
                 self._servers = [*self._servers[1:], self._servers[0]]
                 self._counters.increment("watch.unanswered")
