--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -22,6 +22,7 @@
 from tarragonway.entry.models import ModelCalls
 from tarragonway.entry.plain import PlainCalls
 from tarragonway.entry.problems import write_problem
+from tarragonway.entry.runner import Runner
 from tarragonway.limits import ShareHolder
 from tarragonway.limits.messages import ShareCall, ShareReply
 from tarragonway.process import RevisionBody, check_operator, run_daemon, write_json
@@ -37,7 +38,6 @@
 )
 from tarragonway.requests.model import RequestRecord
 from tarragonway.requests.partners import Partners
-from tarragonway.requests.runner import Runner
 from tarragonway.settings import Settings
 from tarragonway.settings.load import find_entry
 from tarragonway.transport import Delivery
--- a/tarragonway/entry/models.py
+++ b/tarragonway/entry/models.py
@@ -21,6 +21,7 @@
 from tarragonway.entry.dispatch import Demand
 from tarragonway.entry.gate import Caller, Gate
 from tarragonway.entry.problems import write_problem
+from tarragonway.entry.runner import Runner
 from tarragonway.entry.streams import StreamWriter, make_answer
 from tarragonway.limits import ShareHolder
 from tarragonway.lists import Service, ServiceKind
@@ -29,7 +30,6 @@
 from tarragonway.requests.model import RequestRecord
 from tarragonway.requests.naming import make_request_id
 from tarragonway.requests.partners import Partners
-from tarragonway.requests.runner import Runner
 
 PREFIX_BYTES = 512
 
