--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -72,7 +72,14 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Add data to the end of a file; durable only after :meth:`sync`."""
-        _write_all(self._open(name), data)
+        handle = self._open(name)
+        size = os.fstat(handle).st_size
+        try:
+            _write_all(handle, data)
+        except OSError:
+            # Part of it may be written; a later append must not follow it.
+            os.ftruncate(handle, size)
+            raise
 
     def sync(self, name: str) -> None:
         """Make all data appended to a file durable."""
@@ -97,6 +104,15 @@
         os.replace(temporary, self._folder / name)
         self._sync_folder()
 
+    def clear(self) -> None:
+        """Remove all files but the lock, durably."""
+        for name in list(self._handles):
+            self._close(name)
+        for path in self._folder.iterdir():
+            if path.name != "lock":
+                path.unlink()
+        self._sync_folder()
+
     def close(self) -> None:
         """Close all files and release the lock."""
         for name in list(self._handles):
--- a/tarragonway/consensus/progress.py
+++ b/tarragonway/consensus/progress.py
@@ -15,6 +15,7 @@
         self.round = 0
         self.active = False
         self.snapshot_wait_ticks = 0
+        self.silent_ticks = 0
 
     def record_success(self, match: int) -> bool:
         """Note that the follower agrees up to ``match``; return if that is news."""
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -38,6 +38,7 @@
 
 APPEND_LIMIT_ENTRIES = 512
 APPEND_LIMIT_BYTES = 1_000_000
+SILENT_ELECTIONS = 6
 
 
 class Role(enum.Enum):
@@ -161,6 +162,12 @@
         row = self._progress.get(member_id)
         return row.match if row else 0
 
+    def is_silent(self, member_id: MemberId) -> bool:
+        """Return whether this leader has not heard a follower for several elections."""
+        row = self._progress.get(member_id)
+        limit = SILENT_ELECTIONS * self._parameters.election_ticks
+        return row is not None and row.silent_ticks > limit
+
     # Inputs
 
     def tick(self) -> None:
@@ -383,6 +390,7 @@
     def _tick_leader(self) -> None:
         for _, row in self._progress.rows():
             row.snapshot_wait_ticks = max(0, row.snapshot_wait_ticks - 1)
+            row.silent_ticks += 1
         if self._elapsed % self._parameters.heartbeat_ticks == 0:
             self._broadcast_due = True
         if self._elapsed >= self._parameters.election_ticks:
@@ -437,6 +445,7 @@
         if self.role is not Role.LEADER or reply.term != self.term or row is None:
             return
         row.active = True
+        row.silent_ticks = 0
         row.round = max(row.round, reply.round)
         if reply.success:
             if row.record_success(reply.match):
--- a/tarragonway/control/admin.py
+++ b/tarragonway/control/admin.py
@@ -16,7 +16,7 @@
     ListsConflict,
     ListsRefused,
 )
-from tarragonway.process import RevisionBody, check_operator, write_json
+from tarragonway.process.admin import RevisionBody, check_operator, write_json
 from tarragonway.settings import Settings
 
 APPLY_TIMEOUT_S = 5.0
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -43,8 +43,10 @@
 from tarragonway.limits.messages import ShareCall
 from tarragonway.process import run_daemon
 from tarragonway.process.base import ProcessBase
-from tarragonway.settings import Settings
+from tarragonway.settings import Settings, load_settings
 from tarragonway.settings.load import find_control
+from tarragonway.settings.options import read_options
+from tarragonway.state import StateMachine
 from tarragonway.transport import Delivery
 from tarragonway.watch.messages import WatchPoll
 from tarragonway.watch.server import WatchServer
@@ -285,6 +287,7 @@
             identity.cluster,
             replica,
             self._folder,
+            StateMachine(),
             self._send_packet,
             self._counters,
         )
@@ -372,6 +375,8 @@
             "tarragonway-control",
             "Keeps the replicated state: lists, claims, endpoints, leases.",
             _build,
+            load_settings,
+            read_options,
             _check,
             _add_arguments,
         )
--- a/tarragonway/control/driver.py
+++ b/tarragonway/control/driver.py
@@ -5,6 +5,7 @@
 import itertools
 import time
 from collections.abc import Callable
+from typing import Any, Protocol
 
 import msgspec
 import structlog
@@ -24,12 +25,11 @@
 from tarragonway.control.repair import plan_change
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId
-from tarragonway.state import Command, Result, StateMachine
-from tarragonway.state.machine import encode_command
 
 MIN_VOTERS = 3
 KEEP_ENTRIES = 500
 MEMBER_PRESENCE_S = 5.0
+DISK_RETRY_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -40,6 +40,26 @@
     reason: str
 
 
+class Machine(Protocol):
+    """A state machine that the log drives."""
+
+    def restore(self, data: bytes) -> None:
+        """Take over an encoded state; empty bytes are the initial state."""
+        ...
+
+    def encode(self) -> bytes:
+        """Return the whole state."""
+        ...
+
+    def encode_command(self, command: Any, now_ms: int) -> bytes:
+        """Return a command as the payload of an entry."""
+        ...
+
+    def apply_payload(self, payload: bytes) -> Any:
+        """Apply a committed command and return its result."""
+        ...
+
+
 class DriverConfig(msgspec.Struct, frozen=True):
     """What a driver needs to know of its group."""
 
@@ -47,6 +67,7 @@
     tick_s: float
     declared: int
     snapshot_entries: int
+    keep_entries: int = KEEP_ENTRIES
 
 
 class _Waiting(msgspec.Struct):
@@ -67,6 +88,8 @@
         Recovered replica.
     folder : DataFolder
         Durable storage; written from one worker thread.
+    machine : Machine
+        State machine, still empty.
     send : callable
         Sends a packet to the process of a member.
     counters : Counters
@@ -79,10 +102,11 @@
         cluster: ClusterId,
         replica: Replica,
         folder: DataFolder,
+        machine: Any,
         send: Callable[[Packet], None],
         counters: Counters,
     ) -> None:
-        self.machine = StateMachine()
+        self.machine = machine
         self.machine.restore(replica.snapshot.state)
         self.replica = replica
         self.applied = replica.snapshot.index
@@ -138,7 +162,7 @@
         """Note that a declared member asks to join."""
         self._present[member] = asyncio.get_running_loop().time()
 
-    async def propose(self, command: Command) -> Result | NotLeader:
+    async def propose(self, command: Any) -> Any:
         """Put a command into the log and return its result once it is committed."""
         future = asyncio.get_running_loop().create_future()
         self._push(lambda: self._propose(command, future))
@@ -213,11 +237,11 @@
         else:
             self._counters.increment("log.misdirected")
 
-    def _propose(self, command: Command, future: asyncio.Future) -> None:
+    def _propose(self, command: Any, future: asyncio.Future) -> None:
         if not self.is_leader:
-            future.set_result(NotLeader("not the leader, or the group is forming"))
+            _settle(future, NotLeader("not the leader, or the group is forming"))
             return
-        payload = encode_command(command, read_wall_clock_ms())
+        payload = self.machine.encode_command(command, read_wall_clock_ms())
         index = self.replica.propose(payload)
         assert index is not None
         self._proposals[index] = _Waiting(self.replica.term, future)
@@ -227,14 +251,14 @@
         if self.is_leader and self.replica.read(token):
             self._reads[token] = future
         else:
-            future.set_result(NotLeader("not the leader"))
+            _settle(future, NotLeader("not the leader"))
 
     async def _handle_output(self) -> None:
         output = self.replica.take_output()
         if output.has_writes():
             loop = asyncio.get_running_loop()
             started = loop.time()
-            await loop.run_in_executor(self._disk, self._write, output)
+            await self._make_durable(output)
             self._counters.record_ms("log.sync", (loop.time() - started) * 1000)
             self._counters.increment("log.entries", len(output.entries))
         if output.snapshot is not None:
@@ -252,6 +276,27 @@
             self.on_change()
             self._compact()
 
+    async def _make_durable(self, output: Output) -> None:
+        """Write and sync; a disk that refuses is asked again until it takes it.
+
+        Nothing is sent or applied meanwhile, so that another replica takes over.
+        """
+        loop = asyncio.get_running_loop()
+        refused = False
+        while True:
+            try:
+                await loop.run_in_executor(self._disk, self._write, output)
+            except OSError as error:
+                self._counters.increment("log.disk_refused")
+                if not refused:
+                    _log.error("disk refuses writes", error=str(error))
+                refused = True
+                await asyncio.sleep(DISK_RETRY_S)
+                continue
+            if refused:
+                _log.info("disk takes writes again")
+            return
+
     def _write(self, output: Output) -> None:
         if output.snapshot is not None:
             self._folder.write_snapshot(
@@ -268,18 +313,18 @@
     def _apply(self, entry: Entry) -> None:
         self.applied = entry.index
         waiting = self._proposals.pop(entry.index, None)
-        result: Result | NotLeader = NotLeader("another leader's entry came first")
+        result: Any = NotLeader("another leader's entry came first")
         if entry.kind is EntryKind.COMMAND:
             applied = self.machine.apply_payload(entry.payload)
             if waiting is not None and waiting.term == entry.term:
                 result = applied
-        if waiting is not None and not waiting.future.done():
-            waiting.future.set_result(result)
+        if waiting is not None:
+            _settle(waiting.future, result)
 
     def _finish_read(self, read: ReadReady) -> None:
         future = self._reads.pop(read.token, None)
-        if future is not None and not future.done():
-            future.set_result(read.index)
+        if future is not None:
+            _settle(future, read.index)
 
     def _wake_waiters(self) -> None:
         ready = [w for w in self._applied_waiters if w[0] <= self.applied]
@@ -287,8 +332,7 @@
             w for w in self._applied_waiters if w[0] > self.applied
         ]
         for _, future in ready:
-            if not future.done():
-                future.set_result(None)
+            _settle(future, None)
 
     def _note_role(self) -> None:
         if self.replica.role is self._role:
@@ -302,8 +346,7 @@
     def _drop_pending(self) -> None:
         waiting = [item.future for item in self._proposals.values()]
         for future in [*waiting, *self._reads.values()]:
-            if not future.done():
-                future.set_result(NotLeader("no longer the leader"))
+            _settle(future, NotLeader("no longer the leader"))
         self._proposals.clear()
         self._reads.clear()
 
@@ -312,7 +355,7 @@
         if behind < self._config.snapshot_entries:
             return
         state = self.machine.encode()
-        snapshot = self.replica.compact(self.applied, state, KEEP_ENTRIES)
+        snapshot = self.replica.compact(self.applied, state, self._config.keep_entries)
         tail = self.replica.read_tail()
         self._disk.submit(
             self._folder.write_snapshot, snapshot, self.replica.hard_state, tail
@@ -325,6 +368,12 @@
     return time.time_ns() // 1_000_000
 
 
+def _settle(future: asyncio.Future, result: Any) -> None:
+    """Answer a caller, unless it has given up meanwhile."""
+    if not future.done():
+        future.set_result(result)
+
+
 def _raise_failure(future: concurrent.futures.Future) -> None:
     error = future.exception()
     if error is not None:
--- a/tarragonway/control/repair.py
+++ b/tarragonway/control/repair.py
@@ -25,6 +25,9 @@
     replaced = _find_replaced(membership)
     if replaced is not None:
         return membership.remove(replaced.id)
+    superfluous = _find_superfluous(replica, membership)
+    if superfluous is not None:
+        return membership.remove(superfluous.id)
     for learner in membership.learners:
         behind = replica.last_index - replica.get_match(learner.id)
         if behind <= CAUGHT_UP_ENTRIES:
@@ -43,6 +46,17 @@
     return next((m for m in membership.voters if latest[m.name] != m), None)
 
 
+def _find_superfluous(replica: Replica, membership: Membership) -> Member | None:
+    """Return a silent voter that a voter of another name has made superfluous.
+
+    An even number of voters bears no more losses than one fewer.
+    """
+    if len(membership.voters) % 2 or len(membership.voters) <= 2:
+        return None
+    silent = [m for m in membership.voters if replica.is_silent(m.id)]
+    return silent[0] if len(silent) == 1 else None
+
+
 def _is_joining(
     membership: Membership, member: Member, present: Sequence[Member]
 ) -> bool:
--- /dev/null
+++ b/tarragonway/coordinator/daemon.py
@@ -0,0 +1,350 @@
+"""The coordinator's process."""
+
+import argparse
+import asyncio
+import pathlib
+from typing import Any
+
+import structlog
+
+from tarragonway.consensus import DataFolder, Member, Packet, Replica
+from tarragonway.consensus.files import FolderFiles
+from tarragonway.consensus.storage import Identity
+from tarragonway.control.driver import DriverConfig, LogDriver
+from tarragonway.coordinator.gateways import GatewayBook
+from tarragonway.coordinator.group import make_replica, prepare_folder, read_address
+from tarragonway.coordinator.lease import DutyLease
+from tarragonway.coordinator.listing import ListPublisher
+from tarragonway.coordinator.machine import CoordinatorMachine
+from tarragonway.coordinator.operators import OperatorInterface
+from tarragonway.coordinator.scaling import FleetKeeper
+from tarragonway.coordinator.usage import UsageReporter
+from tarragonway.core.clock import WallClock
+from tarragonway.core.counters import Counters
+from tarragonway.core.errors import CorruptDataError
+from tarragonway.core.ids import ProcessName, ZoneName
+from tarragonway.endpoints.listing import EndpointView
+from tarragonway.endpoints.reader import ListReader
+from tarragonway.http1 import CallClient, HttpServer
+from tarragonway.links import Link, Switch
+from tarragonway.links.link import encode_message
+from tarragonway.links.messages import (
+    Beat,
+    ConfigurationText,
+    FetchConfiguration,
+    Hello,
+    Join,
+    LinkMessage,
+    Status,
+)
+from tarragonway.node.metrics import make_metrics_server
+from tarragonway.node.settings import NodeSettings
+from tarragonway.platform import configuration, duties, listing, names
+from tarragonway.process.tasks import TaskGroup
+from tarragonway.routes.model import ChannelLimits, Configuration
+
+TICK_S = 0.05
+STATUS_S = 0.5
+JOIN_S = 0.3
+SNAPSHOT_ENTRIES = 200
+KEEP_ENTRIES = 50
+VOTERS_MIN = 3
+STEP_DOWN_S = 1.0
+OPERATOR_BODY_BYTES = 16 * 1024 * 1024
+
+_log = structlog.get_logger()
+
+
+class CoordinatorProcess(TaskGroup):
+    """A coordinator: log, operators' interface, links, duties.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._counters = Counters()
+        self._address = settings.listen.peers
+        self._seeds = settings.seed_peers
+        self._files = FolderFiles(pathlib.Path(settings.data_folder))
+        self._folder = DataFolder(self._files)
+        self._machine = CoordinatorMachine()
+        self._driver = self._make_driver()
+        self._switch = Switch(self._receive, self._greet, self._forget_link)
+        self._gateways: dict[Link, ProcessName] = {}
+        self._clock = WallClock()
+        self._view = EndpointView()
+        self._decoded: Configuration | None = None
+        bounds = settings.bounds
+        self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
+        self._book = GatewayBook(self._driver, self._lease, self._clock)
+        address = settings.platform.address
+        reader = ListReader(
+            CallClient(address),
+            listing.make_list_call,
+            listing.decode_page,
+            self._counters,
+        )
+        self._publisher = ListPublisher(
+            self._driver, reader, self._view, lambda: list(self._gateways)
+        )
+        self._usage = UsageReporter(
+            settings.name,
+            bounds.report_window_s,
+            self._driver,
+            self._machine,
+            self._lease,
+            self._book,
+            self._clock,
+            CallClient(address),
+            duties.make_usage_call,
+            self._counters,
+        )
+        self._fleet = FleetKeeper(
+            settings.name,
+            [ZoneName(zone) for zone in settings.zones],
+            self._driver,
+            self._lease,
+            self._book,
+            self._view,
+            self._read_configuration,
+            CallClient(address),
+            duties.make_scale_call,
+            self._counters,
+        )
+        interface = OperatorInterface(
+            self._driver,
+            self._machine,
+            configuration.decode_configuration,
+            (names.PUT_CONFIGURATION, names.GET_CONFIGURATION),
+            self._find_operators_leader,
+            self._counters,
+        )
+        limits = ChannelLimits(body_bytes=OPERATOR_BODY_BYTES)
+        self._operators = HttpServer(interface.handle, lambda: limits)
+        self._metrics = make_metrics_server(self._counters, self.make_dump)
+        self._told: tuple[object, ...] = ()
+
+    @classmethod
+    def from_config(
+        cls, settings: NodeSettings, arguments: argparse.Namespace
+    ) -> "CoordinatorProcess":
+        """Build the process inside the running loop."""
+        return cls(settings)
+
+    async def start(self) -> None:
+        """Open sockets and start tasks."""
+        self._driver.on_change = self._publish_status
+        await self._switch.listen(self._address)
+        self._spawn(self._driver.run())
+        self._spawn(self._follow_members())
+        self._spawn(self._tell_status())
+        self._spawn(self._publisher.run())
+        if "usage" in self._settings.platform.duties:
+            self._spawn(self._usage.run())
+        if "scaling" in self._settings.platform.duties:
+            self._spawn(self._fleet.run())
+        await self._operators.listen(self._settings.listen.operators)
+        if self._settings.listen.metrics:
+            await self._metrics.listen(self._settings.listen.metrics)
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Take over changed settings: the seeds."""
+        self._seeds = settings.seed_peers
+
+    async def drain(self) -> None:
+        """Hand leadership over and answer what is under way."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + STEP_DOWN_S
+        self._driver.transfer()
+        while self._driver.is_leader and loop.time() < end:
+            await asyncio.sleep(TICK_S)
+        self._operators.announce_close()
+        while self._operators.busy and loop.time() < end:
+            await asyncio.sleep(TICK_S)
+
+    async def hand_over(self) -> None:
+        """Do nothing: the log is on the other replicas already."""
+
+    async def close(self) -> None:
+        """Stop all tasks and close the sockets and files."""
+        self._operators.close()
+        await self._switch.close()
+        await self._end_tasks()
+        self._files.close()
+
+    def make_dump(self) -> dict[str, Any]:
+        """Return the process's state."""
+        replica = self._driver.replica
+        return {
+            "process": self._settings.name,
+            "member": replica.own_id,
+            "role": replica.role.value,
+            "term": replica.term,
+            "leader": replica.leader,
+            "commit": replica.commit,
+            "applied": self._driver.applied,
+            "voters": [member.id for member in replica.membership.voters],
+            "learners": [member.id for member in replica.membership.learners],
+            "revision": self._machine.revision,
+            "windows": sorted(self._machine.usage)[-4:],
+            "gateways": list(self._gateways.values()),
+            "counters": self._counters.snapshot(),
+        }
+
+    # Membership
+
+    def _make_driver(self) -> LogDriver:
+        settings = self._settings
+        try:
+            identity, found = prepare_folder(
+                self._folder, self._address, self._seeds, settings.bootstrap
+            )
+        except CorruptDataError as error:
+            # A damaged disk counts as lost: this process returns as a new member.
+            _log.error("data folder is damaged", reason=str(error))
+            self._files.clear()
+            identity, found = prepare_folder(
+                self._folder, self._address, self._seeds, False
+            )
+        replica: Replica = make_replica(identity, found)
+        own = Member(identity.member, ProcessName(self._address))
+        config = DriverConfig(own, TICK_S, VOTERS_MIN, SNAPSHOT_ENTRIES, KEEP_ENTRIES)
+        return LogDriver(
+            config,
+            identity.cluster,
+            replica,
+            self._folder,
+            self._machine,
+            self._send_packet,
+            self._counters,
+        )
+
+    async def _follow_members(self) -> None:
+        """Keep links to all members and seeds, and ask to be admitted if need be."""
+        own = self._driver.own
+        while True:
+            membership = self._driver.replica.membership
+            known = {member.name for member in membership.everyone}
+            self._switch.want({*known, *self._seeds} - {self._address})
+            if own.id not in membership.voter_ids:
+                for link in self._switch.links.values():
+                    link.send(Join(own))
+            await asyncio.sleep(JOIN_S)
+
+    def _send_packet(self, packet: Packet) -> None:
+        self._switch.send(read_address(packet.target), packet)
+
+    def _receive_packet(self, packet: Packet) -> None:
+        mine = packet.target == self._driver.own.id
+        if not self._driver.has_cluster and mine:
+            _log.info("joins the group", group=packet.cluster)
+            self._folder.write_identity(Identity(self._driver.own.id, packet.cluster))
+            self._driver.join_cluster(packet.cluster)
+        source = read_address(packet.source)
+        if mine and source not in self._switch.links:
+            # The leader may be a member that this process has not heard of yet.
+            self._seeds = sorted({*self._seeds, source})
+        self._driver.receive(packet)
+
+    # Messages
+
+    def _greet(self, link: Link) -> None:
+        """Do nothing: members speak when they have something to say."""
+
+    def _forget_link(self, link: Link) -> None:
+        self._gateways.pop(link, None)
+
+    def _receive(self, link: Link, message: LinkMessage) -> None:
+        match message:
+            case Packet():
+                self._receive_packet(message)
+            case Join(member):
+                self._driver.note_present(member)
+            case Hello(name):
+                link.peer = name
+                self._gateways[link] = name
+                link.send(self._make_status())
+            case FetchConfiguration():
+                link.send(ConfigurationText(self._machine.revision, self._machine.data))
+            case Beat():
+                self._answer_beat(link, message)
+            case _:
+                self._counters.increment("links.unexpected")
+
+    def _answer_beat(self, link: Link, beat: Beat) -> None:
+        if not self._driver.is_leader:
+            link.send(self._make_status())
+            return
+        now = asyncio.get_running_loop().time()
+        if beat.listing != self._publisher.listing and self._publisher.listing:
+            link.send(self._publisher.make_whole())
+        current = self._read_configuration()
+        reply = self._book.answer(
+            beat,
+            (current.accounts or ()) if current else (),
+            self._publisher.listing,
+            min(1e6, now - self._publisher.read_at),
+            now,
+        )
+        link.send(reply)
+
+    # Status
+
+    def _make_status(self) -> Status:
+        replica = self._driver.replica
+        members = tuple(member.name for member in replica.membership.everyone)
+        leader = read_address(replica.leader) if replica.leader else ""
+        return Status(
+            replica.term,
+            leader,
+            self._driver.is_leader,
+            members,
+            self._machine.revision,
+        )
+
+    def _publish_status(self) -> None:
+        """Tell all gateways at once what has changed."""
+        status = self._make_status()
+        told = (status.revision, status.is_leader, status.term, status.coordinators)
+        if told == self._told:
+            return
+        self._told = told
+        frame = encode_message(status)
+        for link in list(self._gateways):
+            link.send_encoded(frame)
+
+    async def _tell_status(self) -> None:
+        loop = asyncio.get_running_loop()
+        told_at = loop.time()
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._lease.observe()
+            if not self._driver.is_leader:
+                self._book.clear()
+            self._publish_status()
+            if loop.time() - told_at >= STATUS_S:
+                told_at = loop.time()
+                frame = encode_message(self._make_status())
+                for link in list(self._gateways):
+                    link.send_encoded(frame)
+
+    def _read_configuration(self) -> Configuration | None:
+        revision = self._machine.revision
+        if revision < 0:
+            return None
+        if self._decoded is None or self._decoded.revision != revision:
+            self._decoded = configuration.decode_stored(self._machine.data)
+        return self._decoded
+
+    def _find_operators_leader(self) -> str:
+        """Return the operators' address of another process that leads, or nothing."""
+        leader = self._driver.leader
+        if not leader or leader == self._driver.own.id:
+            return ""
+        port = self._settings.listen.operators.rpartition(":")[2]
+        return f"{read_address(leader).rpartition(':')[0]}:{port}"
--- /dev/null
+++ b/tarragonway/coordinator/gateways.py
@@ -0,0 +1,175 @@
+"""What the leader knows of the gateways, and its answers to their reports."""
+
+import statistics
+
+import msgspec
+import structlog
+
+from tarragonway.control.driver import LogDriver
+from tarragonway.coordinator.lease import DutyLease
+from tarragonway.core.clock import WallClock
+from tarragonway.core.ids import AccountId, ProcessName
+from tarragonway.limits.tokens import divide_rate
+from tarragonway.links.messages import Beat, BeatReply, QuotaGrant
+from tarragonway.routes.model import Account
+
+PRESENT_S = 3.0
+GRANT_LEASE_S = 3.0
+# A new leader first hears from all gateways before it divides quotas.
+GRANTS_AFTER_S = 1.2
+FORGET_S = 120.0
+CLOCK_STEP_MIN_S = 0.02
+CRASHES_TO_QUARANTINE = 2
+QUARANTINE_MOST = 64
+
+_log = structlog.get_logger()
+
+
+class _Gateway(msgspec.Struct):
+    heard_at: float
+    clock_lead_s: float
+    clock_s: float
+    demands: dict[AccountId, float]
+    windows: dict[int, dict[AccountId, int]]
+    pressure: dict[str, float]
+
+
+class GatewayBook:
+    """Reports of the gateways since this process leads.
+
+    Parameters
+    ----------
+    driver : LogDriver
+        Tells the term.
+    lease : DutyLease
+        Tells how long this process leads.
+    clock : WallClock
+        This process's clock, corrected to the median of all.
+    """
+
+    def __init__(self, driver: LogDriver, lease: DutyLease, clock: WallClock) -> None:
+        self._driver = driver
+        self._lease = lease
+        self._clock = clock
+        self._gateways: dict[ProcessName, _Gateway] = {}
+        self._crashes: dict[str, set[str]] = {}
+        self.quarantined: dict[str, None] = {}
+
+    def clear(self) -> None:
+        """Forget all: another process leads."""
+        self._gateways.clear()
+
+    def count_present(self, now: float) -> int:
+        """Return how many gateways have reported lately."""
+        return len(self._list_present(now))
+
+    def answer(
+        self,
+        beat: Beat,
+        accounts: tuple[Account, ...],
+        listing: int,
+        listing_age_s: float,
+        now: float,
+    ) -> BeatReply:
+        """Take a report and return the answer."""
+        gateway = self._take(beat, now)
+        present = self._list_present(now)
+        grants: tuple[QuotaGrant, ...] = ()
+        settled = self._lease.leads_for_s >= GRANTS_AFTER_S
+        if settled:
+            grants = tuple(
+                self._grant(account, beat.name, present)
+                for account in accounts
+                if account.per_s > 0
+            )
+        return BeatReply(
+            self._driver.replica.term,
+            beat.sequence,
+            self._correct_clock(gateway, present) if settled else 0.0,
+            len(present) if settled else 0,
+            GRANT_LEASE_S,
+            grants,
+            listing,
+            listing_age_s,
+            tuple(self.quarantined),  # type: ignore[arg-type]
+        )
+
+    def sum_window(self, window: int) -> dict[AccountId, int]:
+        """Return the requests that began in a window, by client account."""
+        total: dict[AccountId, int] = {}
+        for gateway in self._gateways.values():
+            for account, count in gateway.windows.get(window, {}).items():
+                total[account] = total.get(account, 0) + count
+        return total
+
+    def has_heard_past(self, clock_s: float, now: float) -> bool:
+        """Return whether all present gateways have reported since a wall-clock time."""
+        present = self._list_present(now).values()
+        return all(gateway.clock_s > clock_s for gateway in present)
+
+    def sum_pressure(self, service: str, now: float) -> float:
+        """Return the work that all gateways send to a service, in seconds a second."""
+        present = self._list_present(now).values()
+        return sum(gateway.pressure.get(service, 0.0) for gateway in present)
+
+    def _take(self, beat: Beat, now: float) -> _Gateway:
+        gateway = self._gateways.get(beat.name)
+        if gateway is None:
+            _log.info("gateway reports", gateway=beat.name)
+            gateway = _Gateway(now, 0.0, 0.0, {}, {}, {})
+            self._gateways[beat.name] = gateway
+        gateway.heard_at = now
+        gateway.clock_lead_s = beat.clock_s - self._clock.now()
+        gateway.clock_s = beat.clock_s
+        gateway.demands = {d.account: d.tokens_per_s for d in beat.demands}
+        gateway.pressure = beat.pressure
+        for window in beat.usage:
+            gateway.windows[window.window] = window.counts
+        while len(gateway.windows) > 32:
+            del gateway.windows[min(gateway.windows)]
+        for crash in beat.crashes:
+            self._note_crash(crash.fingerprint, crash.endpoint)
+        for name in [
+            n for n, g in self._gateways.items() if now - g.heard_at > FORGET_S
+        ]:
+            del self._gateways[name]
+        return gateway
+
+    def _note_crash(self, fingerprint: str, endpoint: str) -> None:
+        endpoints = self._crashes.setdefault(fingerprint, set())
+        endpoints.add(endpoint)
+        while len(self._crashes) > 4096:
+            del self._crashes[next(iter(self._crashes))]
+        if len(endpoints) < CRASHES_TO_QUARANTINE or fingerprint in self.quarantined:
+            return
+        self.quarantined[fingerprint] = None
+        _log.warning("content is quarantined", fingerprint=fingerprint)
+        while len(self.quarantined) > QUARANTINE_MOST:
+            del self.quarantined[next(iter(self.quarantined))]
+
+    def _list_present(self, now: float) -> dict[ProcessName, _Gateway]:
+        return {
+            name: gateway
+            for name, gateway in self._gateways.items()
+            if now - gateway.heard_at <= PRESENT_S
+        }
+
+    def _grant(
+        self, account: Account, name: ProcessName, present: dict[ProcessName, _Gateway]
+    ) -> QuotaGrant:
+        demands = {n: g.demands.get(account.id, 0.0) for n, g in present.items()}
+        rate = divide_rate(account.per_s, demands, name)
+        burst = account.burst * rate / account.per_s
+        return QuotaGrant(account.id, round(rate, 1), round(max(1.0, burst), 1))
+
+    def _correct_clock(
+        self, gateway: _Gateway, present: dict[ProcessName, _Gateway]
+    ) -> float:
+        """Return what the gateway's clock lacks against the median of all clocks."""
+        leads = [0.0, *(other.clock_lead_s for other in present.values())]
+        median = statistics.median_low(leads)
+        if abs(median) > CLOCK_STEP_MIN_S:
+            self._clock.correct(median)
+            for other in present.values():
+                other.clock_lead_s -= median
+        return -gateway.clock_lead_s
--- /dev/null
+++ b/tarragonway/coordinator/group.py
@@ -0,0 +1,88 @@
+"""How a coordinator becomes a member: at bootstrap, after a restart, with an empty disk."""
+
+import random
+import secrets
+
+import structlog
+import xxhash
+
+from tarragonway.consensus import (
+    DataFolder,
+    HardState,
+    LogTail,
+    Member,
+    Membership,
+    Parameters,
+    Recovered,
+    Replica,
+    Snapshot,
+)
+from tarragonway.consensus.storage import Identity
+from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+
+ELECTION_TICKS = 12
+HEARTBEAT_TICKS = 2
+FIRST = "first"
+
+_log = structlog.get_logger()
+
+
+def make_first_members(seeds: list[str]) -> tuple[Member, ...]:
+    """Return the founding members, whose ids follow from their addresses.
+
+    Examples
+    --------
+    >>> make_first_members(["10.0.0.2:1", "10.0.0.1:1"])[0]
+    Member(id='10.0.0.1:1#first', name='10.0.0.1:1')
+    """
+    return tuple(
+        Member(MemberId(f"{seed}#{FIRST}"), ProcessName(seed)) for seed in sorted(seeds)
+    )
+
+
+def prepare_folder(
+    folder: DataFolder, address: str, seeds: list[str], bootstrap: bool
+) -> tuple[Identity, Recovered]:
+    """Read the data folder, and give an empty one an identity.
+
+    With ``bootstrap``, a seed becomes a founding member; all seeds write the same first
+    snapshot. Otherwise an empty folder gets an identity that has never voted.
+    """
+    found = folder.recover()
+    if found.identity is not None:
+        return found.identity, found
+    if bootstrap and address in seeds:
+        members = make_first_members(seeds)
+        identity = Identity(MemberId(f"{address}#{FIRST}"), name_group(seeds))
+        first = Snapshot(0, 0, Membership(members, ()), b"")
+        folder.write_snapshot(first, HardState(), LogTail())
+    else:
+        token = secrets.token_hex(4)
+        identity = Identity(MemberId(f"{address}#{token}"), ClusterId(""))
+    folder.write_identity(identity)
+    _log.info("identity is new", member=identity.member, group=identity.cluster)
+    return identity, folder.recover()
+
+
+def name_group(seeds: list[str]) -> ClusterId:
+    """Return the group's id, which follows from its founding members."""
+    return ClusterId(
+        f"{xxhash.xxh3_64_intdigest(','.join(sorted(seeds)).encode()):016x}"
+    )
+
+
+def make_replica(identity: Identity, found: Recovered) -> Replica:
+    """Return the replica as it stood when the folder was last written."""
+    return Replica(
+        identity.member,
+        Parameters(ELECTION_TICKS, HEARTBEAT_TICKS),
+        random.Random(secrets.randbits(64)),
+        found.hard_state,
+        found.snapshot,
+        found.log,
+    )
+
+
+def read_address(member: MemberId) -> str:
+    """Return the address between processes that a member's id starts with."""
+    return member.rpartition("#")[0]
--- /dev/null
+++ b/tarragonway/coordinator/machine.py
@@ -0,0 +1,143 @@
+"""The coordinators' replicated state: configuration and decided usage reports."""
+
+import zlib
+from typing import Any
+
+import msgspec
+
+from tarragonway.core.ids import AccountId
+
+KEEP_WINDOWS = 64
+
+
+class PutConfiguration(msgspec.Struct, frozen=True, tag=True):
+    """Brings a configuration into force unless a newer one is."""
+
+    revision: int
+    data: bytes
+
+
+class ConfigurationStored(msgspec.Struct, frozen=True, tag=True):
+    """The revision in force after the command."""
+
+    revision: int
+
+
+class DecideUsage(msgspec.Struct, frozen=True, tag=True):
+    """Fixes the counts of one window, unless they are fixed already."""
+
+    window: int
+    counts: dict[AccountId, int]
+
+
+class UsageDecided(msgspec.Struct, frozen=True, tag=True):
+    """The window's counts for ever."""
+
+    window: int
+    counts: dict[AccountId, int]
+
+
+class MarkReported(msgspec.Struct, frozen=True, tag=True):
+    """States that the platform has taken the report of a window."""
+
+    window: int
+
+
+Command = PutConfiguration | DecideUsage | MarkReported
+Result = ConfigurationStored | UsageDecided | None
+
+
+class _Content(msgspec.Struct):
+    revision: int = -1
+    data: bytes = b""
+    usage: dict[int, dict[AccountId, int]] = {}
+    reported: dict[int, bool] = {}
+
+
+_encoder = msgspec.msgpack.Encoder()
+_commands = msgspec.msgpack.Decoder(Command)
+_contents = msgspec.msgpack.Decoder(_Content)
+
+
+class CoordinatorMachine:
+    """Applies committed commands in log order.
+
+    Examples
+    --------
+    >>> machine = CoordinatorMachine()
+    >>> machine.apply(PutConfiguration(7, b"a")).revision
+    7
+    >>> machine.apply(PutConfiguration(6, b"b")).revision
+    7
+    >>> machine.data
+    b'a'
+    """
+
+    def __init__(self) -> None:
+        self._content = _Content()
+
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration in force, -1 if there is none."""
+        return self._content.revision
+
+    @property
+    def data(self) -> bytes:
+        """Compressed text of the configuration in force."""
+        return self._content.data
+
+    @property
+    def usage(self) -> dict[int, dict[AccountId, int]]:
+        """Decided counts by window."""
+        return self._content.usage
+
+    @property
+    def last_window(self) -> int:
+        """The newest window with decided counts, or -1."""
+        return max(self._content.usage, default=-1)
+
+    def is_reported(self, window: int) -> bool:
+        """Return whether the platform is known to have the window's report."""
+        return window in self._content.reported
+
+    def restore(self, data: bytes) -> None:
+        """Replace the content by a snapshot's."""
+        self._content = _contents.decode(data) if data else _Content()
+
+    def encode(self) -> bytes:
+        """Return the content for a snapshot."""
+        return _encoder.encode(self._content)
+
+    def encode_command(self, command: Command, now_ms: int) -> bytes:
+        """Return the log entry's payload; the time has no influence here."""
+        return _encoder.encode(command)
+
+    def apply_payload(self, payload: bytes) -> Any:
+        """Apply one committed log entry."""
+        return self.apply(_commands.decode(payload))
+
+    def apply(self, command: Command) -> Any:
+        """Apply one command."""
+        content = self._content
+        match command:
+            case PutConfiguration(revision, data):
+                if revision > content.revision:
+                    content.revision = revision
+                    content.data = data
+                return ConfigurationStored(content.revision)
+            case DecideUsage(window, counts):
+                decided = content.usage.setdefault(window, counts)
+                while len(content.usage) > KEEP_WINDOWS:
+                    oldest = min(content.usage)
+                    del content.usage[oldest]
+                    content.reported.pop(oldest, None)
+                return UsageDecided(window, decided)
+            case MarkReported(window):
+                if window in content.usage:
+                    content.reported[window] = True
+                return None
+
+
+def compress_text(text: bytes) -> bytes:
+    """Return a configuration text as the log stores it."""
+    return zlib.compress(text, 1)
--- /dev/null
+++ b/tarragonway/coordinator/operators.py
@@ -0,0 +1,149 @@
+"""The operators' interface: replace and read the configuration."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from tarragonway.control.driver import LogDriver, NotLeader
+from tarragonway.coordinator.machine import (
+    ConfigurationStored,
+    CoordinatorMachine,
+    PutConfiguration,
+    compress_text,
+)
+from tarragonway.core.counters import Counters
+from tarragonway.http1.client import Headers
+from tarragonway.http1.server import Reply, Request
+from tarragonway.routes.model import Configuration, ConfigurationError
+
+ANSWER_LIMIT_S = 0.9
+LEADER_WAIT_S = 0.7
+LEADER_POLL_S = 0.05
+JSON: Headers = [(b"content-type", b"application/json")]
+
+_log = structlog.get_logger()
+
+
+class OperatorInterface:
+    """Answers operators' calls, or sends them on to the leader.
+
+    Parameters
+    ----------
+    driver : LogDriver
+        The replicated log.
+    machine : CoordinatorMachine
+        Its state machine.
+    decode : callable
+        Decodes and checks a configuration text.
+    paths : tuple of str
+        Paths of the calls that replace and read the configuration.
+    find_leader : callable
+        Returns the operators' address of the leader, or an empty text.
+    counters : Counters
+        Receives ``operator.*`` counters.
+    """
+
+    def __init__(
+        self,
+        driver: LogDriver,
+        machine: CoordinatorMachine,
+        decode: Callable[[bytes], Configuration],
+        paths: tuple[str, str],
+        find_leader: Callable[[], str],
+        counters: Counters,
+    ) -> None:
+        self._driver = driver
+        self._machine = machine
+        self._decode = decode
+        self._put_path, self._get_path = paths
+        self._find_leader = find_leader
+        self._counters = counters
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one call."""
+        path = request.target.partition("?")[0]
+        if (request.method, path) == ("POST", self._put_path):
+            await self._put(request, reply)
+        elif (request.method, path) == ("GET", self._get_path):
+            await self._get(request, reply)
+        else:
+            await reply.send(404, JSON, b'{"error": "unknown call"}')
+
+    async def _put(self, request: Request, reply: Reply) -> None:
+        try:
+            configuration = self._decode(request.body)
+        except ConfigurationError as error:
+            self._counters.increment("operator.invalid")
+            _log.info("configuration is invalid", reason=str(error))
+            body = msgspec.json.encode({"error": str(error)})
+            await reply.send(400, JSON, body)
+            return
+        if not await self._wait_leader():
+            await self._send_on(request, reply)
+            return
+        command = PutConfiguration(configuration.revision, compress_text(request.body))
+        result = await self._within_limit(self._driver.propose(command))
+        match result:
+            case ConfigurationStored(revision):
+                self._counters.increment("operator.acknowledged")
+                _log.info(
+                    "configuration is acknowledged",
+                    revision=configuration.revision,
+                    in_force=revision,
+                    term=self._driver.replica.term,
+                )
+                await reply.send(200, JSON, b"{}")
+            case _:
+                await self._send_unsure(reply, result)
+
+    async def _get(self, request: Request, reply: Reply) -> None:
+        if not await self._wait_leader():
+            await self._send_on(request, reply)
+            return
+        index = await self._within_limit(self._driver.confirm())
+        if not isinstance(index, int):
+            await self._send_unsure(reply, index)
+            return
+        await self._driver.wait_applied(index)
+        if not self._machine.data:
+            await reply.send(503, JSON, b'{"error": "no configuration yet"}')
+            return
+        await reply.send(200, JSON, zlib.decompress(self._machine.data))
+
+    async def _wait_leader(self) -> bool:
+        """Return whether this process leads, once any leader is known."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LEADER_WAIT_S
+        while loop.time() < end:
+            if self._driver.is_leader:
+                return True
+            if self._find_leader():
+                return False
+            await asyncio.sleep(LEADER_POLL_S)
+        return False
+
+    async def _send_on(self, request: Request, reply: Reply) -> None:
+        leader = self._find_leader()
+        if not leader:
+            await self._send_unsure(reply, NotLeader("no leader is known"))
+            return
+        self._counters.increment("operator.redirected")
+        location = f"http://{leader}{request.target}".encode()
+        await reply.send(307, [*JSON, (b"location", location)], b"{}")
+
+    async def _within_limit(self, work):  # type: ignore[no-untyped-def]
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                return await work
+        except TimeoutError:
+            return NotLeader("not confirmed in time")
+
+    async def _send_unsure(self, reply: Reply, result: object) -> None:
+        self._counters.increment("operator.unsure")
+        reason = result.reason if isinstance(result, NotLeader) else "unexpected"
+        _log.info("operator's call is not confirmed", reason=reason)
+        body = msgspec.json.encode({"error": reason})
+        await reply.send(503, [*JSON, (b"retry-after", b"0.3")], body)
--- /dev/null
+++ b/tarragonway/coordinator/scaling.py
@@ -0,0 +1,190 @@
+"""The duty of ordering endpoints."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from tarragonway.capacity.fleet import (
+    FleetPolicy,
+    Kind,
+    count_kinds,
+    count_needed,
+    plan_fleet,
+)
+from tarragonway.control.driver import LogDriver
+from tarragonway.coordinator.gateways import GatewayBook
+from tarragonway.coordinator.lease import DutyLease
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ServiceName, ZoneName
+from tarragonway.endpoints.listing import EndpointView
+from tarragonway.http1.call import Call, CallAnswer, CallClient
+from tarragonway.routes.model import Configuration, ScalingTraits, Service
+
+CHECK_S = 0.4
+CALL_TIMEOUT_S = 1.0
+# The list lags behind an order by the start of an endpoint and the list's own delay.
+SETTLE_S = 3.0
+UNAVAILABLE_S = 2.0
+DECAY_S = 20.0
+STATUS_OK = 200
+STATUS_NONE_LEFT = 409
+
+_log = structlog.get_logger()
+
+MakeScaleCall = Callable[[str, int, ServiceName, ZoneName, int, bool], Call]
+
+
+class _Order(msgspec.Struct, frozen=True):
+    count: int
+    at: float
+
+
+class FleetKeeper:
+    """Keeps the endpoints of services that can be scaled at the plan's numbers.
+
+    Parameters
+    ----------
+    holder : str
+        Name under which this process calls.
+    zones : list of ZoneName
+        Availability zones of the deployment.
+    driver, lease, book, view
+        The log, the right to act, the gateways' reports, the list of endpoints.
+    read_configuration : callable
+        Returns the configuration in force, or None.
+    client : CallClient
+        Connection to the platform.
+    make_call : callable
+        Returns the call that orders endpoints.
+    counters : Counters
+        Receives ``fleet.*`` counters.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        zones: list[ZoneName],
+        driver: LogDriver,
+        lease: DutyLease,
+        book: GatewayBook,
+        view: EndpointView,
+        read_configuration: Callable[[], Configuration | None],
+        client: CallClient,
+        make_call: MakeScaleCall,
+        counters: Counters,
+    ) -> None:
+        self._holder = holder
+        self._zones = zones
+        self._driver = driver
+        self._lease = lease
+        self._book = book
+        self._view = view
+        self._read_configuration = read_configuration
+        self._client = client
+        self._make_call = make_call
+        self._counters = counters
+        self._policy = FleetPolicy()
+        self._orders: dict[tuple[ServiceName, Kind], _Order] = {}
+        self._unavailable: dict[tuple[ServiceName, ZoneName], float] = {}
+        self._peaks: dict[ServiceName, float] = {}
+
+    async def run(self) -> None:
+        """Order until the task is cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            configuration = self._read_configuration()
+            if not self._driver.is_leader:
+                self._orders.clear()
+            elif configuration is not None and self._view.rows:
+                for service in configuration.services:
+                    if service.scaling is not None:
+                        await self._keep(service, service.scaling)
+
+    async def _keep(self, service: Service, traits: ScalingTraits) -> None:
+        now = asyncio.get_running_loop().time()
+        rows = [r for r in self._view.rows.values() if r.service == service.name]
+        counts = count_kinds(rows)
+        needed = count_needed(self._measure_pressure(service, now), self._policy)
+        plan = plan_fleet(
+            traits,
+            self._zones,
+            needed,
+            self._count_ready(counts),
+            self._list_unavailable(service.name, now),
+        )
+        # Reclaimable endpoints are ordered first, so that others leave after they serve.
+        for kind in sorted(plan, key=lambda k: (not k.reclaimable, k.zone)):
+            listed = counts.get(kind, 0)
+            if self._is_wanted(service.name, kind, plan[kind], listed, now):
+                await self._order(service.name, kind, plan[kind], listed, needed)
+
+    def _measure_pressure(self, service: Service, now: float) -> float:
+        """Return the load, which falls slowly after a peak."""
+        current = self._book.sum_pressure(service.name, now)
+        peak = self._peaks.get(service.name, 0.0) * (1 - CHECK_S / DECAY_S)
+        self._peaks[service.name] = max(current, peak)
+        return self._peaks[service.name]
+
+    def _count_ready(self, counts: dict[Kind, int]) -> dict[ZoneName, int]:
+        return {kind.zone: n for kind, n in counts.items() if kind.reclaimable}
+
+    def _list_unavailable(
+        self, service: ServiceName, now: float
+    ) -> frozenset[ZoneName]:
+        return frozenset(
+            zone
+            for (name, zone), until in self._unavailable.items()
+            if name == service and until > now
+        )
+
+    def _is_wanted(
+        self, service: ServiceName, kind: Kind, count: int, listed: int, now: float
+    ) -> bool:
+        """Return whether an order is due: a new number, or one that did not come."""
+        if kind.reclaimable and kind.zone in self._list_unavailable(service, now):
+            return False
+        last = self._orders.get((service, kind))
+        if last is None:
+            return count != listed
+        if last.count != count:
+            return True
+        boot_s = self._boot_s(service)
+        return listed != count and now - last.at > boot_s + SETTLE_S
+
+    def _boot_s(self, service: ServiceName) -> float:
+        configuration = self._read_configuration()
+        for candidate in configuration.services if configuration else ():
+            if candidate.name == service and candidate.scaling is not None:
+                return candidate.scaling.boot_s
+        return 0.0
+
+    async def _order(
+        self, service: ServiceName, kind: Kind, count: int, listed: int, needed: int
+    ) -> None:
+        fence = await self._lease.confirm()
+        if fence is None:
+            return
+        call = self._make_call(
+            self._holder, fence.number, service, kind.zone, count, kind.reclaimable
+        )
+        answer = await self._client.call(call, CALL_TIMEOUT_S, fence.is_valid)
+        now = asyncio.get_running_loop().time()
+        status = answer.status if isinstance(answer, CallAnswer) else 0
+        self._counters.increment(f"fleet.orders.{status}")
+        _log.info(
+            "endpoints are ordered",
+            service=service,
+            zone=kind.zone,
+            reclaimable=kind.reclaimable,
+            count=count,
+            listed=listed,
+            needed=needed,
+            fence=fence.number,
+            answer=repr(answer)[:120],
+        )
+        if status == STATUS_OK:
+            self._orders[service, kind] = _Order(count, now)
+        elif status == STATUS_NONE_LEFT:
+            self._unavailable[service, kind.zone] = now + UNAVAILABLE_S
--- /dev/null
+++ b/tarragonway/coordinator/usage.py
@@ -0,0 +1,132 @@
+"""The duty of reporting usage, window by window."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from tarragonway.control.driver import LogDriver
+from tarragonway.coordinator.gateways import GatewayBook
+from tarragonway.coordinator.lease import DutyLease
+from tarragonway.coordinator.machine import (
+    CoordinatorMachine,
+    DecideUsage,
+    MarkReported,
+    UsageDecided,
+)
+from tarragonway.core.clock import WallClock
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import AccountId
+from tarragonway.http1.call import Call, CallAnswer, CallClient
+
+CHECK_S = 0.25
+CALL_TIMEOUT_S = 1.0
+# Reports of gateways take up to two beats; a lost one is waited for a little longer.
+SETTLE_S = 1.0
+SETTLE_MOST_S = 4.0
+CATCH_UP_WINDOWS = 8
+STATUS_OK = 200
+
+_log = structlog.get_logger()
+
+MakeUsageCall = Callable[[str, int, int, dict[AccountId, int]], Call]
+
+
+class UsageReporter:
+    """Decides each window's counts once and reports exactly those.
+
+    Parameters
+    ----------
+    holder : str
+        Name under which this process calls.
+    window_s : float
+        Length of a window.
+    driver, machine, lease, book, clock
+        The log, its state, the right to act, the gateways' reports, the wall clock.
+    client : CallClient
+        Connection to the platform.
+    make_call : callable
+        Returns the call that reports a window.
+    counters : Counters
+        Receives ``usage.*`` counters.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        window_s: float,
+        driver: LogDriver,
+        machine: CoordinatorMachine,
+        lease: DutyLease,
+        book: GatewayBook,
+        clock: WallClock,
+        client: CallClient,
+        make_call: MakeUsageCall,
+        counters: Counters,
+    ) -> None:
+        self._holder = holder
+        self._window_s = window_s
+        self._driver = driver
+        self._machine = machine
+        self._lease = lease
+        self._book = book
+        self._clock = clock
+        self._client = client
+        self._make_call = make_call
+        self._counters = counters
+
+    async def run(self) -> None:
+        """Report until the task is cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            if self._driver.is_leader:
+                for window in self._list_due():
+                    await self._report(window)
+
+    def _list_due(self) -> list[int]:
+        """Return the windows that have ended and are not known to be reported."""
+        clock_s = self._clock.now()
+        current = int(clock_s // self._window_s)
+        first = current - CATCH_UP_WINDOWS
+        if self._machine.last_window < 0:
+            first = current - 1
+        loop_s = asyncio.get_running_loop().time()
+        return [
+            window
+            for window in range(first, current)
+            if not self._machine.is_reported(window)
+            and self._is_settled(window, clock_s, loop_s)
+        ]
+
+    def _is_settled(self, window: int, clock_s: float, loop_s: float) -> bool:
+        end_s = (window + 1) * self._window_s
+        if clock_s < end_s + SETTLE_S:
+            return False
+        heard = self._book.has_heard_past(end_s + SETTLE_S / 2, loop_s)
+        return heard or clock_s > end_s + SETTLE_MOST_S
+
+    async def _report(self, window: int) -> None:
+        counts = self._machine.usage.get(window)
+        if counts is None:
+            decided = await self._driver.propose(
+                DecideUsage(window, self._book.sum_window(window))
+            )
+            if not isinstance(decided, UsageDecided):
+                return
+            counts = decided.counts
+        fence = await self._lease.confirm()
+        if fence is None:
+            return
+        call = self._make_call(self._holder, fence.number, window, counts)
+        answer = await self._client.call(call, CALL_TIMEOUT_S, fence.is_valid)
+        done = isinstance(answer, CallAnswer) and answer.status == STATUS_OK
+        self._counters.increment("usage.reported" if done else "usage.failed")
+        _log.info(
+            "usage is reported",
+            window=window,
+            counts=counts,
+            fence=fence.number,
+            answer=repr(answer)[:120],
+        )
+        if done:
+            await self._driver.propose(MarkReported(window))
--- a/tarragonway/core/counters.py
+++ b/tarragonway/core/counters.py
@@ -1,8 +1,10 @@
 """Counters and timers, kept in memory for dumps and sent by statsd."""
 
 import collections
+from typing import TYPE_CHECKING
 
-import statsd
+if TYPE_CHECKING:
+    import statsd
 
 
 class Counters:
@@ -21,7 +23,7 @@
     {'requests.accepted': 1}
     """
 
-    def __init__(self, client: statsd.StatsClient | None = None) -> None:
+    def __init__(self, client: "statsd.StatsClient | None" = None) -> None:
         self._client = client
         self._values: collections.Counter[str] = collections.Counter()
 
@@ -30,6 +32,9 @@
         """Return counters that report to a statsd server; port 0 keeps them local."""
         if not port:
             return cls()
+        # Only here, so that processes without a statsd server do without the library.
+        import statsd
+
         return cls(statsd.StatsClient(host, port, prefix=prefix))
 
     def increment(self, name: str, amount: int = 1) -> None:
--- a/tarragonway/core/logs.py
+++ b/tarragonway/core/logs.py
@@ -8,14 +8,14 @@
 
 
 class LogFormat(enum.Enum):
-    """Form of the log lines on standard error."""
+    """Form of the log lines on standard output."""
 
     CONSOLE = "console"
     JSON = "json"
 
 
 def configure_logs(form: LogFormat, process: str) -> None:
-    """Send structured log lines to standard error, each bound to ``process``."""
+    """Send structured log lines to standard output, each bound to ``process``."""
     renderer: structlog.types.Processor
     match form:
         case LogFormat.JSON:
@@ -31,6 +31,6 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(sys.stdout),
     )
     structlog.contextvars.bind_contextvars(process=process)
--- /dev/null
+++ b/tarragonway/endpoints/listing.py
@@ -0,0 +1,91 @@
+"""Rows of the platform's list of endpoints, and what a process keeps of them."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from tarragonway.core.ids import ServiceName, ZoneName
+
+LEAVING_RETENTION = 4096
+
+
+class ListedEndpoint(msgspec.Struct, frozen=True, array_like=True):
+    """One incarnation of an endpoint as the platform lists it.
+
+    ``key`` identifies the incarnation; ``instance`` is the platform's id, which a restarted
+    endpoint may bear again. ``leaves_s`` is the announced time until a reclaimed endpoint
+    is taken away, negative if unknown.
+    """
+
+    key: str
+    instance: str
+    service: ServiceName
+    address: str
+    zone: ZoneName
+    slots: int
+    leaving: bool
+    reclaimable: bool = False
+    leaves_s: float = -1.0
+    cold_s: float = 0.0
+
+
+class EndpointView:
+    """The latest list with one-way marks of the endpoints that leave.
+
+    Examples
+    --------
+    >>> row = ListedEndpoint("e.1", "e", "s", "127.0.0.1:1", "a", 4, False)
+    >>> view = EndpointView()
+    >>> _ = view.replace([msgspec.structs.replace(row, leaving=True)])
+    >>> _ = view.replace([row])
+    >>> view.rows["e.1"].leaving
+    True
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, ListedEndpoint] = {}
+        self._leaving: dict[str, None] = {}
+
+    def replace(
+        self, rows: Iterable[ListedEndpoint]
+    ) -> tuple[list[ListedEndpoint], list[str]]:
+        """Take over a whole list; return the changed rows and the keys that are gone."""
+        fresh = [self._mark(row) for row in rows]
+        changed = [row for row in fresh if self.rows.get(row.key) != row]
+        kept = {row.key for row in fresh}
+        gone = [key for key in self.rows if key not in kept]
+        self.rows = {row.key: row for row in fresh}
+        return changed, gone
+
+    def update(self, rows: Iterable[ListedEndpoint], gone: Iterable[str]) -> None:
+        """Take over differences."""
+        for row in rows:
+            marked = self._mark(row)
+            self.rows[marked.key] = marked
+        for key in gone:
+            self.rows.pop(key, None)
+
+    def mark_leaving(self, key: str) -> bool:
+        """Mark one endpoint as leaving; return whether that is new."""
+        if key in self._leaving:
+            return False
+        self._leaving[key] = None
+        row = self.rows.get(key)
+        if row is not None:
+            self.rows[key] = self._mark(row)
+        return True
+
+    def is_leaving(self, key: str) -> bool:
+        """Return whether the endpoint leaves or is gone."""
+        row = self.rows.get(key)
+        return row is None or row.leaving
+
+    def _mark(self, row: ListedEndpoint) -> ListedEndpoint:
+        if row.leaving:
+            self._leaving[row.key] = None
+            while len(self._leaving) > LEAVING_RETENTION:
+                del self._leaving[next(iter(self._leaving))]
+            return row
+        if row.key in self._leaving:
+            return msgspec.structs.replace(row, leaving=True)
+        return row
--- /dev/null
+++ b/tarragonway/endpoints/reader.py
@@ -0,0 +1,84 @@
+"""Reading of the platform's whole list of endpoints."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.endpoints.listing import ListedEndpoint
+from tarragonway.http1.call import Call, CallAnswer, CallClient
+
+READ_TIMEOUT_S = 1.0
+PAGES_MOST = 100
+STATUS_OK = 200
+
+_log = structlog.get_logger()
+
+
+class ListUnread(msgspec.Struct, frozen=True):
+    """Sentinel: the list could not be read."""
+
+    reason: str
+
+
+class ListReader:
+    """Reads the list page by page.
+
+    Parameters
+    ----------
+    client : CallClient
+        Connection to the platform.
+    make_call : callable
+        Returns the call for a page.
+    decode_page : callable
+        Returns a page with ``rows``, ``next`` and ``unusable``, or a sentinel with
+        ``reason``.
+    counters : Counters
+        Receives ``list.*`` counters.
+    """
+
+    def __init__(
+        self,
+        client: CallClient,
+        make_call: Callable[[str | None], Call],
+        decode_page: Callable[[bytes], Any],
+        counters: Counters,
+    ) -> None:
+        self._client = client
+        self._make_call = make_call
+        self._decode_page = decode_page
+        self._counters = counters
+        self._failing = False
+
+    async def read(self) -> list[ListedEndpoint] | ListUnread:
+        """Return all usable rows."""
+        result = await self._read_pages()
+        failing = isinstance(result, ListUnread)
+        self._counters.increment("list.unread" if failing else "list.read")
+        if failing != self._failing:
+            self._failing = failing
+            reason = result.reason if isinstance(result, ListUnread) else ""
+            _log.info("platform's list", readable=not failing, reason=reason)
+        return result
+
+    async def _read_pages(self) -> list[ListedEndpoint] | ListUnread:
+        rows: list[ListedEndpoint] = []
+        token: str | None = None
+        for _ in range(PAGES_MOST):
+            answer = await self._client.call(self._make_call(token), READ_TIMEOUT_S)
+            if not isinstance(answer, CallAnswer):
+                return ListUnread(answer.reason)
+            if answer.status != STATUS_OK:
+                return ListUnread(f"status {answer.status}")
+            page = self._decode_page(answer.body)
+            if not hasattr(page, "rows"):
+                return ListUnread(page.reason)
+            rows.extend(page.rows)
+            if page.unusable:
+                self._counters.increment("list.unusable", page.unusable)
+            token = page.next
+            if token is None:
+                return rows
+        return ListUnread("too many pages")
--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -25,7 +25,8 @@
 from tarragonway.entry.runner import Runner
 from tarragonway.limits import ShareHolder
 from tarragonway.limits.messages import ShareCall, ShareReply
-from tarragonway.process import RevisionBody, check_operator, run_daemon, write_json
+from tarragonway.process import run_daemon
+from tarragonway.process.admin import RevisionBody, check_operator, write_json
 from tarragonway.process.base import ProcessBase
 from tarragonway.requests.adoptions import AdoptionGranted, AdoptionLost, AdoptRequest
 from tarragonway.requests.keeper import CopyKeeper
@@ -38,8 +39,9 @@
 )
 from tarragonway.requests.model import RequestRecord
 from tarragonway.requests.partners import Partners
-from tarragonway.settings import Settings
+from tarragonway.settings import Settings, load_settings
 from tarragonway.settings.load import find_entry
+from tarragonway.settings.options import read_options
 from tarragonway.transport import Delivery
 from tarragonway.watch import WatchPush, WatchReply
 from tarragonway.watch.client import WatchClient
@@ -350,6 +352,8 @@
             "tarragonway-entry",
             "Takes callers' requests and routes them to endpoints.",
             EntryProcess.from_config,
+            load_settings,
+            read_options,
             _check,
         )
     )
--- a/tarragonway/entry/plain.py
+++ b/tarragonway/entry/plain.py
@@ -49,7 +49,7 @@
 )
 from tarragonway.limits import ShareHolder
 from tarragonway.lists import ServiceKind
-from tarragonway.process import write_json
+from tarragonway.process.admin import write_json
 from tarragonway.retries import RetryBudget
 from tarragonway.settings.model import Limits, Timing
 
--- /dev/null
+++ b/tarragonway/gateway/__main__.py
@@ -0,0 +1,13 @@
+"""Runs a gateway: ``python -m tarragonway.gateway``."""
+
+from tarragonway.gateway.daemon import GatewayProcess
+from tarragonway.node.program import run_node
+
+if __name__ == "__main__":
+    raise SystemExit(
+        run_node(
+            "tarragonway-gateway",
+            "Takes callers' requests and forwards them to endpoints.",
+            GatewayProcess.from_config,
+        )
+    )
--- /dev/null
+++ b/tarragonway/gateway/answers.py
@@ -0,0 +1,46 @@
+"""The gateway's own answers."""
+
+import enum
+
+import msgspec
+
+from tarragonway.http1.client import Headers
+from tarragonway.http1.server import Reply
+
+
+class Cause(enum.Enum):
+    """Why the gateway answers by itself: status and the reason told to the caller."""
+
+    NO_CONFIGURATION = (503, "no_configuration")
+    NOT_FOUND = (404, "no_route")
+    UNKNOWN_KEY = (401, "unknown_key")
+    QUOTA = (429, "quota")
+    STOPPING = (503, "stopping")
+    NO_ENDPOINT = (503, "no_endpoint")
+    ENDPOINTS_FULL = (503, "endpoints_full")
+    QUARANTINED = (503, "quarantined")
+    EXPIRED_UNSENT = (503, "deadline_before_send")
+    BROKEN = (502, "endpoint_failed")
+    EXPIRED = (504, "deadline")
+
+    @property
+    def status(self) -> int:
+        """HTTP status; 429 and 503 promise that the request did not run."""
+        return self.value[0]
+
+    @property
+    def reason(self) -> str:
+        """Short machine-readable reason."""
+        return self.value[1]
+
+
+async def send_own_answer(
+    reply: Reply, cause: Cause, retry_after_s: float | None = None
+) -> None:
+    """Send an answer that no endpoint made."""
+    headers: Headers = [(b"content-type", b"application/json")]
+    if retry_after_s is not None:
+        headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+    await reply.send(
+        cause.status, headers, msgspec.json.encode({"error": cause.reason})
+    )
--- /dev/null
+++ b/tarragonway/gateway/daemon.py
@@ -0,0 +1,197 @@
+"""The gateway's process."""
+
+import argparse
+import asyncio
+import random
+from typing import Any
+
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ProcessName
+from tarragonway.endpoints.reader import ListReader, ListUnread
+from tarragonway.gateway.beliefs import Beliefs
+from tarragonway.gateway.choice import Chooser
+from tarragonway.gateway.forward import Forwarder
+from tarragonway.gateway.link import ControlLink
+from tarragonway.gateway.quota import QuotaHolder
+from tarragonway.gateway.usage import UsageCounter
+from tarragonway.http1 import CallClient, HttpServer, Reply, Request
+from tarragonway.node.metrics import make_metrics_server
+from tarragonway.node.settings import NodeSettings
+from tarragonway.platform import configuration, listing, names, requests
+from tarragonway.process.tasks import TaskGroup
+from tarragonway.retries.budget import RetryBudget
+from tarragonway.routes.model import ChannelLimits
+from tarragonway.routing.loads import LoadBoard
+
+# A gateway reads the platform's list itself once the leader's is older than this.
+LIST_AGE_S = 1.5
+LIST_CHECK_S = 0.3
+LIST_SHARE = 0.6
+UNKNOWN_GATEWAYS = 16
+BUDGET_MARGIN = 0.7
+STOP_MARGIN_S = 0.6
+INTAKE_S = 3.0
+IDLE_POLL_S = 0.05
+
+_log = structlog.get_logger()
+
+
+class GatewayProcess(TaskGroup):
+    """A gateway.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._counters = Counters()
+        self._beliefs = Beliefs()
+        self._quota = QuotaHolder()
+        self._usage = UsageCounter(settings.bounds.report_window_s)
+        self._chooser = Chooser(LoadBoard(), random.Random())
+        self._forwarder = Forwarder(
+            self._beliefs,
+            self._quota,
+            self._usage,
+            self._chooser,
+            self._make_budget,
+            requests,
+            self._counters,
+        )
+        self._link = ControlLink(
+            ProcessName(settings.name),
+            settings.seed_peers,
+            self._beliefs,
+            self._quota,
+            self._usage,
+            configuration.decode_configuration,
+            self._counters,
+        )
+        self._reader = ListReader(
+            CallClient(settings.platform.address),
+            listing.make_list_call,
+            listing.decode_page,
+            self._counters,
+        )
+        self._callers = HttpServer(self._forwarder.handle, self._read_limits)
+        self._readiness = HttpServer(self._answer_readiness, ChannelLimits)
+        self._metrics = make_metrics_server(self._counters, self.make_dump)
+
+    @classmethod
+    def from_config(
+        cls, settings: NodeSettings, arguments: argparse.Namespace
+    ) -> "GatewayProcess":
+        """Build the process inside the running loop."""
+        return cls(settings)
+
+    async def start(self) -> None:
+        """Open sockets and start tasks."""
+        listen = self._settings.listen
+        self._spawn(self._link.run())
+        self._spawn(self._watch_list())
+        await self._readiness.listen(listen.readiness)
+        await self._callers.listen(listen.callers)
+        if listen.metrics:
+            await self._metrics.listen(listen.metrics)
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Take over changed settings: the seeds."""
+        self._link.set_seeds(settings.seed_peers)
+
+    async def drain(self) -> None:
+        """Leave the rotation, serve what comes meanwhile, and let the rest end."""
+        loop = asyncio.get_running_loop()
+        self._callers.announce_close()
+        self._beliefs.stopping_since = loop.time() + INTAKE_S
+        await asyncio.sleep(INTAKE_S)
+        while True:
+            self._callers.close_idle()
+            if not self._callers.busy:
+                return
+            await asyncio.sleep(IDLE_POLL_S)
+
+    async def hand_over(self) -> None:
+        """Do nothing: streams that can be resumed are resumed by their callers."""
+
+    async def close(self) -> None:
+        """Stop serving and end all tasks."""
+        await self._link.close()
+        self._callers.close()
+        self._readiness.close()
+        await self._end_tasks()
+
+    def make_dump(self) -> dict[str, Any]:
+        """Return the process's state."""
+        loop = asyncio.get_running_loop()
+        return {
+            "process": self._settings.name,
+            "revision": self._beliefs.revision,
+            "ready": self._is_ready(),
+            "busy": self._callers.busy,
+            "gateways": self._beliefs.gateways,
+            "endpoints": list(self._beliefs.endpoints.rows.values()),
+            "list_age_s": loop.time() - self._beliefs.listed_at,
+            "control": self._link.make_dump(),
+            "counters": self._counters.snapshot(),
+        }
+
+    def _read_limits(self) -> ChannelLimits:
+        table = self._beliefs.table
+        return table.configuration.limits if table else ChannelLimits()
+
+    def _make_budget(self) -> RetryBudget:
+        bounds = self._settings.bounds
+        gateways = self._beliefs.gateways or UNKNOWN_GATEWAYS
+        reserve = bounds.retry_slack * BUDGET_MARGIN / gateways
+        return RetryBudget(bounds.retry_ratio * BUDGET_MARGIN, max(1.0, reserve))
+
+    def _is_ready(self) -> bool:
+        return (
+            self._beliefs.table is not None
+            and bool(self._beliefs.endpoints.rows)
+            and self._beliefs.stopping_since is None
+        )
+
+    async def _answer_readiness(self, request: Request, reply: Reply) -> None:
+        is_known = request.target.partition("?")[0] == names.READY_PATH
+        status = 404 if not is_known else 200 if self._is_ready() else 503
+        await reply.send(status, [])
+
+    async def _watch_list(self) -> None:
+        """Read the platform's list while the leader's does not come."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(LIST_CHECK_S)
+            self._forget_gone()
+            if loop.time() - self._beliefs.listed_at < LIST_AGE_S:
+                continue
+            await self._read_list()
+            await asyncio.sleep(self._draw_list_pause())
+
+    async def _read_list(self) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        rows = await self._reader.read()
+        if isinstance(rows, ListUnread):
+            return
+        changed, gone = self._beliefs.endpoints.replace(rows)
+        self._beliefs.listed_at = started
+        self._link.note_own_listing()
+        _log.info("list is read here", changed=len(changed), gone=len(gone))
+
+    def _draw_list_pause(self) -> float:
+        """Keep all gateways together within the platform's rate."""
+        gateways = self._beliefs.gateways or UNKNOWN_GATEWAYS
+        rate = self._settings.platform.calls_per_s * LIST_SHARE
+        return gateways / rate * random.uniform(0.7, 1.3)
+
+    def _forget_gone(self) -> None:
+        rows = self._beliefs.endpoints.rows
+        self._chooser.keep(set(rows))
+        self._forwarder.pool.prune(rows)
--- /dev/null
+++ b/tarragonway/gateway/events.py
@@ -0,0 +1,51 @@
+"""Event streams: whole events, and the position that a stream has reached."""
+
+
+class EventSplitter:
+    r"""Cuts a byte stream into whole events and keeps the id of the last one.
+
+    Examples
+    --------
+    >>> splitter = EventSplitter()
+    >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
+    >>> splitter.last_id, splitter.events, splitter.rest
+    ('1', 1, b'id: 2\nda')
+    """
+
+    def __init__(self) -> None:
+        self.last_id: str | None = None
+        self.events = 0
+        self._buffer = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes of an event that is not whole yet."""
+        return self._buffer
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes and return those of the events that are whole now."""
+        self._buffer += data
+        end = _find_end(self._buffer)
+        if not end:
+            return b""
+        whole, self._buffer = self._buffer[:end], self._buffer[end:]
+        self._note(whole)
+        return whole
+
+    def restart(self) -> None:
+        """Drop a part of an event: another run of the stream follows."""
+        self._buffer = b""
+
+    def _note(self, whole: bytes) -> None:
+        for line in whole.splitlines():
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode("latin-1")
+                self.events += 1
+
+
+def _find_end(data: bytes) -> int:
+    """Return the offset behind the last blank line, or 0."""
+    plain = data.rfind(b"\n\n")
+    wide = data.rfind(b"\r\n\r\n")
+    return max(plain + 2 if plain >= 0 else 0, wide + 4 if wide >= 0 else 0)
--- /dev/null
+++ b/tarragonway/gateway/forward.py
@@ -0,0 +1,358 @@
+"""The path of a request: admission, choice, sends, and the final answer."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.hashes import compute_fingerprint
+from tarragonway.core.ids import AccountId, Fingerprint, ServiceName
+from tarragonway.endpoints.listing import ListedEndpoint
+from tarragonway.gateway.answers import Cause, send_own_answer
+from tarragonway.gateway.attempt import (
+    Answered,
+    Attempt,
+    Broken,
+    Expired,
+    Refused,
+    SendOutcome,
+    Streamed,
+    Unsent,
+)
+from tarragonway.gateway.beliefs import Beliefs
+from tarragonway.gateway.choice import Chooser
+from tarragonway.gateway.model import AnswerFacts, CallerRequest
+from tarragonway.gateway.quota import QuotaHolder
+from tarragonway.gateway.sender import Codec, Sender
+from tarragonway.gateway.usage import UsageCounter
+from tarragonway.http1 import Pool, Reply, Request
+from tarragonway.retries.budget import RetryBudget
+from tarragonway.routes.model import Account, Repeatability, Route
+from tarragonway.routes.table import RouteTable, draw_service
+
+UNSENT_TRIES = 3
+RETRY_AFTER_S = 0.25
+PRIORITY_MOST = 9
+PATIENCE_DEFAULT_S = 60.0
+
+_log = structlog.get_logger()
+
+
+class Admitted(msgspec.Struct, frozen=True):
+    """A request that the configuration and its quota allow."""
+
+    route: Route
+    account: Account | None
+
+
+class OwnRefusal(msgspec.Struct, frozen=True):
+    """Sentinel: the gateway answers by itself."""
+
+    cause: Cause
+    retry_after_s: float | None = None
+
+
+class Forwarder:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        Configuration and endpoints in force.
+    quota : QuotaHolder
+        Shares of client accounts' quotas.
+    usage : UsageCounter
+        Receives the requests that began to run.
+    chooser : Chooser
+        Picks endpoints.
+    make_budget : callable
+        Returns the retry budget of a service.
+    codec : Codec
+        Platform's form of requests and answers.
+    counters : Counters
+        Receives ``request.*`` counters.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        quota: QuotaHolder,
+        usage: UsageCounter,
+        chooser: Chooser,
+        make_budget: Callable[[], RetryBudget],
+        codec: Codec,
+        counters: Counters,
+    ) -> None:
+        self._beliefs = beliefs
+        self._quota = quota
+        self._usage = usage
+        self._chooser = chooser
+        self._make_budget = make_budget
+        self._codec = codec
+        self._counters = counters
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._random = random.Random()
+        self.pool = Pool()
+        self._sender = Sender(self.pool, codec, self)
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        facts = self._codec.decode_request(request)
+        attempt = await self._admit(request, facts, reply)
+        if attempt is None:
+            return
+        started = asyncio.get_running_loop().time()
+        try:
+            await self._run(attempt)
+        except asyncio.CancelledError:
+            self._log_end(attempt, "caller_left", started)
+            raise
+
+    # Progress of sends
+
+    def note_facts(self, endpoint: ListedEndpoint, facts: AnswerFacts) -> None:
+        """Take over what an answer says of its endpoint."""
+        if facts.load is not None:
+            self._chooser.note_load(endpoint.key, facts.load)
+
+    def note_running(self, attempt: Attempt) -> None:
+        """Count the request once, when it begins to run."""
+        if attempt.counted:
+            return
+        attempt.counted = True
+        account = attempt.account.id if attempt.account else AccountId("")
+        if account:
+            self._usage.count(account, self._beliefs.clock.now())
+
+    # Admission
+
+    async def _admit(
+        self, request: Request, facts: CallerRequest, reply: Reply
+    ) -> Attempt | None:
+        """Return the attempt, or answer the refusal and return None."""
+        judged = self._judge(request, facts)
+        if isinstance(judged, OwnRefusal):
+            await self._refuse(reply, facts, judged)
+            return None
+        patience_s = facts.patience_s or PATIENCE_DEFAULT_S
+        route = judged.route
+        deadline = request.arrived + min(patience_s, route.timeout_s)
+        service = draw_service(route, self._random)
+        return Attempt(
+            request, facts, reply, route, judged.account, service, deadline, set()
+        )
+
+    def _judge(self, request: Request, facts: CallerRequest) -> Admitted | OwnRefusal:
+        """Check a request against the configuration in force and take its quota."""
+        table = self._beliefs.table
+        if table is None:
+            return OwnRefusal(Cause.NO_CONFIGURATION, 1.0)
+        route = table.find_route(facts.host, facts.path)
+        if route is None:
+            return OwnRefusal(Cause.NOT_FOUND)
+        account = self._find_account(table, route, facts)
+        if account is None and table.has_accounts and not route.public:
+            return OwnRefusal(Cause.UNKNOWN_KEY)
+        if self._is_past_intake(request):
+            return OwnRefusal(Cause.STOPPING, RETRY_AFTER_S)
+        if self._fingerprint(request, account) in self._beliefs.quarantined:
+            return OwnRefusal(Cause.QUARANTINED)
+        wait_s = self._take_quota(account, facts, request.arrived)
+        if wait_s > 0:
+            return OwnRefusal(Cause.QUOTA, wait_s)
+        return Admitted(route, account)
+
+    def _find_account(
+        self, table: RouteTable, route: Route, facts: CallerRequest
+    ) -> Account | None:
+        if not table.has_accounts or facts.key is None:
+            return None
+        return table.find_account(facts.key)
+
+    def _is_past_intake(self, request: Request) -> bool:
+        since = self._beliefs.stopping_since
+        return since is not None and request.arrived >= since
+
+    def _fingerprint(self, request: Request, account: Account | None) -> str:
+        if not self._beliefs.quarantined:
+            return ""
+        return make_fingerprint(request, account)
+
+    def _take_quota(
+        self, account: Account | None, facts: CallerRequest, now: float
+    ) -> float:
+        if account is None:
+            return 0.0
+        return self._quota.admit(account, count_units(account, facts), now)
+
+    async def _refuse(
+        self,
+        reply: Reply,
+        facts: CallerRequest,
+        refusal: OwnRefusal,
+    ) -> None:
+        cause = refusal.cause
+        self._counters.increment(f"request.refused.{cause.reason}")
+        _log.info(
+            "refused",
+            attempt=facts.attempt,
+            path=facts.path,
+            cause=cause.reason,
+            retry_after_s=refusal.retry_after_s,
+            revision=self._beliefs.revision,
+        )
+        await send_own_answer(reply, cause, refusal.retry_after_s)
+
+    # Sends
+
+    async def _run(self, attempt: Attempt) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        budget = self._get_budget(attempt.service)
+        budget.deposit()
+        outcome: SendOutcome | None = None
+        while True:
+            endpoint = self._choose(attempt)
+            if endpoint is None:
+                break
+            attempt.tried.add(endpoint.key)
+            previous, outcome = outcome, await self._send(attempt, endpoint)
+            if isinstance(previous, Answered) and not isinstance(outcome, Answered):
+                outcome = previous
+            if not self._may_send_again(attempt, outcome, budget):
+                break
+            self._counters.increment("request.sent_again")
+        await self._finish(attempt, outcome)
+        self._log_end(attempt, type(outcome).__name__.lower(), started)
+
+    def _choose(self, attempt: Attempt) -> ListedEndpoint | None:
+        return self._chooser.choose(
+            self._beliefs.endpoints.rows.values(),
+            attempt.service,
+            attempt.facts.prompt,
+            attempt.tried,
+            asyncio.get_running_loop().time(),
+        )
+
+    async def _send(self, attempt: Attempt, endpoint: ListedEndpoint) -> SendOutcome:
+        loop = asyncio.get_running_loop()
+        self._chooser.note_start(endpoint.key)
+        failed = False
+        try:
+            outcome = await self._sender.send(
+                attempt, endpoint, self._get_priority(attempt)
+            )
+            failed = isinstance(outcome, Unsent | Broken)
+        finally:
+            self._chooser.note_end(endpoint.key, failed, loop.time())
+        if isinstance(outcome, Unsent):
+            self._chooser.note_unreachable(endpoint.key, loop.time())
+        if not isinstance(outcome, Answered | Streamed):
+            _log.info(
+                "send failed",
+                attempt=attempt.facts.attempt,
+                endpoint=endpoint.instance,
+                address=endpoint.address,
+                outcome=repr(outcome),
+                sends=attempt.sends,
+                list_age_s=round(loop.time() - self._beliefs.listed_at, 2),
+            )
+        return outcome
+
+    def _may_send_again(
+        self, attempt: Attempt, outcome: SendOutcome, budget: RetryBudget
+    ) -> bool:
+        route = attempt.route
+        match outcome:
+            case Unsent():
+                return len(attempt.tried) < UNSENT_TRIES + attempt.sends
+            case Refused():
+                wanted = True
+            case Broken():
+                wanted = route.is_repeatable
+            case Answered(head):
+                wanted = route.repeatability is Repeatability.SAFE
+                wanted = wanted and head.status >= 500
+            case _:
+                return False
+        left = attempt.sends < route.max_attempts
+        return wanted and left and budget.withdraw()
+
+    async def _finish(self, attempt: Attempt, outcome: SendOutcome | None) -> None:
+        reply = attempt.reply
+        if reply.finished:
+            return
+        if reply.started:
+            reply.abort()
+            return
+        retry_after_s: float | None = RETRY_AFTER_S
+        match outcome:
+            case Answered(head, _, body):
+                headers = self._codec.list_answer_headers(head)
+                await reply.send(head.status, headers, body)
+                return
+            case Refused(_, told_s) if not attempt.may_have_run:
+                cause = Cause.ENDPOINTS_FULL
+                retry_after_s = told_s or RETRY_AFTER_S
+            case Expired() if not attempt.may_have_run:
+                cause = Cause.EXPIRED_UNSENT
+            case Expired():
+                cause, retry_after_s = Cause.EXPIRED, None
+            case _ if not attempt.may_have_run:
+                cause = Cause.NO_ENDPOINT
+            case _:
+                cause, retry_after_s = Cause.BROKEN, None
+        self._counters.increment(f"request.failed.{cause.reason}")
+        if not attempt.may_have_run and attempt.account is not None:
+            units = count_units(attempt.account, attempt.facts)
+            self._quota.give_back(attempt.account, units)
+        await send_own_answer(reply, cause, retry_after_s)
+
+    def _get_budget(self, service: ServiceName) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._make_budget()
+        return budget
+
+    def _get_priority(self, attempt: Attempt) -> int | None:
+        if not attempt.route.prompt_affinity:
+            return None
+        priority = attempt.route.priority
+        if attempt.account is not None and attempt.account.priority is not None:
+            priority = attempt.account.priority
+        return max(0, min(PRIORITY_MOST, priority))
+
+    def _log_end(self, attempt: Attempt, outcome: str, started: float) -> None:
+        taken_ms = (asyncio.get_running_loop().time() - started) * 1000
+        self._counters.increment(f"request.{outcome}")
+        self._counters.record_ms(
+            f"request.{attempt.route.repeatability.value}", taken_ms
+        )
+        _log.info(
+            "ended",
+            attempt=attempt.facts.attempt,
+            route=attempt.route.name,
+            outcome=outcome,
+            sends=attempt.sends,
+            taken_ms=round(taken_ms, 1),
+            revision=self._beliefs.revision,
+        )
+
+
+def count_units(account: Account, facts: CallerRequest) -> float:
+    """Return what a request counts against its client account's quota."""
+    if not account.counts_tokens:
+        return 1.0
+    if facts.prompt is None:
+        return account.unsized_units
+    return float(facts.prompt.tokens)
+
+
+def make_fingerprint(request: Request, account: Account | None) -> Fingerprint:
+    """Return what a content that crashes endpoints is known by."""
+    owner = account.id if account else AccountId("")
+    head = f"{request.method} {request.target}\n".encode()
+    return compute_fingerprint(owner, head + request.body)
--- /dev/null
+++ b/tarragonway/gateway/link.py
@@ -0,0 +1,249 @@
+"""A gateway's links to the coordinators."""
+
+import asyncio
+import zlib
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ProcessName
+from tarragonway.gateway.beliefs import Beliefs
+from tarragonway.gateway.quota import QuotaHolder
+from tarragonway.gateway.usage import UsageCounter
+from tarragonway.links import Link, Switch
+from tarragonway.links.messages import (
+    Beat,
+    BeatReply,
+    ConfigurationText,
+    Crash,
+    EndpointUpdate,
+    FetchConfiguration,
+    Hello,
+    LinkMessage,
+    Status,
+)
+from tarragonway.routes.model import Configuration, ConfigurationError
+from tarragonway.routes.table import RouteTable
+
+BEAT_S = 0.25
+FETCH_AGAIN_S = 0.3
+USAGE_WINDOWS_AT_START = 8
+CLOCK_STEP_MIN_S = 0.02
+
+_log = structlog.get_logger()
+
+
+class ControlLink:
+    """Keeps the beliefs up to date and reports to the leader.
+
+    Parameters
+    ----------
+    name : ProcessName
+        This gateway.
+    seeds : iterable of str
+        Addresses of coordinators to start from.
+    beliefs : Beliefs
+        Written here.
+    quota, usage : QuotaHolder, UsageCounter
+        Reported to the leader; shares come back.
+    decode : callable
+        Decodes a configuration text.
+    counters : Counters
+        Receives ``control.*`` counters.
+    """
+
+    def __init__(
+        self,
+        name: ProcessName,
+        seeds: Iterable[str],
+        beliefs: Beliefs,
+        quota: QuotaHolder,
+        usage: UsageCounter,
+        decode: Callable[[bytes], Configuration],
+        counters: Counters,
+    ) -> None:
+        self._name = name
+        self._seeds = list(seeds)
+        self._beliefs = beliefs
+        self._quota = quota
+        self._usage = usage
+        self._decode = decode
+        self._counters = counters
+        self._switch = Switch(self._receive, self._greet, lambda link: None)
+        self._term = 0
+        self._leader = ""
+        self._sequence = 0
+        self._sent_at: dict[int, float] = {}
+        self._listing = (0, 0)
+        self._fetching: tuple[str, float] = ("", float("-inf"))
+        self._crashes: list[Crash] = []
+        self._full_report = True
+        self.answered_at = float("-inf")
+
+    async def run(self) -> None:
+        """Report to the leader until the task is cancelled."""
+        self._switch.want(self._seeds)
+        while True:
+            self._send_beat()
+            await asyncio.sleep(BEAT_S)
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Use other seeds besides the coordinators that are known."""
+        self._seeds = list(seeds)
+        self._switch.want({*self._seeds, *self._switch.links})
+
+    def report_crash(self, crash: Crash) -> None:
+        """Tell the leader that a content ran where an endpoint was lost."""
+        self._crashes.append(crash)
+
+    def report_now(self) -> None:
+        """Send a report ahead of time."""
+        self._send_beat()
+
+    async def close(self) -> None:
+        """Send the last counts and end all links."""
+        self._send_beat()
+        await asyncio.sleep(0)
+        await self._switch.close()
+
+    def make_dump(self) -> dict[str, object]:
+        """Return the state of the links."""
+        return {
+            "leader": self._leader,
+            "term": self._term,
+            "links": sorted(self._switch.links),
+            "listing": self._listing,
+        }
+
+    # Messages
+
+    def _greet(self, link: Link) -> None:
+        link.send(Hello(self._name))
+
+    def _receive(self, link: Link, message: LinkMessage) -> None:
+        match message:
+            case Status():
+                self._on_status(link, message)
+            case ConfigurationText(revision, data):
+                self._on_configuration(link, revision, data)
+            case EndpointUpdate():
+                self._on_endpoints(message)
+            case BeatReply():
+                self._on_reply(message)
+            case _:
+                self._counters.increment("control.unexpected")
+
+    def _on_status(self, link: Link, status: Status) -> None:
+        if status.is_leader and status.term >= self._term:
+            if link.peer != self._leader or status.term != self._term:
+                _log.info("leader is known", leader=link.peer, term=status.term)
+                self._full_report = True
+            self._term = status.term
+            self._leader = link.peer
+        elif link.peer == self._leader and not status.is_leader:
+            _log.info("leader is lost", leader=link.peer, term=status.term)
+            self._leader = ""
+        if status.is_leader:
+            self._switch.want({*self._seeds, *status.coordinators})
+        if status.revision > self._beliefs.revision:
+            self._fetch(link)
+
+    def _fetch(self, link: Link) -> None:
+        now = asyncio.get_running_loop().time()
+        peer, asked_at = self._fetching
+        if now - asked_at < FETCH_AGAIN_S and peer:
+            return
+        self._fetching = (link.peer, now)
+        link.send(FetchConfiguration())
+
+    def _on_configuration(self, link: Link, revision: int, data: bytes) -> None:
+        self._fetching = ("", float("-inf"))
+        if revision <= self._beliefs.revision:
+            return
+        try:
+            configuration = self._decode(zlib.decompress(data))
+        except (ConfigurationError, zlib.error) as error:
+            _log.error("configuration is refused", revision=revision, reason=str(error))
+            return
+        before = self._beliefs.revision
+        self._beliefs.table = RouteTable(configuration)
+        _log.info(
+            "configuration is in force",
+            revision=revision,
+            before=before,
+            source=link.peer,
+            routes=len(configuration.routes),
+        )
+
+    def _on_endpoints(self, update: EndpointUpdate) -> None:
+        held_term, held = self._listing
+        if update.term < held_term:
+            return
+        if update.whole:
+            changed, gone = self._beliefs.endpoints.replace(update.rows)
+        elif (update.term, update.listing - 1) == (held_term, held):
+            self._beliefs.endpoints.update(update.rows, update.gone)
+            changed, gone = list(update.rows), list(update.gone)
+        else:
+            return
+        self._listing = (update.term, update.listing)
+        self._beliefs.listed_at = asyncio.get_running_loop().time()
+        for row in changed:
+            _log.info(
+                "endpoint is listed",
+                endpoint=row.instance,
+                address=row.address,
+                zone=row.zone,
+                leaving=row.leaving,
+                leaves_s=row.leaves_s,
+                listing=update.listing,
+            )
+        if gone:
+            _log.info("endpoints are gone", endpoints=gone, listing=update.listing)
+
+    def note_own_listing(self) -> None:
+        """Note that the gateway has read the platform's list itself."""
+        self._listing = (self._listing[0], -1)
+
+    # Reports
+
+    def _send_beat(self) -> None:
+        if not self._leader:
+            return
+        now = asyncio.get_running_loop().time()
+        self._sequence += 1
+        clock_s = self._beliefs.clock.now()
+        windows = self._usage.list_windows()
+        usage = windows if self._full_report else windows[-2:]
+        beat = Beat(
+            self._name,
+            self._sequence,
+            clock_s,
+            self._listing[1],
+            usage,
+            self._quota.measure_demand(now),
+            tuple(self._crashes[:32]),
+        )
+        if self._switch.send(self._leader, beat):
+            self._full_report = False
+            self._sent_at[self._sequence] = now
+            while len(self._sent_at) > 32:
+                del self._sent_at[next(iter(self._sent_at))]
+
+    def _on_reply(self, reply: BeatReply) -> None:
+        sent_at = self._sent_at.pop(reply.sequence, None)
+        if reply.term < self._term or sent_at is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self.answered_at = now
+        self._crashes = self._crashes[32:]
+        beliefs = self._beliefs
+        beliefs.gateways = reply.gateways
+        beliefs.quarantined = frozenset(reply.quarantined)
+        if abs(reply.clock_correction_s) > CLOCK_STEP_MIN_S:
+            _log.info("clock is corrected", seconds=reply.clock_correction_s)
+            beliefs.clock.correct(reply.clock_correction_s)
+        self._quota.receive(reply.grants, reply.gateways, sent_at + reply.lease_s)
+        if reply.listing == self._listing[1]:
+            beliefs.listed_at = max(beliefs.listed_at, sent_at - reply.listing_age_s)
--- /dev/null
+++ b/tarragonway/gateway/sender.py
@@ -0,0 +1,202 @@
+"""Sends an attempt to one endpoint and relays what comes back."""
+
+import asyncio
+from typing import Protocol
+
+import structlog
+
+from tarragonway.endpoints.listing import ListedEndpoint
+from tarragonway.gateway.attempt import (
+    Answered,
+    Attempt,
+    Broken,
+    Expired,
+    Refused,
+    SendOutcome,
+    Streamed,
+    Unsent,
+)
+from tarragonway.gateway.events import EventSplitter
+from tarragonway.gateway.model import AnswerFacts, CallerRequest, Dispatch
+from tarragonway.http1 import (
+    AnswerHead,
+    ConnectFailed,
+    ConnectionEnded,
+    EndpointConnection,
+    Pool,
+    Request,
+)
+from tarragonway.http1.client import Headers
+
+REPEATABLE_IDLE_S = 60.0
+# A kept connection may end unnoticed; a request that may run once takes a fresh one.
+UNREPEATABLE_IDLE_S = 1.0
+EVENT_STREAM = b"text/event-stream"
+
+_log = structlog.get_logger()
+
+
+class Codec(Protocol):
+    """How requests and answers look on the platform's connections."""
+
+    def decode_request(self, request: Request) -> CallerRequest:
+        """Read what the caller asks for."""
+        ...
+
+    def encode_headers(self, request: Request, dispatch: Dispatch) -> Headers:
+        """Return the headers that the endpoint receives."""
+        ...
+
+    def decode_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Read what the answer says of itself."""
+        ...
+
+    def list_answer_headers(self, head: AnswerHead) -> Headers:
+        """Return the headers that the caller receives."""
+        ...
+
+
+class SendWatcher(Protocol):
+    """Who learns of the progress of sends."""
+
+    def note_facts(self, endpoint: ListedEndpoint, facts: AnswerFacts) -> None:
+        """Take over what an answer says of its endpoint."""
+        ...
+
+    def note_running(self, attempt: Attempt) -> None:
+        """Note that the request has begun to run."""
+        ...
+
+
+class Sender:
+    """Sends attempts over pooled connections.
+
+    Parameters
+    ----------
+    pool : Pool
+        Kept connections.
+    codec : Codec
+        Platform's form of requests and answers.
+    watcher : SendWatcher
+        Learns of loads and of requests that run.
+    """
+
+    def __init__(self, pool: Pool, codec: Codec, watcher: SendWatcher) -> None:
+        self._pool = pool
+        self._codec = codec
+        self._watcher = watcher
+
+    async def send(
+        self, attempt: Attempt, endpoint: ListedEndpoint, priority: int | None
+    ) -> SendOutcome:
+        """Send the attempt to the endpoint and return what came of it."""
+        once = not attempt.route.is_repeatable
+        idle_s = UNREPEATABLE_IDLE_S if once else REPEATABLE_IDLE_S
+        try:
+            connection = await self._pool.take(endpoint.key, endpoint.address, idle_s)
+        except ConnectFailed as error:
+            return Unsent(str(error))
+        try:
+            async with asyncio.timeout_at(attempt.deadline):
+                return await self._exchange(attempt, endpoint, priority, connection)
+        except TimeoutError:
+            return Expired()
+        except ConnectionEnded as error:
+            return Broken(str(error))
+        finally:
+            self._pool.give_back(endpoint.key, connection)
+
+    async def _exchange(
+        self,
+        attempt: Attempt,
+        endpoint: ListedEndpoint,
+        priority: int | None,
+        connection: EndpointConnection,
+    ) -> SendOutcome:
+        request = attempt.request
+        headers = self._codec.encode_headers(
+            request, self._make_dispatch(attempt, endpoint, priority)
+        )
+        try:
+            connection.send(request.method, request.target, headers, request.body)
+        except ConnectionEnded as error:
+            return Unsent(str(error))
+        attempt.sends += 1
+        had_run, attempt.may_have_run = attempt.may_have_run, True
+        head = await connection.read_head(lambda head: self._is_ours(head, attempt))
+        facts = self._codec.decode_answer(head)
+        self._watcher.note_facts(endpoint, facts)
+        if facts.keep_s is not None:
+            connection.idle_limit_s = facts.keep_s
+        if facts.leaving:
+            connection.idle_limit_s = 0.0
+        if facts.refused:
+            attempt.may_have_run = had_run
+            await _read_body(connection)
+            return Refused(head.status, facts.retry_after_s)
+        if head.status < 300 and _is_event_stream(head):
+            if not facts.signed:
+                return Broken("a success without a signature")
+            return await self._relay(attempt, head, connection)
+        self._watcher.note_running(attempt)
+        body = await _read_body(connection)
+        if head.status < 300 and not facts.signed:
+            return Broken("a success without a signature")
+        return Answered(head, facts, body)
+
+    async def _relay(
+        self, attempt: Attempt, head: AnswerHead, connection: EndpointConnection
+    ) -> SendOutcome:
+        """Pass events on as they come; the head goes with the first one."""
+        splitter = EventSplitter()
+        while (data := await connection.read_data()) is not None:
+            whole = splitter.feed(data)
+            if whole:
+                await self._pass_on(attempt, head, whole)
+                attempt.last_event = splitter.last_id or attempt.last_event
+        if splitter.rest or not attempt.reply.started:
+            await self._pass_on(attempt, head, splitter.rest)
+        attempt.reply.finish()
+        return Streamed(splitter.events)
+
+    async def _pass_on(self, attempt: Attempt, head: AnswerHead, data: bytes) -> None:
+        self._watcher.note_running(attempt)
+        if not attempt.reply.started:
+            headers = self._codec.list_answer_headers(head)
+            await attempt.reply.start(head.status, headers)
+        if data:
+            await attempt.reply.write(data)
+
+    def _make_dispatch(
+        self, attempt: Attempt, endpoint: ListedEndpoint, priority: int | None
+    ) -> Dispatch:
+        now = asyncio.get_running_loop().time()
+        return Dispatch(
+            endpoint.instance,
+            attempt.deadline - now,
+            attempt.account.id if attempt.account else None,
+            priority,
+            attempt.last_event,
+            attempt.account is not None,
+        )
+
+    def _is_ours(self, head: AnswerHead, attempt: Attempt) -> bool:
+        """Return whether the answer bears this attempt's id, or none at all."""
+        echoed = self._codec.decode_answer(head).attempt
+        mine = echoed is None or echoed == attempt.facts.attempt
+        if not mine:
+            _log.info(
+                "late answer is dropped", attempt=attempt.facts.attempt, other=echoed
+            )
+        return mine
+
+
+def _is_event_stream(head: AnswerHead) -> bool:
+    return (head.get(b"content-type") or b"").startswith(EVENT_STREAM)
+
+
+async def _read_body(connection: EndpointConnection) -> bytes:
+    parts = []
+    while (data := await connection.read_data()) is not None:
+        parts.append(data)
+    return b"".join(parts)
--- /dev/null
+++ b/tarragonway/gateway/usage.py
@@ -0,0 +1,45 @@
+"""Counts of requests that began to run, by reporting window and client account."""
+
+import collections
+
+from tarragonway.core.ids import AccountId
+from tarragonway.links.messages import WindowCounts
+
+KEEP_WINDOWS = 12
+
+
+class UsageCounter:
+    """Cumulative counts of the last windows.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of a window; windows are numbered from 1970.
+
+    Examples
+    --------
+    >>> counter = UsageCounter(5.0)
+    >>> counter.count("a", 12.0)
+    >>> counter.list_windows()
+    (WindowCounts(window=2, counts={'a': 1}),)
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._windows: dict[int, collections.Counter[AccountId]] = {}
+
+    def count(self, account: AccountId, clock_s: float) -> None:
+        """Note one request that began at this wall-clock time."""
+        window = int(clock_s // self._window_s)
+        counts = self._windows.setdefault(window, collections.Counter())
+        counts[account] += 1
+        while len(self._windows) > KEEP_WINDOWS:
+            del self._windows[min(self._windows)]
+
+    def list_windows(self, since: int = 0) -> tuple[WindowCounts, ...]:
+        """Return the counts of the windows from ``since`` on."""
+        return tuple(
+            WindowCounts(window, dict(counts))
+            for window, counts in sorted(self._windows.items())
+            if window >= since
+        )
--- /dev/null
+++ b/tarragonway/http1/pool.py
@@ -0,0 +1,116 @@
+"""Kept connections to endpoints, each used by one request at a time."""
+
+import asyncio
+from collections.abc import Collection
+
+from tarragonway.http1.client import EndpointConnection
+
+CONNECT_TIMEOUT_S = 0.5
+IDLE_MARGIN = 0.6
+
+
+class ConnectFailed(Exception):  # noqa: N818
+    """No connection could be opened, so nothing was sent."""
+
+
+class Pool:
+    """Connections by endpoint.
+
+    Examples
+    --------
+    >>> Pool().count("e1")
+    0
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[EndpointConnection]] = {}
+        self._used: dict[str, int] = {}
+        self.opened = 0
+
+    def count(self, key: str) -> int:
+        """Return how many connections an endpoint has."""
+        return len(self._idle.get(key, ())) + self._used.get(key, 0)
+
+    async def take(
+        self, key: str, address: str, max_idle_s: float
+    ) -> EndpointConnection:
+        """Return an idle connection, or open one.
+
+        Parameters
+        ----------
+        key : str
+            Incarnation of the endpoint.
+        address : str
+            ``IP:port``.
+        max_idle_s : float
+            Longest idle time of a kept connection that may be used.
+
+        Raises
+        ------
+        ConnectFailed
+            If no connection can be opened in time.
+        """
+        kept = self._find_idle(key, max_idle_s)
+        if kept is not None:
+            self._used[key] = self._used.get(key, 0) + 1
+            return kept
+        self._used[key] = self._used.get(key, 0) + 1
+        try:
+            return await self._open(address)
+        except BaseException:
+            self._release(key)
+            raise
+
+    def give_back(self, key: str, connection: EndpointConnection) -> None:
+        """Keep the connection if it can be used again, else break it off."""
+        self._release(key)
+        if connection.is_reusable and connection.idle_limit_s > 0:
+            connection.rest(asyncio.get_running_loop().time())
+            self._idle.setdefault(key, []).append(connection)
+        else:
+            connection.abort()
+
+    def prune(self, known: Collection[str]) -> None:
+        """Close connections that have been idle too long, or whose endpoint is gone."""
+        for key in list(self._idle):
+            limit_s = float("inf") if key in known else 0.0
+            self._idle[key] = [c for c in self._idle[key] if self._is_fresh(c, limit_s)]
+            if not self._idle[key]:
+                del self._idle[key]
+
+    def _find_idle(self, key: str, max_idle_s: float) -> EndpointConnection | None:
+        idle = self._idle.get(key, [])
+        while idle:
+            connection = idle.pop()
+            if self._is_fresh(connection, max_idle_s):
+                return connection
+        return None
+
+    def _is_fresh(self, connection: EndpointConnection, max_idle_s: float) -> bool:
+        """Return whether a kept connection may be used; abort it if not."""
+        idle_s = asyncio.get_running_loop().time() - connection.idle_since
+        limit_s = min(max_idle_s, connection.idle_limit_s * IDLE_MARGIN)
+        if connection.is_open and idle_s < limit_s:
+            return True
+        connection.abort()
+        return False
+
+    async def _open(self, address: str) -> EndpointConnection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        connection = EndpointConnection()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(lambda: connection, host, int(port))
+        except (OSError, TimeoutError) as error:
+            connection.abort()
+            raise ConnectFailed(repr(error)) from error
+        self.opened += 1
+        return connection
+
+    def _release(self, key: str) -> None:
+        left = self._used.get(key, 1) - 1
+        if left:
+            self._used[key] = left
+        else:
+            self._used.pop(key, None)
--- /dev/null
+++ b/tarragonway/http1/server.py
@@ -0,0 +1,375 @@
+"""Callers' side: connections that deliver whole requests and send answers."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import h11
+import msgspec
+import structlog
+
+from tarragonway.routes.model import ChannelLimits
+
+Headers = list[tuple[bytes, bytes]]
+
+PIPELINED_LIMIT_BYTES = 256 * 1024
+BODY_TIMEOUT_S = 20.0
+LINGER_S = 1.0
+BACKLOG = 1024
+
+_log = structlog.get_logger()
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A whole request; ``arrived`` is the loop's time of its last byte."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived: float
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first header of this lower-case name."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class Reply:
+    """Sends the answer to one request.
+
+    Parameters
+    ----------
+    connection : ServerConnection
+        The connection that the request came on.
+    """
+
+    def __init__(self, connection: "ServerConnection") -> None:
+        self._connection = connection
+        self.started = False
+        self.finished = False
+
+    async def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer."""
+        sized = [*headers, (b"content-length", str(len(body)).encode())]
+        await self.start(status, sized)
+        if body:
+            await self.write(body)
+        self.finish()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        self.started = True
+        self._connection.send(
+            h11.Response(status_code=status, headers=self._connection.frame(headers))
+        )
+        await self._connection.drain()
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the caller doesn't read."""
+        self._connection.send(h11.Data(data=data))
+        await self._connection.drain()
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self._connection.send(h11.EndOfMessage())
+        self.finished = True
+
+    def abort(self) -> None:
+        """Break off, so that the answer cannot look complete."""
+        self.finished = True
+        self._connection.abort()
+
+
+Handler = Callable[[Request, Reply], Awaitable[None]]
+
+
+class HttpServer:
+    """Listens on one address.
+
+    Parameters
+    ----------
+    handle : callable
+        Answers one request; it is cancelled when the caller leaves.
+    read_limits : callable
+        Returns the limits in force.
+    """
+
+    def __init__(
+        self, handle: Handler, read_limits: Callable[[], ChannelLimits]
+    ) -> None:
+        self.handle = handle
+        self.read_limits = read_limits
+        self.connections: set[ServerConnection] = set()
+        self.closing = False
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Start to accept connections."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=BACKLOG
+        )
+
+    @property
+    def busy(self) -> int:
+        """Number of requests that are being answered."""
+        return sum(connection.is_busy for connection in self.connections)
+
+    def announce_close(self) -> None:
+        """Ask callers, with each further answer, to open new connections elsewhere."""
+        self.closing = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def close(self) -> None:
+        """Stop listening and break off all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One caller's connection; one request at a time."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._limits = server.read_limits()
+        self._http = self._make_state()
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._head: h11.Request | None = None
+        self._body = bytearray()
+        self._pending_bytes = 0
+        self._receiving = False
+
+    def _make_state(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
+        )
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is read or answered."""
+        return self._task is not None or self._receiving
+
+    # Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._server.connections.add(self)
+        self._set_timer(self._limits.idle_timeout_s, self._expire_idle)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes."""
+        if not data or self._transport is None:
+            return
+        if self._http.their_state is h11.ERROR:
+            return
+        self._http.receive_data(data)
+        if self._task is not None:
+            self._pending_bytes += len(data)
+            if self._pending_bytes > PIPELINED_LIMIT_BYTES:
+                self._transport.pause_reading()
+            return
+        self._advance()
+
+    def pause_writing(self) -> None:
+        """Hold senders back."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let senders go on."""
+        self._writable.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request's work: nobody waits for it."""
+        self._transport = None
+        self._writable.set()
+        self._cancel_timer()
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    # Replies
+
+    def send(self, event: h11.Event) -> None:
+        """Write one event of the answer; nothing once the caller has left."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = self._http.send(event)
+        if data:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait while the caller doesn't read."""
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def frame(self, headers: Headers) -> Headers:
+        """Add what this connection has to say to an answer's headers."""
+        if self._server.closing:
+            return [*headers, (b"connection", b"close")]
+        return headers
+
+    def abort(self) -> None:
+        """Break the connection off."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is under way."""
+        if not self.is_busy and self._transport is not None:
+            self._transport.close()
+
+    # Requests
+
+    def _advance(self) -> None:
+        while self._transport is not None and self._task is None:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint or 400, str(error))
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._wait_for_more()
+                return
+            match event:
+                case h11.Request():
+                    if not self._start_request(event):
+                        return
+                case h11.Data():
+                    self._body += event.data
+                    if len(self._body) > self._limits.body_bytes:
+                        self._reject(413, "the body is too large")
+                        return
+                case h11.EndOfMessage():
+                    self._finish_request()
+                case h11.ConnectionClosed():
+                    self._transport.close()
+                    return
+
+    def _wait_for_more(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        partial_head = bool(self._http.trailing_data[0]) and self._head is None
+        if partial_head and not self._receiving:
+            self._receiving = True
+            self._set_timer(self._limits.header_timeout_s, self._expire_request)
+
+    def _start_request(self, event: h11.Request) -> bool:
+        names = [name for name, _ in event.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            self._reject(400, "both a length and a transfer encoding")
+            return False
+        self._head = event
+        self._receiving = True
+        self._body.clear()
+        self._set_timer(BODY_TIMEOUT_S, self._expire_request)
+        return True
+
+    def _finish_request(self) -> None:
+        assert self._head is not None
+        self._cancel_timer()
+        request = Request(
+            self._head.method.decode("ascii"),
+            self._head.target.decode("ascii"),
+            list(self._head.headers),
+            bytes(self._body),
+            asyncio.get_running_loop().time(),
+        )
+        self._head = None
+        self._receiving = False
+        self._body.clear()
+        self._task = asyncio.create_task(self._answer(request))
+
+    async def _answer(self, request: Request) -> None:
+        reply = Reply(self)
+        try:
+            await self._server.handle(request, reply)
+        except asyncio.CancelledError:
+            if self._transport is not None:
+                self._transport.abort()
+        except Exception:
+            _log.exception("request failed", target=request.target)
+            self.abort()
+        finally:
+            self._task = None
+        self._go_on(reply)
+
+    def _go_on(self, reply: Reply) -> None:
+        if self._transport is None:
+            return
+        if not reply.finished:
+            self.abort()
+            return
+        if self._http.our_state is not h11.DONE or self._server.closing:
+            self._close_gently()
+            return
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            self._close_gently()
+            return
+        self._limits = self._server.read_limits()
+        self._set_timer(self._limits.idle_timeout_s, self._expire_idle)
+        if self._pending_bytes > PIPELINED_LIMIT_BYTES:
+            self._transport.resume_reading()
+        self._pending_bytes = 0
+        self._advance()
+
+    def _reject(self, status: int, reason: str) -> None:
+        _log.info("request is rejected", status=status, reason=reason)
+        body = f'{{"error": "{status}"}}'.encode()
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(body)).encode()),
+                (b"connection", b"close"),
+            ]
+            self.send(h11.Response(status_code=status, headers=headers))
+            self.send(h11.Data(data=body))
+            self.send(h11.EndOfMessage())
+        self._receiving = False
+        self._close_gently()
+
+    def _close_gently(self) -> None:
+        """Close for writing first, so that unread bytes don't reset the answer."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._cancel_timer()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+            self._set_timer(LINGER_S, self.abort)
+        else:
+            self._transport.close()
+
+    # Timers
+
+    def _set_timer(self, seconds: float, action: Callable[[], None]) -> None:
+        self._cancel_timer()
+        self._timer = asyncio.get_running_loop().call_later(seconds, action)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire_idle(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def _expire_request(self) -> None:
+        self._reject(408, "the request did not arrive in time")
--- /dev/null
+++ b/tarragonway/links/link.py
@@ -0,0 +1,145 @@
+"""One connection between two processes.
+
+Frames are a four-byte length and a MessagePack body; an empty frame is a heartbeat. A
+connection may go silent without being reset, so both sides send heartbeats and end a
+connection on which nothing arrives.
+"""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from tarragonway.links.messages import LinkMessage
+
+HEARTBEAT_S = 0.5
+SILENCE_LIMIT_S = 1.6
+FRAME_LIMIT_BYTES = 32 * 1024 * 1024
+UNSENT_LIMIT_BYTES = 16 * 1024 * 1024
+
+_LENGTH = struct.Struct(">I")
+_HEARTBEAT = _LENGTH.pack(0)
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(LinkMessage)
+
+_log = structlog.get_logger()
+
+
+class Link(asyncio.Protocol):
+    """Sends and receives messages on one connection.
+
+    Parameters
+    ----------
+    receive : callable
+        Called with this link and each message.
+    lost : callable
+        Called once when the connection has ended.
+    """
+
+    def __init__(
+        self,
+        receive: Callable[["Link", LinkMessage], None],
+        lost: Callable[["Link"], None],
+    ) -> None:
+        self._receive = receive
+        self._lost = lost
+        self._buffer = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._heard_at = 0.0
+        self.peer = ""
+        self.sent_bytes = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, message: LinkMessage) -> bool:
+        """Queue one message; return False if the connection has ended."""
+        return self.send_encoded(encode_message(message))
+
+    def send_encoded(self, frame: bytes) -> bool:
+        """Queue one frame made by :func:`encode_message`."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        if self._transport.get_write_buffer_size() > UNSENT_LIMIT_BYTES:
+            _log.warning("link is ended", peer=self.peer, reason="peer does not read")
+            self.abort()
+            return False
+        self._transport.write(frame)
+        self.sent_bytes += len(frame)
+        return True
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start heartbeats."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        loop = asyncio.get_running_loop()
+        self._heard_at = loop.time()
+        self._timer = loop.call_later(HEARTBEAT_S, self._beat)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes and deliver whole messages."""
+        self._heard_at = asyncio.get_running_loop().time()
+        self._buffer += data
+        while len(self._buffer) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer)
+            if length > FRAME_LIMIT_BYTES:
+                _log.error("link is ended", peer=self.peer, reason="frame too long")
+                self.abort()
+                return
+            end = _LENGTH.size + length
+            if len(self._buffer) < end:
+                return
+            body = bytes(self._buffer[_LENGTH.size : end])
+            del self._buffer[:end]
+            if length and not self._deliver(body):
+                return
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._transport = None
+        self._lost(self)
+
+    def _deliver(self, body: bytes) -> bool:
+        try:
+            message = _decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            _log.error("link is ended", peer=self.peer, reason=str(error))
+            self.abort()
+            return False
+        self._receive(self, message)
+        return True
+
+    def _beat(self) -> None:
+        if self._transport is None:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() - self._heard_at > SILENCE_LIMIT_S:
+            _log.info("link is ended", peer=self.peer, reason="silent")
+            self._transport.abort()
+            return
+        self._transport.write(_HEARTBEAT)
+        self._timer = loop.call_later(HEARTBEAT_S, self._beat)
+
+
+def encode_message(message: LinkMessage) -> bytes:
+    """Return a message as one frame, to be sent on several links."""
+    body = _encoder.encode(message)
+    return _LENGTH.pack(len(body)) + body
--- /dev/null
+++ b/tarragonway/links/messages.py
@@ -0,0 +1,132 @@
+"""Messages between gateways and coordinators."""
+
+import msgspec
+
+from tarragonway.consensus import Member, Packet
+from tarragonway.core.ids import AccountId, Fingerprint, ProcessName
+from tarragonway.endpoints.listing import ListedEndpoint
+
+
+class Join(msgspec.Struct, frozen=True, tag=True):
+    """Asks the group to admit a coordinator."""
+
+    member: Member
+
+
+class Hello(msgspec.Struct, frozen=True, tag=True):
+    """First message of a gateway on each link."""
+
+    name: ProcessName
+
+
+class Status(msgspec.Struct, frozen=True, tag=True):
+    """What a coordinator knows; sent on changes and at a low rate.
+
+    ``leader`` is the address of the leader that it follows, or empty; ``coordinators``
+    are the addresses of all members; ``revision`` is the newest configuration applied.
+    """
+
+    term: int
+    leader: str
+    is_leader: bool
+    coordinators: tuple[str, ...]
+    revision: int
+
+
+class FetchConfiguration(msgspec.Struct, frozen=True, tag=True):
+    """Asks for the text of the newest configuration."""
+
+
+class ConfigurationText(msgspec.Struct, frozen=True, tag=True):
+    """A configuration as the operator sent it, compressed."""
+
+    revision: int
+    data: bytes
+
+
+class WindowCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that began to run in one reporting window, by client account."""
+
+    window: int
+    counts: dict[AccountId, int]
+
+
+class QuotaDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens a second that a client account has asked for at one gateway."""
+
+    account: AccountId
+    tokens_per_s: float
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint was lost while it ran a content."""
+
+    fingerprint: Fingerprint
+    endpoint: str
+
+
+class Beat(msgspec.Struct, frozen=True, tag=True):
+    """A gateway's report to the leader.
+
+    ``clock_s`` is its wall-clock time at sending. ``usage`` counts are cumulative, so a
+    repeated report changes nothing. ``busy`` is how many requests it has at each service.
+    """
+
+    name: ProcessName
+    sequence: int
+    clock_s: float
+    listing: int
+    usage: tuple[WindowCounts, ...]
+    demands: tuple[QuotaDemand, ...]
+    crashes: tuple[Crash, ...]
+    pressure: dict[str, float] = {}
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens a second that a gateway may admit of one client account."""
+
+    account: AccountId
+    tokens_per_s: float
+    burst: float
+
+
+class BeatReply(msgspec.Struct, frozen=True, tag=True):
+    """The leader's answer to a :class:`Beat`.
+
+    ``clock_correction_s`` is what the gateway's clock lacks against the median of all;
+    ``gateways`` is the number of gateways that report; ``listing_age_s`` the age of the
+    endpoint list. ``grants`` may be used for ``lease_s`` from the sending of the beat.
+    """
+
+    term: int
+    sequence: int
+    clock_correction_s: float
+    gateways: int
+    lease_s: float
+    grants: tuple[QuotaGrant, ...]
+    listing: int
+    listing_age_s: float
+    quarantined: tuple[Fingerprint, ...] = ()
+
+
+class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
+    """Changed rows of the platform's list; all rows if ``whole``."""
+
+    term: int
+    listing: int
+    whole: bool
+    rows: tuple[ListedEndpoint, ...]
+    gone: tuple[str, ...]
+
+
+LinkMessage = (
+    Packet
+    | Join
+    | Hello
+    | Status
+    | FetchConfiguration
+    | ConfigurationText
+    | Beat
+    | BeatReply
+    | EndpointUpdate
+)
--- /dev/null
+++ b/tarragonway/links/switch.py
@@ -0,0 +1,116 @@
+"""Links to a changing set of peers, dialled again when they end."""
+
+import asyncio
+import functools
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from tarragonway.links.link import Link
+from tarragonway.links.messages import LinkMessage
+
+DIAL_TIMEOUT_S = 1.0
+REDIAL_MIN_S = 0.1
+REDIAL_MAX_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class Switch:
+    """Keeps one dialled link to each wanted address and accepts links from others.
+
+    Parameters
+    ----------
+    receive : callable
+        Called with the link and each message.
+    opened : callable
+        Called with each link that this process has dialled, once it is open.
+    closed : callable
+        Called with each link that has ended, dialled or accepted.
+    """
+
+    def __init__(
+        self,
+        receive: Callable[[Link, LinkMessage], None],
+        opened: Callable[[Link], None],
+        closed: Callable[[Link], None],
+    ) -> None:
+        self._receive = receive
+        self._opened = opened
+        self._closed = closed
+        self._links: dict[str, Link] = {}
+        self._dialers: dict[str, asyncio.Task] = {}
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Accept links on ``IP:port``."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Link(self._receive, self._closed), host, int(port), backlog=512
+        )
+
+    @property
+    def links(self) -> dict[str, Link]:
+        """Open dialled links by address."""
+        return {a: link for a, link in self._links.items() if link.is_open}
+
+    def want(self, addresses: Iterable[str]) -> None:
+        """Dial exactly these addresses from now on."""
+        wanted = set(addresses)
+        for address in wanted - set(self._dialers):
+            self._dialers[address] = asyncio.create_task(self._dial_forever(address))
+        for address in set(self._dialers) - wanted:
+            self._dialers.pop(address).cancel()
+            link = self._links.pop(address, None)
+            if link is not None:
+                link.abort()
+
+    def send(self, address: str, message: LinkMessage) -> bool:
+        """Send to a dialled peer; return False if there is no open link to it."""
+        link = self._links.get(address)
+        return link is not None and link.send(message)
+
+    async def close(self) -> None:
+        """End all dialled links and stop listening."""
+        self.want(())
+        if self._server is not None:
+            self._server.close()
+
+    async def _dial_forever(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        pause_s = REDIAL_MIN_S
+        while True:
+            ended = asyncio.Event()
+            link = self._make_link(address, ended)
+            try:
+                async with asyncio.timeout(DIAL_TIMEOUT_S):
+                    await loop.create_connection(
+                        functools.partial(_return, link), host, int(port)
+                    )
+            except (OSError, TimeoutError):
+                link.abort()
+                await asyncio.sleep(pause_s)
+                pause_s = min(REDIAL_MAX_S, 2 * pause_s)
+                continue
+            pause_s = REDIAL_MIN_S
+            _log.info("link is open", peer=address)
+            self._links[address] = link
+            self._opened(link)
+            await ended.wait()
+            _log.info("link is lost", peer=address)
+            await asyncio.sleep(pause_s)
+
+    def _make_link(self, address: str, ended: asyncio.Event) -> Link:
+        def note_end(link: Link) -> None:
+            ended.set()
+            self._closed(link)
+
+        link = Link(self._receive, note_end)
+        link.peer = address
+        return link
+
+
+def _return(link: Link) -> Link:
+    return link
--- /dev/null
+++ b/tarragonway/node/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways and coordinators have in common: settings, start and stop."""
--- /dev/null
+++ b/tarragonway/node/metrics.py
@@ -0,0 +1,47 @@
+"""Counters as text on the metrics address."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tarragonway.core.counters import Counters
+from tarragonway.http1.server import HttpServer, Reply, Request
+from tarragonway.routes.model import ChannelLimits
+
+METRICS_PATH = "/metrics"
+DUMP_PATH = "/dump"
+
+
+def make_metrics_server(
+    counters: Counters, make_dump: Callable[[], dict[str, Any]]
+) -> HttpServer:
+    """Return a server that shows counters and the state dump."""
+
+    async def answer(request: Request, reply: Reply) -> None:
+        path = request.target.partition("?")[0]
+        if path == METRICS_PATH:
+            body = format_metrics(counters.snapshot()).encode()
+            await reply.send(200, [(b"content-type", b"text/plain")], body)
+        elif path == DUMP_PATH:
+            body = msgspec.json.encode(make_dump())
+            await reply.send(200, [(b"content-type", b"application/json")], body)
+        else:
+            await reply.send(404, [])
+
+    return HttpServer(answer, ChannelLimits)
+
+
+def format_metrics(values: dict[str, int]) -> str:
+    """Return one line a counter.
+
+    Examples
+    --------
+    >>> format_metrics({"request.answered": 2})
+    'tarragonway_request_answered 2\\n'
+    """
+    lines = [
+        f"tarragonway_{name.replace('.', '_').replace('-', '_')} {value}\n"
+        for name, value in sorted(values.items())
+    ]
+    return "".join(lines)
--- /dev/null
+++ b/tarragonway/node/program.py
@@ -0,0 +1,24 @@
+"""Start of the programs that run on a platform with its own control plane."""
+
+import argparse
+from collections.abc import Callable
+
+from tarragonway.core.logs import LogFormat
+from tarragonway.node.settings import NodeSettings, load_node_settings
+from tarragonway.process import Daemon, RunOptions, run_daemon
+
+STOP_MARGIN_S = 0.5
+
+
+def run_node(
+    program: str,
+    about: str,
+    build: Callable[[NodeSettings, argparse.Namespace], Daemon],
+) -> int:
+    """Run a gateway or coordinator until a signal; return its exit status."""
+    return run_daemon(program, about, build, load_node_settings, _read_options)
+
+
+def _read_options(settings: NodeSettings) -> RunOptions:
+    deadline_s = max(0.5, settings.bounds.grace_s - STOP_MARGIN_S)
+    return RunOptions(settings.name, LogFormat.JSON, deadline_s)
--- /dev/null
+++ b/tarragonway/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/tarragonway/platform/configuration.py
@@ -0,0 +1,193 @@
+"""The operator's configuration text, decoded into the product's types."""
+
+import zlib
+
+import msgspec
+
+from tarragonway.core.ids import AccountId, ServiceName, ZoneName
+from tarragonway.routes.model import (
+    Account,
+    ChannelLimits,
+    Configuration,
+    ConfigurationError,
+    EngineTraits,
+    Repeatability,
+    Route,
+    ScalingTraits,
+    Service,
+    ServiceShare,
+    check_configuration,
+)
+
+_KINDS = {
+    "safe": Repeatability.SAFE,
+    "unsafe": Repeatability.UNSAFE,
+    "streaming": Repeatability.STREAM,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    split: list[_Split] | None = None
+    max_attempts: int = 1
+    # "public" routes need no key; "sticky" ones carry prompts whose parts are cached.
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    itl_target_ms: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity_tokens: int = 0
+
+
+class _Scaling(msgspec.Struct):
+    min: int
+    max: int
+    boot_s: float = 0.0
+    spot_price: float = 0.0
+    zone_prices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 0
+    engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Account(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = "requests"
+    # What a request counts that doesn't tell its tokens.
+    uncached_tokens: float = 1.0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Account] | None = None
+
+
+_decoder = msgspec.json.Decoder(_Configuration)
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Return the checked configuration.
+
+    Raises
+    ------
+    ConfigurationError
+        If the text cannot be read in full or contradicts itself.
+    """
+    try:
+        wire = _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigurationError(f"cannot be read: {error}") from error
+    accounts = None
+    if wire.tenants is not None:
+        accounts = tuple(_convert_account(account) for account in wire.tenants)
+    configuration = Configuration(
+        wire.version,
+        tuple(_convert_route(route) for route in wire.routes),
+        tuple(_convert_service(service) for service in wire.services),
+        ChannelLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / 1000,
+            wire.limits.idle_timeout_ms / 1000,
+        ),
+        accounts,
+    )
+    check_configuration(configuration)
+    return configuration
+
+
+def _convert_route(route: _Route) -> Route:
+    kind = _KINDS.get(route.route_kind)
+    if kind is None:
+        raise ConfigurationError(
+            f"route {route.name} has the unknown kind {route.route_kind!r}"
+        )
+    if route.split is not None:
+        shares = tuple(
+            ServiceShare(ServiceName(s.service), s.weight) for s in route.split
+        )
+    else:
+        shares = (ServiceShare(ServiceName(route.service or ""), 1.0),)
+    return Route(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        kind,
+        route.timeout_ms / 1000,
+        route.slo_ms / 1000,
+        route.priority,
+        max(1, route.max_attempts),
+        shares,
+        route.public,
+        route.sticky,
+        route.resumable,
+        (route.itl_target_ms or 0) / 1000,
+    )
+
+
+def _convert_service(service: _Service) -> Service:
+    engine = scaling = None
+    if service.engine is not None:
+        engine = EngineTraits(service.engine.slots, service.engine.kv_capacity_tokens)
+    if service.scaling is not None:
+        prices = service.scaling.zone_prices.items()
+        scaling = ScalingTraits(
+            service.scaling.min,
+            service.scaling.max,
+            service.scaling.boot_s,
+            service.scaling.spot_price,
+            {ZoneName(zone): price for zone, price in prices},
+        )
+    name = ServiceName(service.name)
+    return Service(name, service.health_path, service.max_conns, engine, scaling)
+
+
+def _convert_account(account: _Account) -> Account:
+    return Account(
+        AccountId(account.name),
+        tuple(account.api_keys),
+        account.priority,
+        account.unit == "tokens",
+        account.uncached_tokens if account.unit == "tokens" else 1.0,
+        account.rate_per_s,
+        account.burst,
+    )
+
+
+def decode_stored(data: bytes) -> Configuration:
+    """Return the configuration from its compressed text."""
+    return decode_configuration(zlib.decompress(data))
--- /dev/null
+++ b/tarragonway/platform/duties.py
@@ -0,0 +1,39 @@
+"""Calls to the platform that one process makes at a time."""
+
+import msgspec
+
+from tarragonway.core.ids import AccountId, ServiceName, ZoneName
+from tarragonway.http1.call import Call, Headers
+from tarragonway.platform import names
+
+
+def make_usage_call(
+    holder: str, fence: int, window: int, counts: dict[AccountId, int]
+) -> Call:
+    """Return the report of one window's requests by client account."""
+    body = {"window_id": window, "counts": counts}
+    return _make_call(names.USAGE_PATH, holder, fence, body)
+
+
+def make_scale_call(
+    holder: str,
+    fence: int,
+    service: ServiceName,
+    zone: ZoneName,
+    count: int,
+    reclaimable: bool,
+) -> Call:
+    """Return the order of a number of endpoints of one kind in a zone."""
+    body: dict[str, object] = {"service": service, "zone": zone, "desired": count}
+    if reclaimable:
+        body["spot"] = True
+    return _make_call(names.SCALE_PATH, holder, fence, body)
+
+
+def _make_call(path: str, holder: str, fence: int, body: object) -> Call:
+    headers: Headers = [
+        (names.HOLDER, holder.encode()),
+        (names.FENCE, str(fence).encode()),
+        (b"content-type", b"application/json"),
+    ]
+    return Call("POST", path, headers, msgspec.json.encode(body))
--- /dev/null
+++ b/tarragonway/platform/listing.py
@@ -0,0 +1,90 @@
+"""The platform's list of endpoints, page by page."""
+
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+
+from tarragonway.core.ids import ServiceName, ZoneName
+from tarragonway.endpoints.listing import ListedEndpoint
+from tarragonway.http1.call import Call
+from tarragonway.platform import names
+
+_STATES = {"ready": False, "draining": True}
+
+
+class Page(msgspec.Struct, frozen=True):
+    """One page of the list, with the number of entries that cannot be used."""
+
+    rows: tuple[ListedEndpoint, ...]
+    next: str | None
+    unusable: int
+
+
+class PageError(msgspec.Struct, frozen=True):
+    """Sentinel: the page cannot be read."""
+
+    reason: str
+
+
+class _Page(msgspec.Struct):
+    instances: list[msgspec.Raw]
+    next: str | None = None
+
+
+class _Entry(msgspec.Struct):
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 0
+    cold_left_ms: float = 0.0
+    # A replica may start again under its id; this is the time of its start.
+    born: int = 0
+    spot: bool = False
+    leaves_ms: float | None = None
+
+
+_page_decoder = msgspec.json.Decoder(_Page)
+_entry_decoder = msgspec.json.Decoder(_Entry)
+
+
+def make_list_call(page: str | None) -> Call:
+    """Return the call that reads the list from this page on."""
+    query = "" if page is None else "?" + urlencode({"page_token": page})
+    return Call("GET", names.LIST_PATH + query)
+
+
+def decode_page(body: bytes) -> Page | PageError:
+    """Return the usable entries of a page."""
+    try:
+        page = _page_decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return PageError(str(error))
+    rows = [_decode_entry(raw) for raw in page.instances]
+    usable = tuple(row for row in rows if row is not None)
+    return Page(usable, page.next, len(rows) - len(usable))
+
+
+def _decode_entry(raw: Any) -> ListedEndpoint | None:
+    try:
+        entry = _entry_decoder.decode(raw)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    leaving = _STATES.get(entry.state)
+    host, _, port = entry.address.rpartition(":")
+    if leaving is None or not host or not port.isdigit():
+        return None
+    return ListedEndpoint(
+        f"{entry.id}@{entry.born}",
+        entry.id,
+        ServiceName(entry.service),
+        entry.address,
+        ZoneName(entry.zone),
+        entry.slots,
+        leaving or entry.leaves_ms is not None,
+        entry.spot,
+        -1.0 if entry.leaves_ms is None else round(entry.leaves_ms / 1000),
+        float(round(entry.cold_left_ms / 1000)),
+    )
--- /dev/null
+++ b/tarragonway/platform/requests.py
@@ -0,0 +1,137 @@
+"""Requests and answers between the platform's headers and the product's types."""
+
+from tarragonway.core.ids import AttemptId
+from tarragonway.gateway.model import (
+    AnswerFacts,
+    CallerRequest,
+    Dispatch,
+    Load,
+    Prompt,
+    PromptPart,
+)
+from tarragonway.http1.client import AnswerHead, Headers
+from tarragonway.http1.server import Request
+from tarragonway.platform import names
+
+
+def decode_request(request: Request) -> CallerRequest:
+    """Read what the caller asks for; headers that cannot be read count as absent."""
+    host = (request.get(b"host") or b"").decode("latin-1").lower()
+    patience_ms = _read_number(request.get(names.DEADLINE))
+    return CallerRequest(
+        AttemptId(_read_text(request.get(names.ATTEMPT)) or ""),
+        host.partition(":")[0],
+        request.target.partition("?")[0],
+        None if patience_ms is None else patience_ms / 1000,
+        _read_key(request.get(b"authorization")),
+        _read_text(request.get(names.LAST_EVENT)),
+        _read_prompt(request),
+    )
+
+
+def encode_headers(request: Request, dispatch: Dispatch) -> Headers:
+    """Return the headers of a request as an endpoint receives them."""
+    connection = (request.get(b"connection") or b"").lower()
+    named = {token.strip() for token in connection.split(b",")}
+    hidden = names.SYSTEM_ONLY | names.ONE_CONNECTION | named
+    if dispatch.hides_key:
+        hidden = hidden | {b"authorization"}
+    if dispatch.last_event is not None:
+        hidden = hidden | {names.LAST_EVENT}
+    headers = [(key, value) for key, value in request.headers if key not in hidden]
+    headers.append((names.EXPECTED_INSTANCE, dispatch.instance.encode()))
+    left_ms = max(1, int(dispatch.left_s * 1000))
+    headers.append((names.DEADLINE, str(left_ms).encode()))
+    if dispatch.account is not None:
+        headers.append((names.ACCOUNT, dispatch.account.encode()))
+    if dispatch.priority is not None:
+        headers.append((names.PRIORITY, str(dispatch.priority).encode()))
+    if dispatch.last_event is not None:
+        headers.append((names.LAST_EVENT, dispatch.last_event.encode()))
+    if request.body or request.method not in ("GET", "HEAD"):
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    return headers
+
+
+def decode_answer(head: AnswerHead) -> AnswerFacts:
+    """Read what an endpoint's answer says of itself."""
+    # 421 promises that nothing ran, with or without the header that says so.
+    refused = head.get(names.NOT_RUN) is not None or head.status == 421
+    attempt = _read_text(head.get(names.ATTEMPT))
+    connection = (head.get(b"connection") or b"").lower()
+    return AnswerFacts(
+        AttemptId(attempt) if attempt is not None else None,
+        head.get(names.SIGNATURE) is not None,
+        refused,
+        _read_load(head.get(names.LOAD)),
+        _read_keep(head.get(b"keep-alive")),
+        b"close" in connection,
+        _read_number(head.get(b"retry-after")),
+    )
+
+
+def list_answer_headers(head: AnswerHead) -> Headers:
+    """Return an answer's headers without those of its connection."""
+    return [(k, v) for k, v in head.headers if k not in names.ONE_CONNECTION]
+
+
+def is_own_failure_allowed(headers: Headers) -> bool:
+    """Return whether headers may stand on an answer of the system's own."""
+    return all(key != names.SIGNATURE for key, _ in headers)
+
+
+def _read_text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
+def _read_number(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return None
+
+
+def _read_key(value: bytes | None) -> str | None:
+    scheme, _, key = (_read_text(value) or "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" and key.strip() else None
+
+
+def _read_prompt(request: Request) -> Prompt | None:
+    usage = _read_text(request.get(names.PROMPT_TOKENS))
+    if usage is None:
+        return None
+    first, _, second = usage.partition(",")
+    try:
+        tokens_in, tokens_out = int(first), int(second or 0)
+        parts = _read_parts(_read_text(request.get(names.PROMPT_PARTS)) or "")
+    except ValueError:
+        return None
+    return Prompt(max(0, tokens_in), max(0, tokens_out), parts)
+
+
+def _read_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(","):
+        part, _, tokens = item.strip().partition(":")
+        if part:
+            parts.append(PromptPart(part, int(tokens)))
+    return tuple(parts)
+
+
+def _read_load(value: bytes | None) -> Load | None:
+    numbers = (value or b"").split(b",")
+    try:
+        running, waiting, slots = (int(number) for number in numbers)
+    except ValueError:
+        return None
+    return Load(running, waiting, slots)
+
+
+def _read_keep(value: bytes | None) -> float | None:
+    for item in (value or b"").split(b","):
+        name, _, number = item.strip().partition(b"=")
+        if name.lower() == b"timeout":
+            return _read_number(number)
+    return None
--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -2,19 +2,20 @@
 
 import argparse
 import asyncio
+import os
 import pathlib
 import signal
 import sys
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 import structlog
 
 from tarragonway.core.errors import SettingsError, TarragonwayError
-from tarragonway.core.logs import configure_logs
-from tarragonway.settings import Settings, load_settings
+from tarragonway.core.logs import LogFormat, configure_logs
 
+SETTINGS_VARIABLE = "TARRAGONWAY_SETTINGS"
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
 EXIT_STOP_CUT_SHORT = 3
@@ -23,6 +24,17 @@
 _log = structlog.get_logger()
 
 
+S = TypeVar("S")
+
+
+class RunOptions(msgspec.Struct, frozen=True):
+    """What the runner reads from a process's settings."""
+
+    name: str
+    log_format: LogFormat
+    stop_deadline_s: float
+
+
 class Daemon(Protocol):
     """What the runner needs from a process's object."""
 
@@ -46,6 +58,10 @@
         """Return the process's state."""
         ...
 
+    def reload(self, settings: Any) -> None:
+        """Take over changed settings, as far as that is possible without a restart."""
+        ...
+
     @property
     def failure(self) -> asyncio.Future:
         """Done when a task has failed and the process must stop."""
@@ -55,14 +71,16 @@
 def run_daemon(
     program: str,
     about: str,
-    build: Callable[[Settings, argparse.Namespace], Daemon],
-    check: Callable[[Settings], None],
+    build: Callable[[S, argparse.Namespace], Daemon],
+    load: Callable[[pathlib.Path], S],
+    read_options: Callable[[S], RunOptions],
+    check: Callable[[S], None] = lambda settings: None,
     extend: Callable[[argparse.ArgumentParser], None] | None = None,
 ) -> int:
     """Parse the command line, check the settings, and run until a signal.
 
     SIGTERM or SIGINT starts a graceful stop; a second one, or the deadline, ends it.
-    SIGUSR1 writes the state dump to standard error.
+    SIGHUP reads the settings again; SIGUSR1 writes the state dump to standard error.
 
     Returns
     -------
@@ -72,7 +90,10 @@
     """
     parser = argparse.ArgumentParser(program, description=about)
     parser.add_argument(
-        "--settings", type=pathlib.Path, required=True, help="settings file (TOML)"
+        "--settings",
+        type=pathlib.Path,
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help=f"settings file (TOML); ${SETTINGS_VARIABLE} if not given",
     )
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
@@ -80,8 +101,10 @@
     if extend is not None:
         extend(parser)
     arguments = parser.parse_args()
+    if arguments.settings is None:
+        parser.error(f"give --settings, or set {SETTINGS_VARIABLE}")
     try:
-        settings = load_settings(arguments.settings)
+        settings = load(arguments.settings)
         check(settings)
     except SettingsError as error:
         print(f"{program}: {error}", file=sys.stderr)
@@ -89,25 +112,40 @@
     if arguments.check:
         print(f"{arguments.settings}: settings are usable")
         return 0
-    configure_logs(settings.cluster.log_format, settings.process.name)
+    options = read_options(settings)
+    configure_logs(options.log_format, options.name)
+
+    def reload(daemon: Daemon) -> None:
+        try:
+            fresh = load(arguments.settings)
+            check(fresh)
+        except SettingsError as error:
+            _log.error("settings are not taken over", error=str(error))
+            return
+        daemon.reload(fresh)
+        _log.info("settings are taken over")
+
     try:
-        return asyncio.run(_run(build, settings, arguments))
+        return asyncio.run(
+            _run(lambda: build(settings, arguments), options.stop_deadline_s, reload)
+        )
     except (TarragonwayError, OSError) as error:
         _log.error("cannot go on", error=str(error))
         return EXIT_FAILED
 
 
 async def _run(
-    build: Callable[[Settings, argparse.Namespace], Daemon],
-    settings: Settings,
-    arguments: argparse.Namespace,
+    build: Callable[[], Daemon],
+    stop_deadline_s: float,
+    reload: Callable[[Daemon], None],
 ) -> int:
-    daemon = build(settings, arguments)
+    daemon = build()
     loop = asyncio.get_running_loop()
     signals: asyncio.Queue[int] = asyncio.Queue()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
     loop.add_signal_handler(signal.SIGUSR1, _print_dump, daemon)
+    loop.add_signal_handler(signal.SIGHUP, reload, daemon)
     await daemon.start()
     _log.info("started")
     first = asyncio.ensure_future(signals.get())
@@ -117,7 +155,7 @@
         await daemon.close()
         return EXIT_FAILED
     _log.info("stopping")
-    code = await _drain(daemon, signals, settings.cluster.timing.stop_deadline_s)
+    code = await _drain(daemon, signals, stop_deadline_s)
     await daemon.close()
     _log.info("stopped", whole=code == 0)
     return code
--- /dev/null
+++ b/tarragonway/process/tasks.py
@@ -0,0 +1,53 @@
+"""Tasks of a process, and their end."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+CANCEL_AGAIN_S = 0.1
+
+
+class TaskGroup:
+    """Owns the tasks of a process.
+
+    ``failure`` is done when a task that should run for ever has ended.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: list[asyncio.Task] = []
+        self._jobs: set[asyncio.Task] = set()
+        self.failure: asyncio.Future = asyncio.Future()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Start a task that runs as long as the process; its end is a failure."""
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _start_job(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Start a task that ends by itself."""
+        task = asyncio.create_task(coroutine)
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+
+    async def _end_tasks(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        await cancel_tasks({*self._tasks, *self._jobs})
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        if task.cancelled() or self.failure.done():
+            return
+        self.failure.set_exception(task.exception() or RuntimeError("a task ended"))
+
+
+async def cancel_tasks(tasks: set[asyncio.Task]) -> None:
+    """Cancel tasks until all have ended.
+
+    ``asyncio.wait_for`` of Python 3.11 loses a cancellation that comes together with
+    the result that it waits for, so one request to end is not always enough.
+    """
+    pending = tasks
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
--- a/tarragonway/process/tests/test_base.py
+++ b/tarragonway/process/tests/test_base.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from tarragonway.process.base import cancel_tasks
+from tarragonway.process.tasks import cancel_tasks
 
 
 async def test_task_that_loses_a_cancellation_is_cancelled_again():
--- a/tarragonway/state/machine.py
+++ b/tarragonway/state/machine.py
@@ -133,6 +133,10 @@
         self.content = _Content()
         self._recent: list[tuple[int, Change]] = []
 
+    def encode_command(self, command: Command, now_ms: int) -> bytes:
+        """Return the log entry's payload for a command."""
+        return encode_command(command, now_ms)
+
     def apply_payload(self, payload: bytes) -> Result:
         """Apply one committed log entry."""
         stamped = _stamped_decoder.decode(payload)
