Ask the leader for quota once a request; plan the fleet with orders under way

Change: one bucket for each account at the leader, asked once a request; an equal or recently granted part without a leader. The plan counts what is ordered and holds a need for 10 s.

--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -1,7 +1,7 @@
 """Pure plan of a service's endpoints by availability zone and kind.
 
-Reclaimable endpoints carry the load: so many that the rest suffices when one zone's are
-taken away. On-demand ones bridge the time in which too few reclaimable ones are to be had.
+Reclaimable endpoints carry the load: so many that the rest suffices when one zone's
+are taken away. On-demand ones bridge the time in which too few are to be had.
 """
 
 import math
@@ -27,8 +27,21 @@
     ``utilization`` is the share of an endpoint's time that the load may take.
     """
 
-    utilization: float = 0.55
-    least_ready: int = 3
+    utilization: float = 0.8
+    least_ready: int = 2
+
+
+class FleetState(msgspec.Struct, frozen=True):
+    """What there is of each kind.
+
+    ``serving`` endpoints are listed and not leaving; ``expected`` counts those too that
+    are ordered and must still start. ``unavailable`` zones refused reclaimable
+    endpoints just now.
+    """
+
+    serving: Mapping[Kind, int]
+    expected: Mapping[Kind, int]
+    unavailable: frozenset[ZoneName] = frozenset()
 
 
 def count_needed(pressure: float, policy: FleetPolicy) -> int:
@@ -37,14 +50,13 @@
 
 
 def plan_fleet(
-    traits: ScalingTraits,
-    zones: Iterable[ZoneName],
-    needed: int,
-    ready_reclaimable: Mapping[ZoneName, int],
-    unavailable: frozenset[ZoneName],
+    traits: ScalingTraits, zones: Iterable[ZoneName], needed: int, state: FleetState
 ) -> dict[Kind, int]:
     """Return the wanted number of endpoints of each kind.
 
+    On-demand endpoints are added only for what is not expected, and given up only for
+    what serves, so that no order is made twice while endpoints start.
+
     Parameters
     ----------
     traits : ScalingTraits
@@ -53,32 +65,37 @@
         Availability zones of the deployment.
     needed : int
         Endpoints that must be left after the loss of a zone's reclaimable ones.
-    ready_reclaimable : mapping
-        Reclaimable endpoints that serve now and are not leaving, by zone.
-    unavailable : frozenset of ZoneName
-        Zones that refused reclaimable endpoints just now.
+    state : FleetState
+        What there is.
 
     Examples
     --------
     >>> traits = ScalingTraits(1, 4, 4.0, 0.2, {"a": 0.8, "b": 1.2, "c": 1.0})
-    >>> plan = plan_fleet(traits, "abc", 3, {"a": 2, "b": 1, "c": 2}, frozenset())
-    >>> [(k.zone, k.reclaimable, n) for k, n in sorted(plan.items()) if n]
-    [('a', True, 2), ('b', True, 1), ('c', True, 2)]
-    >>> plan = plan_fleet(traits, "abc", 3, {"b": 1}, frozenset("a"))
-    >>> plan[Kind("a", False)] + plan[Kind("c", False)]
-    2
+    >>> def show(state):
+    ...     plan = plan_fleet(traits, "abc", 2, state)
+    ...     return [(k.zone, k.reclaimable, n) for k, n in sorted(plan.items()) if n]
+    >>> full = {Kind(zone, True): 1 for zone in "abc"}
+    >>> show(FleetState(full, full))
+    [('a', True, 1), ('b', True, 1), ('c', True, 1)]
+    >>> lost = {Kind("b", True): 1}
+    >>> show(FleetState(lost, full))
+    [('a', True, 1), ('b', True, 1), ('c', True, 1)]
+    >>> show(FleetState(lost, lost, frozenset("ac")))
+    [('a', False, 1), ('a', True, 1), ('b', True, 1), ('c', True, 1)]
     """
     ordered = sorted(zones, key=lambda z: traits.zone_prices.get(z, 1.0))
     wanted = _spread_reclaimable(traits, ordered, needed)
     plan = {Kind(zone, True): count for zone, count in wanted.items()}
-    missing = needed - sum(ready_reclaimable.values())
-    for zone in ordered:
-        room = max(0, traits.most - plan[Kind(zone, True)])
-        if zone in unavailable:
-            room = traits.most
-        bridge = max(0, min(missing, room))
-        plan[Kind(zone, False)] = bridge
-        missing -= bridge
+    coming = sum(
+        state.expected.get(Kind(zone, True), 0) if zone in state.unavailable else count
+        for zone, count in wanted.items()
+    )
+    lacking = max(0, needed - coming)
+    present = sum(n for kind, n in state.serving.items() if kind.reclaimable)
+    spare_at = max(lacking, needed - present)
+    running = sum(n for kind, n in state.expected.items() if not kind.reclaimable)
+    bridge = min(max(running, lacking), spare_at)
+    plan.update(_place_on_demand(traits, ordered, bridge, state))
     return plan
 
 
@@ -92,6 +109,27 @@
     return counts
 
 
+def _place_on_demand(
+    traits: ScalingTraits, zones: list[ZoneName], count: int, state: FleetState
+) -> dict[Kind, int]:
+    """Keep on-demand endpoints where they are, and add where they are cheapest."""
+    placed: dict[Kind, int] = {}
+    rooms = {
+        zone: max(0, traits.most - state.expected.get(Kind(zone, True), 0))
+        for zone in zones
+    }
+    for zone in zones:
+        kind = Kind(zone, False)
+        placed[kind] = min(count, rooms[zone], state.expected.get(kind, 0))
+        count -= placed[kind]
+    for zone in zones:
+        kind = Kind(zone, False)
+        added = min(count, rooms[zone] - placed[kind])
+        placed[kind] += added
+        count -= added
+    return placed
+
+
 def _spread_reclaimable(
     traits: ScalingTraits, zones: list[ZoneName], needed: int
 ) -> dict[ZoneName, int]:
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -162,6 +162,11 @@
         row = self._progress.get(member_id)
         return row.match if row else 0
 
+    @property
+    def is_first_leader(self) -> bool:
+        """Whether no other leader of this group can ever have been ready."""
+        return self.is_ready_leader and self._log.get_term(1) == self.term
+
     def is_silent(self, member_id: MemberId) -> bool:
         """Return whether this leader has not heard a follower for several elections."""
         row = self._progress.get(member_id)
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -17,12 +17,13 @@
 from tarragonway.coordinator.listing import ListPublisher
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.coordinator.operators import OperatorInterface
+from tarragonway.coordinator.quotas import QuotaBook
 from tarragonway.coordinator.scaling import FleetKeeper
 from tarragonway.coordinator.usage import UsageReporter
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
 from tarragonway.core.errors import CorruptDataError
-from tarragonway.core.ids import ProcessName, ZoneName
+from tarragonway.core.ids import AccountId, ProcessName, ZoneName
 from tarragonway.endpoints.listing import EndpointView
 from tarragonway.endpoints.reader import ListReader
 from tarragonway.http1 import CallClient, HttpServer
@@ -35,13 +36,15 @@
     Hello,
     Join,
     LinkMessage,
+    QuotaAsk,
+    QuotaReturn,
     Status,
 )
 from tarragonway.node.metrics import make_metrics_server
 from tarragonway.node.settings import NodeSettings
 from tarragonway.platform import configuration, duties, listing, names
 from tarragonway.process.tasks import TaskGroup
-from tarragonway.routes.model import ChannelLimits, Configuration
+from tarragonway.routes.model import Account, ChannelLimits, Configuration
 
 TICK_S = 0.05
 STATUS_S = 0.5
@@ -79,6 +82,8 @@
         self._clock = WallClock()
         self._view = EndpointView()
         self._decoded: Configuration | None = None
+        self._accounts: dict[AccountId, Account] = {}
+        self._quotas = QuotaBook(settings.bounds.quota_slack)
         bounds = settings.bounds
         self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
         self._book = GatewayBook(self._driver, self._lease, self._clock)
@@ -273,6 +278,10 @@
                 link.send(ConfigurationText(self._machine.revision, self._machine.data))
             case Beat():
                 self._answer_beat(link, message)
+            case QuotaAsk():
+                self._answer_quota(link, message)
+            case QuotaReturn():
+                self._quotas.give_back(message)
             case _:
                 self._counters.increment("links.unexpected")
 
@@ -283,16 +292,22 @@
         now = asyncio.get_running_loop().time()
         if beat.listing != self._publisher.listing and self._publisher.listing:
             link.send(self._publisher.make_whole())
-        current = self._read_configuration()
         reply = self._book.answer(
             beat,
-            (current.accounts or ()) if current else (),
             self._publisher.listing,
             min(1e6, now - self._publisher.read_at),
             now,
         )
         link.send(reply)
 
+    def _answer_quota(self, link: Link, ask: QuotaAsk) -> None:
+        if not self._driver.is_leader:
+            link.send(self._make_status())
+            return
+        now = asyncio.get_running_loop().time()
+        self._read_configuration()
+        link.send(self._quotas.answer(ask, self._accounts, now))
+
     # Status
 
     def _make_status(self) -> Status:
@@ -326,6 +341,7 @@
             self._lease.observe()
             if not self._driver.is_leader:
                 self._book.clear()
+                self._quotas.clear()
             self._publish_status()
             if loop.time() - told_at >= STATUS_S:
                 told_at = loop.time()
@@ -339,6 +355,8 @@
             return None
         if self._decoded is None or self._decoded.revision != revision:
             self._decoded = configuration.decode_stored(self._machine.data)
+            accounts = self._decoded.accounts or ()
+            self._accounts = {account.id: account for account in accounts}
         return self._decoded
 
     def _find_operators_leader(self) -> str:
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -9,14 +9,11 @@
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.clock import WallClock
 from tarragonway.core.ids import AccountId, ProcessName
-from tarragonway.limits.tokens import divide_rate
-from tarragonway.links.messages import Beat, BeatReply, QuotaGrant
-from tarragonway.routes.model import Account
+from tarragonway.links.messages import Beat, BeatReply
 
 PRESENT_S = 3.0
-GRANT_LEASE_S = 3.0
-# A new leader first hears from all gateways before it divides quotas.
-GRANTS_AFTER_S = 1.2
+# A new leader first hears from all gateways before it tells their number.
+SETTLED_S = 1.2
 FORGET_S = 120.0
 CLOCK_STEP_MIN_S = 0.02
 CRASHES_TO_QUARANTINE = 2
@@ -29,7 +26,6 @@
     heard_at: float
     clock_lead_s: float
     clock_s: float
-    demands: dict[AccountId, float]
     windows: dict[int, dict[AccountId, int]]
     pressure: dict[str, float]
 
@@ -66,7 +62,6 @@
     def answer(
         self,
         beat: Beat,
-        accounts: tuple[Account, ...],
         listing: int,
         listing_age_s: float,
         now: float,
@@ -74,21 +69,12 @@
         """Take a report and return the answer."""
         gateway = self._take(beat, now)
         present = self._list_present(now)
-        grants: tuple[QuotaGrant, ...] = ()
-        settled = self._lease.leads_for_s >= GRANTS_AFTER_S
-        if settled:
-            grants = tuple(
-                self._grant(account, beat.name, present)
-                for account in accounts
-                if account.per_s > 0
-            )
+        settled = self._lease.leads_for_s >= SETTLED_S
         return BeatReply(
             self._driver.replica.term,
             beat.sequence,
             self._correct_clock(gateway, present) if settled else 0.0,
             len(present) if settled else 0,
-            GRANT_LEASE_S,
-            grants,
             listing,
             listing_age_s,
             tuple(self.quarantined),  # type: ignore[arg-type]
@@ -116,12 +102,11 @@
         gateway = self._gateways.get(beat.name)
         if gateway is None:
             _log.info("gateway reports", gateway=beat.name)
-            gateway = _Gateway(now, 0.0, 0.0, {}, {}, {})
+            gateway = _Gateway(now, 0.0, 0.0, {}, {})
             self._gateways[beat.name] = gateway
         gateway.heard_at = now
         gateway.clock_lead_s = beat.clock_s - self._clock.now()
         gateway.clock_s = beat.clock_s
-        gateway.demands = {d.account: d.tokens_per_s for d in beat.demands}
         gateway.pressure = beat.pressure
         for window in beat.usage:
             gateway.windows[window.window] = window.counts
@@ -154,14 +139,6 @@
             if now - gateway.heard_at <= PRESENT_S
         }
 
-    def _grant(
-        self, account: Account, name: ProcessName, present: dict[ProcessName, _Gateway]
-    ) -> QuotaGrant:
-        demands = {n: g.demands.get(account.id, 0.0) for n, g in present.items()}
-        rate = divide_rate(account.per_s, demands, name)
-        burst = account.burst * rate / account.per_s
-        return QuotaGrant(account.id, round(rate, 1), round(max(1.0, burst), 1))
-
     def _correct_clock(
         self, gateway: _Gateway, present: dict[ProcessName, _Gateway]
     ) -> float:
--- a/tarragonway/coordinator/group.py
+++ b/tarragonway/coordinator/group.py
@@ -1,4 +1,4 @@
-"""How a coordinator becomes a member: at bootstrap, after a restart, with an empty disk."""
+"""How a coordinator becomes a member of its group."""
 
 import random
 import secrets
@@ -66,9 +66,8 @@
 
 def name_group(seeds: list[str]) -> ClusterId:
     """Return the group's id, which follows from its founding members."""
-    return ClusterId(
-        f"{xxhash.xxh3_64_intdigest(','.join(sorted(seeds)).encode()):016x}"
-    )
+    names = ",".join(sorted(seeds))
+    return ClusterId(f"{xxhash.xxh3_64_intdigest(names.encode()):016x}")
 
 
 def make_replica(identity: Identity, found: Recovered) -> Replica:
--- a/tarragonway/coordinator/lease.py
+++ b/tarragonway/coordinator/lease.py
@@ -24,7 +24,7 @@
     """Confirms before each call that this process leads alone.
 
     A former leader may still send a call that it confirmed shortly before. Therefore a
-    new one waits out the whole lease after its election.
+    new one waits out the whole lease after its election, unless there was none before.
 
     Parameters
     ----------
@@ -56,7 +56,8 @@
 
     async def confirm(self) -> Fence | None:
         """Return the fence for one call, or None."""
-        if self.leads_for_s < self._lease_s * LEASE_MARGIN:
+        waited = self.leads_for_s >= self._lease_s * LEASE_MARGIN
+        if self._term < 0 or not (waited or self._driver.replica.is_first_leader):
             return None
         term = self._term
         asked = read_steady()
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -8,6 +8,7 @@
 
 from tarragonway.capacity.fleet import (
     FleetPolicy,
+    FleetState,
     Kind,
     count_kinds,
     count_needed,
@@ -18,7 +19,7 @@
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ServiceName, ZoneName
-from tarragonway.endpoints.listing import EndpointView
+from tarragonway.endpoints.listing import EndpointView, ListedEndpoint
 from tarragonway.http1.call import Call, CallAnswer, CallClient
 from tarragonway.routes.model import Configuration, ScalingTraits, Service
 
@@ -27,7 +28,8 @@
 # The list lags behind an order by the start of an endpoint and the list's own delay.
 SETTLE_S = 3.0
 UNAVAILABLE_S = 2.0
-DECAY_S = 20.0
+# A smaller need must last this long before endpoints are given up.
+HOLD_S = 10.0
 STATUS_OK = 200
 STATUS_NONE_LEFT = 409
 
@@ -88,7 +90,7 @@
         self._policy = FleetPolicy()
         self._orders: dict[tuple[ServiceName, Kind], _Order] = {}
         self._unavailable: dict[tuple[ServiceName, ZoneName], float] = {}
-        self._peaks: dict[ServiceName, float] = {}
+        self._needs: dict[ServiceName, list[tuple[float, int]]] = {}
 
     async def run(self) -> None:
         """Order until the task is cancelled."""
@@ -106,29 +108,52 @@
         now = asyncio.get_running_loop().time()
         rows = [r for r in self._view.rows.values() if r.service == service.name]
         counts = count_kinds(rows)
-        needed = count_needed(self._measure_pressure(service, now), self._policy)
-        plan = plan_fleet(
-            traits,
-            self._zones,
-            needed,
-            self._count_ready(counts),
-            self._list_unavailable(service.name, now),
-        )
-        # Reclaimable endpoints are ordered first, so that others leave after they serve.
+        self._drop_lost_orders(service.name, rows)
+        needed = self._measure_need(service.name, now)
+        expected = self._expect(service.name, traits, counts, now)
+        unavailable = self._list_unavailable(service.name, now)
+        state = FleetState(counts, expected, unavailable)
+        plan = plan_fleet(traits, self._zones, needed, state)
+        # Reclaimable endpoints are ordered first, so that others leave after they
+        # serve.
         for kind in sorted(plan, key=lambda k: (not k.reclaimable, k.zone)):
             listed = counts.get(kind, 0)
             if self._is_wanted(service.name, kind, plan[kind], listed, now):
                 await self._order(service.name, kind, plan[kind], listed, needed)
 
-    def _measure_pressure(self, service: Service, now: float) -> float:
-        """Return the load, which falls slowly after a peak."""
-        current = self._book.sum_pressure(service.name, now)
-        peak = self._peaks.get(service.name, 0.0) * (1 - CHECK_S / DECAY_S)
-        self._peaks[service.name] = max(current, peak)
-        return self._peaks[service.name]
+    def _measure_need(self, service: ServiceName, now: float) -> int:
+        """Return the most endpoints that were needed lately."""
+        pressure = self._book.sum_pressure(service, now)
+        needs = [
+            (at, count)
+            for at, count in self._needs.get(service, [])
+            if now - at < HOLD_S
+        ]
+        needs.append((now, count_needed(pressure, self._policy)))
+        self._needs[service] = needs
+        return max(count for _, count in needs)
+
+    def _drop_lost_orders(
+        self, service: ServiceName, rows: list[ListedEndpoint]
+    ) -> None:
+        """Forget the order of a kind that is being reclaimed: it is void."""
+        for row in rows:
+            if row.reclaimable and row.leaving and row.leaves_s >= 0:
+                self._orders.pop((service, Kind(row.zone, True)), None)
 
-    def _count_ready(self, counts: dict[Kind, int]) -> dict[ZoneName, int]:
-        return {kind.zone: n for kind, n in counts.items() if kind.reclaimable}
+    def _expect(
+        self,
+        service: ServiceName,
+        traits: ScalingTraits,
+        counts: dict[Kind, int],
+        now: float,
+    ) -> dict[Kind, int]:
+        """Return what will serve once the orders under way are carried out."""
+        expected = dict(counts)
+        for (name, kind), order in self._orders.items():
+            if name == service and now - order.at < traits.boot_s + SETTLE_S:
+                expected[kind] = order.count
+        return expected
 
     def _list_unavailable(
         self, service: ServiceName, now: float
--- a/tarragonway/core/clock.py
+++ b/tarragonway/core/clock.py
@@ -6,8 +6,8 @@
 class WallClock:
     """True time as far as known: steady time plus a correctable offset.
 
-    The offset is read once; a later step of the time of day has no effect. Time in which
-    the instance was suspended counts.
+    The offset is read once; a later step of the time of day has no effect. Time in
+    which the instance was suspended counts.
 
     Examples
     --------
--- a/tarragonway/endpoints/listing.py
+++ b/tarragonway/endpoints/listing.py
@@ -12,9 +12,9 @@
 class ListedEndpoint(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of an endpoint as the platform lists it.
 
-    ``key`` identifies the incarnation; ``instance`` is the platform's id, which a restarted
-    endpoint may bear again. ``leaves_s`` is the announced time until a reclaimed endpoint
-    is taken away, negative if unknown.
+    ``key`` identifies the incarnation; ``instance`` is the platform's id, which a
+    restarted endpoint may bear again. ``leaves_s`` is the announced time until a
+    reclaimed endpoint is taken away, negative if unknown.
     """
 
     key: str
@@ -49,7 +49,7 @@
     def replace(
         self, rows: Iterable[ListedEndpoint]
     ) -> tuple[list[ListedEndpoint], list[str]]:
-        """Take over a whole list; return the changed rows and the keys that are gone."""
+        """Take over a whole list; return changed rows and keys that are gone."""
         fresh = [self._mark(row) for row in rows]
         changed = [row for row in fresh if self.rows.get(row.key) != row]
         kept = {row.key for row in fresh}
--- a/tarragonway/gateway/__init__.py
+++ b/tarragonway/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The process between callers and endpoints on a platform with its own control plane."""
+"""The process between callers and endpoints on a platform with its own interface."""
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -113,7 +113,7 @@
     def _rank_warm(
         self, pool: list[ListedEndpoint], prompt: Prompt | None
     ) -> frozenset[str]:
-        """Return the endpoints that all gateways prefer for the prompt's shared parts."""
+        """Return the endpoints that all gateways prefer for the shared parts."""
         if prompt is None or not prompt.affinity:
             return frozenset()
         ranked = rank_by_hash(prompt.affinity, [row.key for row in pool])
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import random
+import secrets
 from typing import Any
 
 import structlog
@@ -14,7 +15,7 @@
 from tarragonway.gateway.choice import Chooser
 from tarragonway.gateway.forward import Forwarder
 from tarragonway.gateway.link import ControlLink
-from tarragonway.gateway.quota import QuotaHolder
+from tarragonway.gateway.pressure import PressureMeter
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import CallClient, HttpServer, Reply, Request
 from tarragonway.node.metrics import make_metrics_server
@@ -52,25 +53,28 @@
         self._settings = settings
         self._counters = Counters()
         self._beliefs = Beliefs()
-        self._quota = QuotaHolder()
         self._usage = UsageCounter(settings.bounds.report_window_s)
         self._chooser = Chooser(LoadBoard(), random.Random())
-        self._forwarder = Forwarder(
+        self._pressure = PressureMeter()
+        # A restarted process counts from zero, so it reports under a name of its own.
+        name = ProcessName(f"{settings.name}#{secrets.token_hex(3)}")
+        self._link = ControlLink(
+            name,
+            settings.seed_peers,
             self._beliefs,
-            self._quota,
             self._usage,
-            self._chooser,
-            self._make_budget,
-            requests,
+            self._pressure,
+            configuration.decode_configuration,
             self._counters,
         )
-        self._link = ControlLink(
-            ProcessName(settings.name),
-            settings.seed_peers,
+        self._forwarder = Forwarder(
             self._beliefs,
-            self._quota,
+            self._link.quota,
             self._usage,
-            configuration.decode_configuration,
+            self._pressure,
+            self._chooser,
+            self._make_budget,
+            requests,
             self._counters,
         )
         self._reader = ListReader(
@@ -149,7 +153,8 @@
         bounds = self._settings.bounds
         gateways = self._beliefs.gateways or UNKNOWN_GATEWAYS
         reserve = bounds.retry_slack * BUDGET_MARGIN / gateways
-        return RetryBudget(bounds.retry_ratio * BUDGET_MARGIN, max(1.0, reserve))
+        reserve = max(1.0, reserve)
+        return RetryBudget(bounds.retry_ratio * BUDGET_MARGIN, reserve, reserve)
 
     def _is_ready(self) -> bool:
         return (
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -25,6 +25,7 @@
 from tarragonway.gateway.beliefs import Beliefs
 from tarragonway.gateway.choice import Chooser
 from tarragonway.gateway.model import AnswerFacts, CallerRequest
+from tarragonway.gateway.pressure import PressureMeter
 from tarragonway.gateway.quota import QuotaHolder
 from tarragonway.gateway.sender import Codec, Sender
 from tarragonway.gateway.usage import UsageCounter
@@ -66,6 +67,8 @@
         Shares of client accounts' quotas.
     usage : UsageCounter
         Receives the requests that began to run.
+    pressure : PressureMeter
+        Receives the work that is sent to services.
     chooser : Chooser
         Picks endpoints.
     make_budget : callable
@@ -81,6 +84,7 @@
         beliefs: Beliefs,
         quota: QuotaHolder,
         usage: UsageCounter,
+        pressure: PressureMeter,
         chooser: Chooser,
         make_budget: Callable[[], RetryBudget],
         codec: Codec,
@@ -89,6 +93,7 @@
         self._beliefs = beliefs
         self._quota = quota
         self._usage = usage
+        self._pressure = pressure
         self._chooser = chooser
         self._make_budget = make_budget
         self._codec = codec
@@ -134,6 +139,8 @@
     ) -> Attempt | None:
         """Return the attempt, or answer the refusal and return None."""
         judged = self._judge(request, facts)
+        if isinstance(judged, Admitted):
+            judged = await self._take_quota(judged, facts)
         if isinstance(judged, OwnRefusal):
             await self._refuse(reply, facts, judged)
             return None
@@ -146,7 +153,7 @@
         )
 
     def _judge(self, request: Request, facts: CallerRequest) -> Admitted | OwnRefusal:
-        """Check a request against the configuration in force and take its quota."""
+        """Check a request against the configuration in force."""
         table = self._beliefs.table
         if table is None:
             return OwnRefusal(Cause.NO_CONFIGURATION, 1.0)
@@ -160,9 +167,6 @@
             return OwnRefusal(Cause.STOPPING, RETRY_AFTER_S)
         if self._fingerprint(request, account) in self._beliefs.quarantined:
             return OwnRefusal(Cause.QUARANTINED)
-        wait_s = self._take_quota(account, facts, request.arrived)
-        if wait_s > 0:
-            return OwnRefusal(Cause.QUOTA, wait_s)
         return Admitted(route, account)
 
     def _find_account(
@@ -181,12 +185,14 @@
             return ""
         return make_fingerprint(request, account)
 
-    def _take_quota(
-        self, account: Account | None, facts: CallerRequest, now: float
-    ) -> float:
+    async def _take_quota(
+        self, admitted: Admitted, facts: CallerRequest
+    ) -> Admitted | OwnRefusal:
+        account = admitted.account
         if account is None:
-            return 0.0
-        return self._quota.admit(account, count_units(account, facts), now)
+            return admitted
+        wait_s = await self._quota.admit(account, count_units(account, facts))
+        return OwnRefusal(Cause.QUOTA, wait_s) if wait_s > 0 else admitted
 
     async def _refuse(
         self,
@@ -213,6 +219,7 @@
         started = loop.time()
         budget = self._get_budget(attempt.service)
         budget.deposit()
+        self._pressure.add(attempt.service, attempt.facts.prompt)
         outcome: SendOutcome | None = None
         while True:
             endpoint = self._choose(attempt)
--- a/tarragonway/gateway/link.py
+++ b/tarragonway/gateway/link.py
@@ -9,6 +9,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ProcessName
 from tarragonway.gateway.beliefs import Beliefs
+from tarragonway.gateway.pressure import PressureMeter
 from tarragonway.gateway.quota import QuotaHolder
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.links import Link, Switch
@@ -21,6 +22,9 @@
     FetchConfiguration,
     Hello,
     LinkMessage,
+    QuotaAnswer,
+    QuotaAsk,
+    QuotaReturn,
     Status,
 )
 from tarragonway.routes.model import Configuration, ConfigurationError
@@ -45,8 +49,8 @@
         Addresses of coordinators to start from.
     beliefs : Beliefs
         Written here.
-    quota, usage : QuotaHolder, UsageCounter
-        Reported to the leader; shares come back.
+    usage, pressure : UsageCounter, PressureMeter
+        Reported to the leader.
     decode : callable
         Decodes a configuration text.
     counters : Counters
@@ -58,15 +62,16 @@
         name: ProcessName,
         seeds: Iterable[str],
         beliefs: Beliefs,
-        quota: QuotaHolder,
         usage: UsageCounter,
+        pressure: PressureMeter,
         decode: Callable[[bytes], Configuration],
         counters: Counters,
     ) -> None:
         self._name = name
         self._seeds = list(seeds)
         self._beliefs = beliefs
-        self._quota = quota
+        self._quota = QuotaHolder(self.send_to_leader, counters)
+        self._pressure = pressure
         self._usage = usage
         self._decode = decode
         self._counters = counters
@@ -97,9 +102,14 @@
         """Tell the leader that a content ran where an endpoint was lost."""
         self._crashes.append(crash)
 
-    def report_now(self) -> None:
-        """Send a report ahead of time."""
-        self._send_beat()
+    @property
+    def quota(self) -> QuotaHolder:
+        """Admission against quotas, by way of the leader."""
+        return self._quota
+
+    def send_to_leader(self, message: QuotaAsk | QuotaReturn) -> bool:
+        """Send a message; return False if no leader is known."""
+        return bool(self._leader) and self._switch.send(self._leader, message)
 
     async def close(self) -> None:
         """Send the last counts and end all links."""
@@ -131,6 +141,8 @@
                 self._on_endpoints(message)
             case BeatReply():
                 self._on_reply(message)
+            case QuotaAnswer():
+                self._quota.receive(message)
             case _:
                 self._counters.increment("control.unexpected")
 
@@ -222,8 +234,8 @@
             clock_s,
             self._listing[1],
             usage,
-            self._quota.measure_demand(now),
             tuple(self._crashes[:32]),
+            self._pressure.measure(now),
         )
         if self._switch.send(self._leader, beat):
             self._full_report = False
@@ -239,11 +251,11 @@
         self.answered_at = now
         self._crashes = self._crashes[32:]
         beliefs = self._beliefs
-        beliefs.gateways = reply.gateways
+        if reply.gateways:
+            beliefs.gateways = self._quota.gateways = reply.gateways
         beliefs.quarantined = frozenset(reply.quarantined)
         if abs(reply.clock_correction_s) > CLOCK_STEP_MIN_S:
             _log.info("clock is corrected", seconds=reply.clock_correction_s)
             beliefs.clock.correct(reply.clock_correction_s)
-        self._quota.receive(reply.grants, reply.gateways, sent_at + reply.lease_s)
         if reply.listing == self._listing[1]:
             beliefs.listed_at = max(beliefs.listed_at, sent_at - reply.listing_age_s)
--- /dev/null
+++ b/tarragonway/gateway/pressure.py
@@ -0,0 +1,48 @@
+"""The work that a gateway sends to each service."""
+
+from tarragonway.core.ids import ServiceName
+from tarragonway.gateway.model import Prompt
+
+SMOOTHING_S = 5.0
+# Published speed of the engines: tokens of prompts read a second by one engine, and the
+# time that one more generated token costs an engine that runs a full batch.
+PROMPT_TOKENS_PER_S = 55_000.0
+OUTPUT_TOKEN_S = 0.00025
+
+
+class PressureMeter:
+    """Smoothed seconds of endpoints' work a second, by service.
+
+    Examples
+    --------
+    >>> meter = PressureMeter()
+    >>> meter.add("llm", Prompt(5500, 0))
+    >>> meter.measure(5.0)
+    {'llm': 0.02}
+    """
+
+    def __init__(self) -> None:
+        self._sums: dict[ServiceName, float] = {}
+        self._rates: dict[ServiceName, float] = {}
+        self._at = 0.0
+
+    def add(self, service: ServiceName, prompt: Prompt | None) -> None:
+        """Note one request."""
+        if prompt is not None:
+            work_s = prompt.tokens_in / PROMPT_TOKENS_PER_S
+            work_s += prompt.tokens_out * OUTPUT_TOKEN_S
+            self._sums[service] = self._sums.get(service, 0.0) + work_s
+
+    def measure(self, now: float) -> dict[str, float]:
+        """Return the rates, and start a new interval."""
+        interval_s = now - self._at
+        if interval_s <= 0:
+            return {}
+        self._at = now
+        weight = min(1.0, interval_s / SMOOTHING_S)
+        for service in {*self._sums, *self._rates}:
+            current = self._sums.get(service, 0.0) / interval_s
+            rate = self._rates.get(service, 0.0)
+            self._rates[service] = rate + (current - rate) * weight
+        self._sums.clear()
+        return {name: round(rate, 4) for name, rate in self._rates.items()}
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -31,8 +31,9 @@
 class EndpointConnection(asyncio.Protocol):
     """A connection to an endpoint.
 
-    After :meth:`send` and a full read, :attr:`is_reusable` tells whether the next request
-    may use it: the answer was complete, nothing follows it and nobody asked to close.
+    After :meth:`send` and a full read, :attr:`is_reusable` tells whether the next
+    request may use it: the answer was complete, nothing follows it and nobody asked to
+    close.
     """
 
     def __init__(self) -> None:
--- a/tarragonway/limits/tokens.py
+++ b/tarragonway/limits/tokens.py
@@ -1,33 +1,48 @@
-"""Division of a rate among gateways."""
+"""Token buckets of client accounts' quotas."""
 
-from collections.abc import Mapping
+import msgspec
 
-from tarragonway.core.ids import ProcessName
 
-FLOOR = 0.1
+class UnitBucket(msgspec.Struct):
+    """Admits while its level is positive, so that one large request can overdraw it.
 
-
-def divide_rate(
-    per_s: float, demands: Mapping[ProcessName, float], name: ProcessName
-) -> float:
-    """Return one gateway's part of a rate.
-
-    Everyone gets its demand and an equal part of the rest; if the demands exceed the
-    rate, a small equal floor and a part in proportion to the demand.
+    A request may be larger than the burst; it must still be admitted some time.
 
     Examples
     --------
-    >>> divide_rate(100.0, {"a": 40.0, "b": 20.0}, "a")
-    60.0
-    >>> divide_rate(100.0, {"a": 150.0, "b": 50.0}, "b")
-    27.5
+    >>> bucket = UnitBucket(level=10.0, at=0.0)
+    >>> [bucket.take(12.0, 10.0, 10.0, now) for now in (0.0, 0.1, 0.4)]
+    [0.0, 0.1, 0.0]
     """
-    count = len(demands)
-    if not count:
-        return per_s
-    total = sum(demands.values())
-    own = demands.get(name, 0.0)
-    if total <= per_s:
-        return own + (per_s - total) / count
-    floor = per_s * FLOOR
-    return floor / count + (per_s - floor) * own / total
+
+    level: float
+    at: float
+
+    def take(self, units: float, per_s: float, burst: float, now: float) -> float:
+        """Take units; return 0, or the seconds until the level is positive again."""
+        self._refill(per_s, burst, now)
+        if self.level > 0:
+            self.level -= units
+            return 0.0
+        return max(0.05, round(-self.level / per_s, 3))
+
+    def take_strictly(
+        self, units: float, per_s: float, window_s: float, now: float
+    ) -> float:
+        """Take units only if they, or a window's worth, are there."""
+        most = per_s * window_s
+        self._refill(per_s, most, now)
+        needed = min(units, most)
+        if self.level >= needed:
+            self.level -= units
+            return 0.0
+        return max(0.05, round((needed - self.level) / per_s, 3))
+
+    def give_back(self, units: float) -> None:
+        """Return units of a request that did not run."""
+        self.level += units
+
+    def _refill(self, per_s: float, burst: float, now: float) -> None:
+        added = max(0.0, now - self.at) * per_s
+        self.level = min(burst, self.level + added)
+        self.at = max(self.at, now)
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -51,11 +51,27 @@
     counts: dict[AccountId, int]
 
 
-class QuotaDemand(msgspec.Struct, frozen=True, array_like=True):
-    """Tokens a second that a client account has asked for at one gateway."""
+class QuotaAsk(msgspec.Struct, frozen=True, tag=True):
+    """Asks the leader for units of a client account's quota, for one request."""
 
+    sequence: int
     account: AccountId
-    tokens_per_s: float
+    units: float
+
+
+class QuotaAnswer(msgspec.Struct, frozen=True, tag=True):
+    """The units are granted, or may be asked for again after ``wait_s``."""
+
+    sequence: int
+    granted: bool
+    wait_s: float = 0.0
+
+
+class QuotaReturn(msgspec.Struct, frozen=True, tag=True):
+    """Gives back the units of a request that did not run."""
+
+    account: AccountId
+    units: float
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -69,7 +85,8 @@
     """A gateway's report to the leader.
 
     ``clock_s`` is its wall-clock time at sending. ``usage`` counts are cumulative, so a
-    repeated report changes nothing. ``busy`` is how many requests it has at each service.
+    repeated report changes nothing. ``pressure`` is the work that it sends to each
+    service, in seconds a second.
     """
 
     name: ProcessName
@@ -77,33 +94,22 @@
     clock_s: float
     listing: int
     usage: tuple[WindowCounts, ...]
-    demands: tuple[QuotaDemand, ...]
     crashes: tuple[Crash, ...]
     pressure: dict[str, float] = {}
 
 
-class QuotaGrant(msgspec.Struct, frozen=True, array_like=True):
-    """Tokens a second that a gateway may admit of one client account."""
-
-    account: AccountId
-    tokens_per_s: float
-    burst: float
-
-
 class BeatReply(msgspec.Struct, frozen=True, tag=True):
     """The leader's answer to a :class:`Beat`.
 
     ``clock_correction_s`` is what the gateway's clock lacks against the median of all;
-    ``gateways`` is the number of gateways that report; ``listing_age_s`` the age of the
-    endpoint list. ``grants`` may be used for ``lease_s`` from the sending of the beat.
+    ``gateways`` is the number of gateways that report, 0 if not known yet;
+    ``listing_age_s`` is the age of the endpoint list.
     """
 
     term: int
     sequence: int
     clock_correction_s: float
     gateways: int
-    lease_s: float
-    grants: tuple[QuotaGrant, ...]
     listing: int
     listing_age_s: float
     quarantined: tuple[Fingerprint, ...] = ()
@@ -127,6 +133,9 @@
     | FetchConfiguration
     | ConfigurationText
     | Beat
+    | QuotaAsk
+    | QuotaAnswer
+    | QuotaReturn
     | BeatReply
     | EndpointUpdate
 )
--- a/tarragonway/node/metrics.py
+++ b/tarragonway/node/metrics.py
@@ -33,12 +33,12 @@
 
 
 def format_metrics(values: dict[str, int]) -> str:
-    """Return one line a counter.
+    r"""Return one line a counter.
 
     Examples
     --------
     >>> format_metrics({"request.answered": 2})
-    'tarragonway_request_answered 2\\n'
+    'tarragonway_request_answered 2\n'
     """
     lines = [
         f"tarragonway_{name.replace('.', '_').replace('-', '_')} {value}\n"
--- a/tarragonway/node/settings.py
+++ b/tarragonway/node/settings.py
@@ -20,8 +20,8 @@
 class Listen(_Part, frozen=True):
     """Addresses that this process serves.
 
-    ``peers`` is for the system's own processes. A gateway has ``callers`` and ``readiness``,
-    a coordinator ``operators``.
+    ``peers`` is for the system's own processes. A gateway has ``callers`` and
+    ``readiness``, a coordinator ``operators``.
     """
 
     peers: Address
@@ -49,13 +49,14 @@
     usage_late_s: Annotated[float, Meta(gt=0)] = 10.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.1
     retry_slack: Annotated[float, Meta(ge=0)] = 10.0
+    quota_slack: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class NodeSettings(_Part, frozen=True):
     """Settings of one process.
 
-    ``seeds`` are operators' addresses of coordinators; their addresses between processes
-    have the same ports as this one's.
+    ``seeds`` are operators' addresses of coordinators; their addresses between
+    processes have the same ports as this one's.
     """
 
     name: str
--- a/tarragonway/retries/budget.py
+++ b/tarragonway/retries/budget.py
@@ -13,6 +13,8 @@
         Retries that each request earns.
     reserve : float
         Most retries that may be saved up.
+    balance : float
+        Retries that are there at the start.
 
     Examples
     --------
@@ -26,11 +28,14 @@
     """
 
     def __init__(
-        self, ratio: float = DEPOSIT_A_REQUEST, reserve: float = RESERVE_RETRIES
+        self,
+        ratio: float = DEPOSIT_A_REQUEST,
+        reserve: float = RESERVE_RETRIES,
+        balance: float = 0.0,
     ) -> None:
         self._ratio = ratio
         self._reserve = reserve
-        self._balance = 0.0
+        self._balance = balance
 
     def deposit(self) -> None:
         """Note one first try."""
--- a/tarragonway/routes/model.py
+++ b/tarragonway/routes/model.py
@@ -33,8 +33,8 @@
 class Route(msgspec.Struct, frozen=True):
     """Where requests for a host and path prefix go, and within which limits.
 
-    ``priority`` 0 is the most urgent. ``latency_objective_s`` counts to the answer, or to
-    a stream's first event.
+    ``priority`` 0 is the most urgent. ``latency_objective_s`` counts to the answer, or
+    to a stream's first event.
     """
 
     name: str
@@ -78,7 +78,7 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service; ``max_connections`` is the limit of each endpoint, over all callers."""
+    """A service; ``max_connections`` is each endpoint's limit, over all callers."""
 
     name: ServiceName
     health_path: str
--- a/tarragonway/routes/table.py
+++ b/tarragonway/routes/table.py
@@ -57,7 +57,8 @@
     >>> from tarragonway.routes.model import Repeatability, ServiceShare
     >>> shares = (ServiceShare("a", 0.0), ServiceShare("b", 2.0))
     >>> kind = Repeatability.SAFE
-    >>> draw_service(Route("r", "h", "/", kind, 1.0, 1.0, 0, 1, shares), random.Random(1))
+    >>> route = Route("r", "h", "/", kind, 1.0, 1.0, 0, 1, shares)
+    >>> draw_service(route, random.Random(1))
     'b'
     """
     if len(route.shares) == 1:
