Start the fleet from what there is until the load is known

Change: the need is what is listed, less one zone's reclaimable endpoints, until gateways report load.

--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -109,6 +109,12 @@
     return counts
 
 
+def count_safe(counts: Mapping[Kind, int]) -> int:
+    """Return what is left when the zone with most reclaimable ones loses them."""
+    most = max((n for kind, n in counts.items() if kind.reclaimable), default=0)
+    return sum(counts.values()) - most
+
+
 def _place_on_demand(
     traits: ScalingTraits, zones: list[ZoneName], count: int, state: FleetState
 ) -> dict[Kind, int]:
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -12,6 +12,7 @@
     Kind,
     count_kinds,
     count_needed,
+    count_safe,
     plan_fleet,
 )
 from tarragonway.control.driver import LogDriver
@@ -91,6 +92,7 @@
         self._orders: dict[tuple[ServiceName, Kind], _Order] = {}
         self._unavailable: dict[tuple[ServiceName, ZoneName], float] = {}
         self._needs: dict[ServiceName, list[tuple[float, int]]] = {}
+        self._unloaded: set[ServiceName] = set()
 
     async def run(self) -> None:
         """Order until the task is cancelled."""
@@ -99,6 +101,7 @@
             configuration = self._read_configuration()
             if not self._driver.is_leader:
                 self._orders.clear()
+                self._needs.clear()
             elif configuration is not None and self._view.rows:
                 for service in configuration.services:
                     if service.scaling is not None:
@@ -109,7 +112,7 @@
         rows = [r for r in self._view.rows.values() if r.service == service.name]
         counts = count_kinds(rows)
         self._drop_lost_orders(service.name, rows)
-        needed = self._measure_need(service.name, now)
+        needed = self._measure_need(service.name, counts, now)
         expected = self._expect(service.name, traits, counts, now)
         unavailable = self._list_unavailable(service.name, now)
         state = FleetState(counts, expected, unavailable)
@@ -121,15 +124,26 @@
             if self._is_wanted(service.name, kind, plan[kind], listed, now):
                 await self._order(service.name, kind, plan[kind], listed, needed)
 
-    def _measure_need(self, service: ServiceName, now: float) -> int:
-        """Return the most endpoints that were needed lately."""
+    def _measure_need(
+        self, service: ServiceName, counts: dict[Kind, int], now: float
+    ) -> int:
+        """Return the most endpoints that were needed lately.
+
+        As long as no load is known, that is what there is.
+        """
         pressure = self._book.sum_pressure(service, now)
         needs = [
             (at, count)
             for at, count in self._needs.get(service, [])
             if now - at < HOLD_S
         ]
-        needs.append((now, count_needed(pressure, self._policy)))
+        if not pressure and (not needs or service in self._unloaded):
+            self._unloaded.add(service)
+            count = needs[0][1] if needs else count_safe(counts)
+        else:
+            self._unloaded.discard(service)
+            count = count_needed(pressure, self._policy)
+        needs.append((now, count))
         self._needs[service] = needs
         return max(count for _, count in needs)
 
