Test the adapter, its boundary, and HTTP connections; reset what is broken off

Cause (found by the tests): a head over the limit that arrives in one piece was taken; an answer that was broken off ended with a plain close, which can look complete to a caller that reads until the end. Change: the size of the head is checked; broken connections are reset.

--- a/tarragonway/http1/server.py
+++ b/tarragonway/http1/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -16,6 +17,7 @@
 BODY_TIMEOUT_S = 20.0
 LINGER_S = 1.0
 BACKLOG = 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _log = structlog.get_logger()
 
@@ -225,9 +227,13 @@
         return headers
 
     def abort(self) -> None:
-        """Break the connection off."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Reset the connection, so that no answer on it can look complete."""
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and not self._transport.is_closing():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._transport.abort()
 
     def close_if_idle(self) -> None:
         """Close unless a request is under way."""
@@ -270,6 +276,10 @@
             self._set_timer(self._limits.header_timeout_s, self._expire_request)
 
     def _start_request(self, event: h11.Request) -> bool:
+        size = sum(len(name) + len(value) + 4 for name, value in event.headers)
+        if size > self._limits.header_bytes:
+            self._reject(431, "the headers are too large")
+            return False
         names = [name for name, _ in event.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             self._reject(400, "both a length and a transfer encoding")
@@ -300,8 +310,7 @@
         try:
             await self._server.handle(request, reply)
         except asyncio.CancelledError:
-            if self._transport is not None:
-                self._transport.abort()
+            self.abort()
         except Exception:
             _log.exception("request failed", target=request.target)
             self.abort()
--- /dev/null
+++ b/tarragonway/http1/tests/test_server.py
@@ -0,0 +1,104 @@
+import asyncio
+
+import pytest
+
+from tarragonway.http1 import HttpServer, Reply, Request
+from tarragonway.routes import ChannelLimits
+
+LIMITS = ChannelLimits(
+    header_bytes=2048, body_bytes=1024, header_timeout_s=0.2, idle_timeout_s=5.0
+)
+
+
+class Stage:
+    """A server on loopback that keeps the requests it was handed."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.cancelled = asyncio.Event()
+        self.release = asyncio.Event()
+        self.release.set()
+        self.server = HttpServer(self.handle, lambda: LIMITS)
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        self.requests.append(request)
+        try:
+            await self.release.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        await reply.send(200, [], request.target.encode())
+
+
+@pytest.fixture
+async def stage(unused_tcp_port):
+    stage = Stage()
+    stage.address = f"127.0.0.1:{unused_tcp_port}"
+    await stage.server.listen(stage.address)
+    yield stage
+    stage.server.close()
+
+
+async def talk(stage, data, *, wait_s=0.5):
+    """Send bytes and return what comes until the server closes or goes quiet."""
+    host, port = stage.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    received = b""
+    try:
+        async with asyncio.timeout(wait_s):
+            while chunk := await reader.read(65536):
+                received += chunk
+    except TimeoutError:
+        pass
+    writer.close()
+    return received
+
+
+async def test_requests_on_one_connection_are_answered_in_order(stage):
+    data = b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\nGET /b/ HTTP/1.1\r\nHost: h\r\n\r\n"
+    received = await talk(stage, data)
+    assert received.index(b"/a/") < received.index(b"/b/")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n",
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: h\r\nBad Header: x\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+async def test_ambiguous_requests_are_rejected_and_nothing_is_passed_on(stage, head):
+    received = await talk(stage, head)
+    assert received.startswith(b"HTTP/1.1 400")
+    assert not stage.requests
+
+
+async def test_oversized_head_and_body_are_rejected(stage):
+    big_head = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 5000 + b"\r\n\r\n"
+    assert (await talk(stage, big_head)).startswith(b"HTTP/1.1 431")
+    big_body = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"
+    received = await talk(stage, big_body + b"a" * 5000)
+    assert received.startswith(b"HTTP/1.1 413")
+    assert not stage.requests
+
+
+async def test_slow_head_ends_with_408(stage):
+    received = await talk(stage, b"GET / HTTP/1.1\r\nHo", wait_s=1.0)
+    assert received.startswith(b"HTTP/1.1 408")
+
+
+async def test_handler_is_cancelled_when_the_caller_leaves(stage):
+    stage.release.clear()
+    await talk(stage, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", wait_s=0.1)
+    async with asyncio.timeout(1.0):
+        await stage.cancelled.wait()
+
+
+async def test_answers_ask_to_close_once_the_process_stops(stage):
+    stage.server.announce_close()
+    received = await talk(stage, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert b"connection: close" in received.lower()
--- /dev/null
+++ b/tarragonway/platform/tests/test_boundary.py
@@ -0,0 +1,46 @@
+import pathlib
+import re
+
+import tarragonway
+
+PACKAGE = pathlib.Path(tarragonway.__file__).parent
+FOREIGN = re.compile(
+    r"tarragonway-(attempt|server|deadline|not|expected|prefix|token|duty|kv|pin|weight"
+    r"|request|length|model|instance|tenant|fencing)"
+    r"|Config\.(Replace|Read)|kv-(move|events|list|handle|pin|fetch|from)|hold-(take|drop)"
+    r"|readyz|/replicas|path_prefix|route_kind|max_attempts\"|api_keys|zone_prices\""
+    r"|cold_left_ms|leaves_ms|spot_price|window_id|uncached_tokens",
+    re.IGNORECASE,
+)
+IMPORTERS = {"gateway/daemon.py", "coordinator/daemon.py"}
+
+
+def list_sources():
+    for path in sorted(PACKAGE.rglob("*.py")):
+        name = path.relative_to(PACKAGE).as_posix()
+        if not name.startswith("platform/") and "/tests/" not in name:
+            yield name, path.read_text(encoding="utf-8")
+
+
+def test_names_of_the_platform_stay_in_the_adapter():
+    found = [
+        f"{name}:{number}: {line.strip()}"
+        for name, text in list_sources()
+        for number, line in enumerate(text.splitlines(), 1)
+        if FOREIGN.search(line)
+    ]
+    assert not found
+
+
+def test_only_the_daemons_import_the_adapter():
+    importers = {
+        name for name, text in list_sources() if "tarragonway.platform" in text
+    }
+    assert importers == IMPORTERS
+
+
+def test_lean_daemons_do_not_import_what_they_do_not_use():
+    heavy = ("aiohttp", "pynng", "statsd")
+    for name, text in list_sources():
+        if name.split("/")[0] in ("gateway", "coordinator", "links", "http1", "node"):
+            assert not any(f"import {module}" in text for module in heavy), name
