Send requests that may run once on fresh connections

Cause (found by a new test of the forwarder): an endpoint that drops a kept connection takes the request on it with it, and nobody knows whether it ran. Ruled out: a bound of 1 s on the idle time; a drop can come sooner. Change: such requests open a connection each; others reuse the kept ones.

--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -29,8 +29,9 @@
 from tarragonway.http1.client import Headers
 
 REPEATABLE_IDLE_S = 60.0
-# A kept connection may end unnoticed; a request that may run once takes a fresh one.
-UNREPEATABLE_IDLE_S = 1.0
+# An endpoint may drop a kept connection unnoticed, and then nobody knows whether the
+# request on it ran. A request that may run once therefore takes a fresh one.
+UNREPEATABLE_IDLE_S = 0.0
 EVENT_STREAM = b"text/event-stream"
 
 _log = structlog.get_logger()
--- /dev/null
+++ b/tarragonway/gateway/tests/test_forward.py
@@ -0,0 +1,285 @@
+import asyncio
+import random
+
+import pytest
+
+from tarragonway.core.counters import Counters
+from tarragonway.endpoints.listing import ListedEndpoint
+from tarragonway.gateway.beliefs import Beliefs
+from tarragonway.gateway.choice import Chooser
+from tarragonway.gateway.forward import Forwarder
+from tarragonway.gateway.pressure import PressureMeter
+from tarragonway.gateway.usage import UsageCounter
+from tarragonway.http1 import HttpServer
+from tarragonway.platform import requests
+from tarragonway.retries.budget import RetryBudget
+from tarragonway.routes import (
+    Account,
+    ChannelLimits,
+    Configuration,
+    Repeatability,
+    Route,
+    RouteTable,
+    Service,
+    ServiceShare,
+)
+from tarragonway.routing.loads import LoadBoard
+
+SIGNED = "Tarragonway-Server-Signature: s\r\n"
+
+
+def whole(status=200, body="ok", extra=SIGNED):
+    head = f"HTTP/1.1 {status} X\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+    return [(head + body).encode()]
+
+
+def events(*ids, end=True, cut=b""):
+    """A chunked event stream, cut off after ``cut`` unless it ends."""
+    head = f"HTTP/1.1 200 OK\r\n{SIGNED}Content-Type: text/event-stream\r\n"
+    parts = [(head + "Transfer-Encoding: chunked\r\n\r\n").encode()]
+    for number in ids:
+        parts.append(chunk(f"id: {number}\ndata: x\n\n".encode()))
+    if cut:
+        parts.append(chunk(cut))
+    if end:
+        parts.append(b"0\r\n\r\n")
+    return parts
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+class Endpoint:
+    """Plays prepared answers, one a connection, and keeps the heads it receives."""
+
+    def __init__(self) -> None:
+        self.answers: list[list[bytes]] = []
+        self.heads: list[bytes] = []
+        self.left = asyncio.Event()
+        self.hang = False
+
+    async def serve(self, reader, writer):
+        self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+        if self.hang:
+            await reader.read()
+            self.left.set()
+        for part in self.answers.pop(0) if self.answers else []:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.close()
+
+
+class FreeQuota:
+    def __init__(self) -> None:
+        self.returned = 0.0
+
+    async def admit(self, account, units):
+        return 0.0
+
+    def give_back(self, account, units):
+        self.returned += units
+
+
+def make_route(name, kind, *, attempts=1, resumable=False, timeout_s=2.0):
+    share = (ServiceShare("s", 1.0),)
+    return Route(
+        name, "h", f"/{name}/", kind, timeout_s, 0.5, 1, attempts, share, False, False,
+        resumable,
+    )  # fmt: skip
+
+
+ROUTES = (
+    make_route("once", Repeatability.UNSAFE, attempts=2),
+    make_route("single", Repeatability.UNSAFE),
+    make_route("read", Repeatability.SAFE, attempts=2),
+    make_route("resume", Repeatability.STREAM, attempts=2, resumable=True),
+    make_route("stream", Repeatability.STREAM, attempts=2),
+    make_route("short", Repeatability.SAFE, timeout_s=0.2),
+)
+
+
+class World:
+    """A gateway's forwarder before stub endpoints."""
+
+    def __init__(self) -> None:
+        self.beliefs = Beliefs()
+        configuration = Configuration(
+            1, ROUTES, (Service("s", "/", 9),), ChannelLimits(),
+            (Account("acct", ("key",), per_s=5.0, burst=5.0),),
+        )  # fmt: skip
+        self.beliefs.table = RouteTable(configuration)
+        self.quota = FreeQuota()
+        self.usage = UsageCounter(5.0)
+        self.forwarder = Forwarder(
+            self.beliefs,
+            self.quota,
+            self.usage,
+            PressureMeter(),
+            Chooser(LoadBoard(), random.Random(1)),
+            lambda: RetryBudget(0.5, 5.0, 5.0),
+            requests,
+            Counters(),
+        )
+        self.server = HttpServer(self.forwarder.handle, ChannelLimits)
+        self.endpoints: list[Endpoint] = []
+
+    async def add(self, port, *, listens=True) -> Endpoint:
+        endpoint = Endpoint()
+        if listens:
+            await asyncio.start_server(endpoint.serve, "127.0.0.1", port)
+        self.endpoints.append(endpoint)
+        name = f"e{len(self.endpoints)}"
+        row = ListedEndpoint(name, name, "s", f"127.0.0.1:{port}", "a", 4, False)
+        self.beliefs.endpoints.update([row], [])
+        return endpoint
+
+    async def ask(self, path, *headers, key="key", wait_s=1.5) -> bytes:
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = [
+            f"POST {path} HTTP/1.1",
+            "Host: h",
+            "Content-Length: 0",
+            f"Authorization: Bearer {key}",
+            *headers,
+        ]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        received = b""
+        try:
+            async with asyncio.timeout(wait_s):
+                while b"0\r\n\r\n" not in received:
+                    data = await reader.read(65536)
+                    received += data
+                    if not data or _is_whole(received):
+                        break
+        except (TimeoutError, ConnectionResetError):
+            received += b"<reset>" if received else b""
+        writer.close()
+        return received
+
+
+def _is_whole(received):
+    head, split, body = received.partition(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        if split and line.startswith(b"content-length:"):
+            return len(body) >= int(line.split(b":")[1])
+    return False
+
+
+@pytest.fixture
+async def world(unused_tcp_port_factory):
+    world = World()
+    world.address = f"127.0.0.1:{unused_tcp_port_factory()}"
+    world.ports = unused_tcp_port_factory
+    await world.server.listen(world.address)
+    yield world
+    world.server.close()
+
+
+async def test_unrepeatable_request_that_may_have_run_is_not_sent_again(world):
+    one, two = await world.add(world.ports()), await world.add(world.ports())
+    received = await world.ask("/once/")
+    assert received.startswith(b"HTTP/1.1 502")
+    assert len(one.heads) + len(two.heads) == 1
+    assert world.usage.list_windows() == ()
+
+
+async def test_endpoints_refusal_is_passed_on_as_not_run(world):
+    endpoint = await world.add(world.ports())
+    endpoint.answers = [whole(503, "", "Tarragonway-Not-Executed: 1\r\n")]
+    received = await world.ask("/single/")
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" in received.lower()
+    assert world.quota.returned
+
+
+async def test_refused_request_is_offered_to_another_endpoint(world):
+    refusal = whole(503, "", "Tarragonway-Not-Executed: 1\r\n")
+    for _ in range(2):
+        (await world.add(world.ports())).answers = [refusal]
+    world.endpoints[0].answers = [refusal]
+    world.endpoints[1].answers = [whole()]
+    statuses = set()
+    for _ in range(2):
+        statuses.add((await world.ask("/once/"))[9:12])
+        world.endpoints[0].answers = [refusal]
+        world.endpoints[1].answers = [whole()]
+    assert statuses == {b"200"}
+
+
+async def test_failed_read_is_tried_elsewhere_and_failures_come_through(world):
+    one, two = await world.add(world.ports()), await world.add(world.ports())
+    one.answers = [whole(500, "bad")]
+    two.answers = [whole(500, "bad")]
+    received = await world.ask("/read/")
+    assert received.startswith(b"HTTP/1.1 500")
+    assert b"server-signature" in received
+    assert len(one.heads) == len(two.heads) == 1
+
+
+async def test_unreachable_endpoint_is_left_out(world):
+    await world.add(world.ports(), listens=False)
+    good = await world.add(world.ports())
+    good.answers = [whole() for _ in range(4)]
+    for _ in range(4):
+        assert (await world.ask("/single/")).startswith(b"HTTP/1.1 200")
+
+
+async def test_broken_stream_goes_on_at_another_endpoint_once_each_event(world):
+    first, second = await world.add(world.ports()), await world.add(world.ports())
+    broken = events(1, 2, end=False, cut=b"id: 3\nda")
+    first.answers = [broken]
+    second.answers = [broken]
+    asking = asyncio.create_task(world.ask("/resume/"))
+    await asyncio.sleep(0.02)
+    for endpoint in (first, second):
+        if endpoint.answers:
+            endpoint.answers = [events(3, 4)]
+    received = await asking
+    ids = [line for line in received.split(b"\n") if line.startswith(b"id:")]
+    assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+    assert received.endswith(b"0\r\n\r\n")
+    heads = first.heads + second.heads
+    assert sum(b"last-event-id: 2" in head.lower() for head in heads) == 1
+    assert sum(sum(w.counts.values()) for w in world.usage.list_windows()) == 1
+
+
+async def test_broken_stream_that_cannot_go_on_does_not_look_complete(world):
+    endpoint = await world.add(world.ports())
+    endpoint.answers = [events(1, end=False)]
+    received = await world.ask("/stream/")
+    assert b"id: 1" in received
+    assert not received.endswith(b"0\r\n\r\n")
+
+
+async def test_success_without_signature_is_not_passed_on(world):
+    (await world.add(world.ports())).answers = [whole(extra="")]
+    assert (await world.ask("/single/")).startswith(b"HTTP/1.1 502")
+
+
+async def test_endpoint_sees_the_end_when_the_caller_leaves(world):
+    endpoint = await world.add(world.ports())
+    endpoint.hang = True
+    await world.ask("/single/", wait_s=0.1)
+    async with asyncio.timeout(0.5):
+        await endpoint.left.wait()
+
+
+async def test_deadline_is_what_is_left_and_ends_the_request(world):
+    endpoint = await world.add(world.ports())
+    endpoint.hang = True
+    received = await world.ask("/short/", "Tarragonway-Deadline-Ms: 900")
+    assert received.startswith(b"HTTP/1.1 504")
+    line = next(
+        line for line in endpoint.heads[0].split(b"\r\n") if b"deadline" in line.lower()
+    )
+    assert 100 <= int(line.split(b":")[1]) <= 200
+
+
+async def test_unknown_routes_and_keys_are_refused(world):
+    assert (await world.ask("/none/")).startswith(b"HTTP/1.1 404")
+    assert (await world.ask("/read/", key="odd")).startswith(b"HTTP/1.1 401")
+    world.beliefs.table = None
+    assert (await world.ask("/read/")).startswith(b"HTTP/1.1 503")
--- a/tarragonway/http1/pool.py
+++ b/tarragonway/http1/pool.py
@@ -80,7 +80,7 @@
 
     def _find_idle(self, key: str, max_idle_s: float) -> EndpointConnection | None:
         idle = self._idle.get(key, [])
-        while idle:
+        while idle and max_idle_s > 0:
             connection = idle.pop()
             if self._is_fresh(connection, max_idle_s):
                 return connection
