Swap on-demand endpoints for reclaimable ones step by step

Cause: the bound on a zone holds for both kinds together. Ruled out: a refusal by the platform; it answered 200 and started nothing. Change: orders stay within the room of a zone; on-demand endpoints that stand in the way leave a quarter of the need at a time, and only while nothing is starting. Conclusion: a simulated platform with the bound shows no gap; it failed before.

--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -85,20 +85,25 @@
     """
     ordered = sorted(zones, key=lambda z: traits.zone_prices.get(z, 1.0))
     wanted = _spread_reclaimable(traits, ordered, needed)
-    plan = {Kind(zone, True): count for zone, count in wanted.items()}
-    coming = sum(
-        state.expected.get(Kind(zone, True), 0) if zone in state.unavailable else count
-        for zone, count in wanted.items()
-    )
-    lacking = max(0, needed - coming)
-    present = sum(n for kind, n in state.serving.items() if kind.reclaimable)
-    spare_at = max(lacking, needed - present)
-    running = sum(n for kind, n in state.expected.items() if not kind.reclaimable)
-    bridge = min(max(running, lacking), spare_at)
+    placed = {
+        zone: max(
+            state.serving.get(Kind(zone, True), 0) if wanted[zone] else 0,
+            min(wanted[zone], traits.most - state.serving.get(Kind(zone, False), 0)),
+        )
+        for zone in ordered
+    }
+    placed = {zone: min(count, wanted[zone]) for zone, count in placed.items()}
+    bridge = _count_bridge(needed, wanted, placed, state)
+    plan = {Kind(zone, True): count for zone, count in placed.items()}
     plan.update(_place_on_demand(traits, ordered, bridge, state))
     return plan
 
 
+def compute_step(needed: int) -> int:
+    """Return how many endpoints may lack while kinds are swapped."""
+    return max(1, needed // 4)
+
+
 def count_kinds(rows: Iterable[ListedEndpoint]) -> dict[Kind, int]:
     """Return how many endpoints of each kind are listed and not leaving."""
     counts: dict[Kind, int] = {}
@@ -115,13 +120,43 @@
     return sum(counts.values()) - most
 
 
+def _count_bridge(
+    needed: int,
+    wanted: Mapping[ZoneName, int],
+    placed: Mapping[ZoneName, int],
+    state: FleetState,
+) -> int:
+    """Return the number of on-demand endpoints.
+
+    The bound on a zone holds for both kinds together, so on-demand endpoints that stand
+    in the way of reclaimable ones leave step by step.
+    """
+    coming = sum(
+        state.expected.get(Kind(zone, True), 0) if zone in state.unavailable else count
+        for zone, count in placed.items()
+    )
+    present = sum(n for kind, n in state.serving.items() if kind.reclaimable)
+    running = sum(n for kind, n in state.expected.items() if not kind.reclaimable)
+    lacking = max(0, needed - coming)
+    bridge = min(max(running, lacking), max(lacking, needed - present))
+    blocked = sum(
+        wanted[zone] - count
+        for zone, count in placed.items()
+        if zone not in state.unavailable
+    )
+    # While some are still starting, nothing more leaves.
+    step = 0 if coming > present else compute_step(needed)
+    least = max(0, needed - present - step)
+    return max(bridge - blocked, min(bridge, least))
+
+
 def _place_on_demand(
     traits: ScalingTraits, zones: list[ZoneName], count: int, state: FleetState
 ) -> dict[Kind, int]:
     """Keep on-demand endpoints where they are, and add where they are cheapest."""
     placed: dict[Kind, int] = {}
     rooms = {
-        zone: max(0, traits.most - state.expected.get(Kind(zone, True), 0))
+        zone: max(0, traits.most - state.serving.get(Kind(zone, True), 0))
         for zone in zones
     }
     for zone in zones:
--- /dev/null
+++ b/tarragonway/capacity/tests/test_fleet.py
@@ -0,0 +1,99 @@
+import collections
+
+import pytest
+
+from tarragonway.capacity.fleet import FleetState, Kind, compute_step, plan_fleet
+from tarragonway.routes.model import ScalingTraits
+
+ZONES = ("a", "b", "c")
+TRAITS = ScalingTraits(1, 4, 4.0, 0.2, {"a": 0.8, "b": 1.2, "c": 1.0})
+BOOT_STEPS = 3
+
+
+class Platform:
+    """Starts what is ordered, within the bound on both kinds of a zone together."""
+
+    def __init__(self, counts) -> None:
+        self.serving = collections.Counter(counts)
+        self.orders: dict[Kind, int] = {}
+        self.booting: list[tuple[int, Kind]] = []
+        self.dry = frozenset()
+        self.now = 0
+
+    def order(self, kind, count):
+        if kind.reclaimable and kind.zone in self.dry and count > self.serving[kind]:
+            return
+        self.orders[kind] = count
+        self.serving[kind] = min(self.serving[kind], count)
+        self.booting = [b for b in self.booting if b[1] != kind]
+        other = self.serving[Kind(kind.zone, not kind.reclaimable)]
+        more = min(count, TRAITS.most - other) - self.serving[kind]
+        self.booting += [(self.now + BOOT_STEPS, kind)] * max(0, more)
+
+    def reclaim(self, zone):
+        self.serving[Kind(zone, True)] = 0
+        self.orders.pop(Kind(zone, True), None)
+
+    def step(self, needed):
+        self.now += 1
+        for at, kind in [b for b in self.booting if b[0] <= self.now]:
+            self.serving[kind] += 1
+            self.booting.remove((at, kind))
+        expected = collections.Counter(self.serving)
+        for _, kind in self.booting:
+            expected[kind] += 1
+        state = FleetState(dict(self.serving), dict(expected), self.dry)
+        for kind, count in sorted(plan_fleet(TRAITS, ZONES, needed, state).items()):
+            if count != expected[kind]:
+                self.order(kind, count)
+
+    def count(self, *, reclaimable=None):
+        return sum(
+            n
+            for kind, n in self.serving.items()
+            if reclaimable is None or kind.reclaimable is reclaimable
+        )
+
+
+@pytest.mark.parametrize("needed", [2, 4, 6, 8, 10])
+def test_on_demand_endpoints_are_swapped_back_without_a_gap(needed):
+    platform = Platform({Kind(zone, False): 4 for zone in ZONES})
+    for _ in range(80):
+        platform.step(needed)
+        assert platform.count() >= needed - compute_step(needed)
+    assert platform.count(reclaimable=False) <= max(0, needed - 8)
+    assert platform.count() >= needed
+
+
+@pytest.mark.parametrize("needed", [2, 4, 6])
+def test_first_endpoints_stay_until_reclaimable_ones_serve(needed):
+    platform = Platform({Kind(zone, False): 2 for zone in ZONES})
+    for _ in range(40):
+        platform.step(needed)
+        assert platform.count() >= needed
+    assert platform.count(reclaimable=False) == 0
+
+
+def test_reclaims_of_two_zones_are_bridged_and_given_back():
+    platform = Platform({Kind(zone, True): 2 for zone in ZONES})
+    for _ in range(5):
+        platform.step(4)
+    platform.dry = frozenset(ZONES)
+    platform.reclaim("a")
+    platform.step(4)
+    platform.reclaim("b")
+    for _ in range(BOOT_STEPS + 2):
+        platform.step(4)
+    assert platform.count() >= 4
+    platform.dry = frozenset()
+    for _ in range(60):
+        platform.step(4)
+        assert platform.count() >= 4 - compute_step(4)
+    assert platform.count(reclaimable=False) == 0
+
+
+def test_steady_state_orders_nothing():
+    platform = Platform({Kind(zone, True): 2 for zone in ZONES})
+    for _ in range(10):
+        platform.step(4)
+    assert not platform.orders
