Choose endpoints by foreseen delay, and refuse what would come far too late

Cause: in overloaded windows requests queued behind long prompts at endpoints, were late, and held the place of others; the choice counted requests, not the prompts to be read. Ruled out: reports of waiting requests; engines admit 64 and report none waiting.

--- a/tarragonway/gateway/answers.py
+++ b/tarragonway/gateway/answers.py
@@ -17,6 +17,7 @@
     QUOTA = (429, "quota")
     STOPPING = (503, "stopping")
     NO_ENDPOINT = (503, "no_endpoint")
+    OVERLOADED = (503, "overloaded")
     ENDPOINTS_FULL = (503, "endpoints_full")
     QUARANTINED = (503, "quarantined")
     EXPIRED_UNSENT = (503, "deadline_before_send")
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from tarragonway.core.ids import ServiceName
+from tarragonway.gateway.choice import Choice
 from tarragonway.gateway.model import AnswerFacts, CallerRequest
 from tarragonway.http1.client import AnswerHead
 from tarragonway.http1.server import Reply, Request
@@ -13,7 +14,8 @@
     """A request that was admitted.
 
     ``deadline`` is on the loop's clock. ``sends`` counts endpoints that received it;
-    ``may_have_run`` forbids the promise that it did not.
+    ``may_have_run`` forbids the promise that it did not. ``choice`` is the endpoint
+    that has it and has not begun to answer, since ``sent_at``.
     """
 
     request: Request
@@ -28,6 +30,8 @@
     may_have_run: bool = False
     counted: bool = False
     last_event: str | None = None
+    choice: Choice | None = None
+    sent_at: float = 0.0
 
     @property
     def is_stream(self) -> bool:
@@ -74,4 +78,10 @@
     """The deadline came first."""
 
 
-SendOutcome = Unsent | Refused | Answered | Streamed | Broken | Expired
+class Overloaded(msgspec.Struct, frozen=True):
+    """Every endpoint would answer long after the objective; nothing was sent."""
+
+    delay_ms: float
+
+
+SendOutcome = Unsent | Refused | Answered | Streamed | Broken | Expired | Overloaded
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -17,13 +17,14 @@
     Attempt,
     Broken,
     Expired,
+    Overloaded,
     Refused,
     SendOutcome,
     Streamed,
     Unsent,
 )
 from tarragonway.gateway.beliefs import Beliefs
-from tarragonway.gateway.choice import Chooser
+from tarragonway.gateway.choice import Choice, Chooser
 from tarragonway.gateway.model import AnswerFacts, CallerRequest
 from tarragonway.gateway.pressure import PressureMeter
 from tarragonway.gateway.quota import QuotaHolder
@@ -36,6 +37,8 @@
 
 UNSENT_TRIES = 3
 RETRY_AFTER_S = 0.25
+# A request whose first event is foreseen this many objectives late is refused at once.
+OVERLOAD_FACTOR = 1.5
 PRIORITY_MOST = 9
 PATIENCE_DEFAULT_S = 60.0
 
@@ -125,6 +128,11 @@
 
     def note_running(self, attempt: Attempt) -> None:
         """Count the request once, when it begins to run."""
+        if attempt.choice is not None:
+            now = asyncio.get_running_loop().time()
+            taken_ms = (now - attempt.sent_at) * 1000
+            self._chooser.note_first_event(attempt.choice, taken_ms, now)
+            attempt.choice = None
         if attempt.counted:
             return
         attempt.counted = True
@@ -222,11 +230,14 @@
         self._pressure.add(attempt.service, attempt.facts.prompt)
         outcome: SendOutcome | None = None
         while True:
-            endpoint = self._choose(attempt)
-            if endpoint is None:
+            choice = self._choose(attempt)
+            if choice is None:
                 break
-            attempt.tried.add(endpoint.key)
-            previous, outcome = outcome, await self._send(attempt, endpoint)
+            if outcome is None and self._comes_too_late(attempt, choice):
+                outcome = Overloaded(choice.delay_ms)
+                break
+            attempt.tried.add(choice.endpoint.key)
+            previous, outcome = outcome, await self._send(attempt, choice)
             if isinstance(previous, Answered) and not isinstance(outcome, Answered):
                 outcome = previous
             if not self._may_send_again(attempt, outcome, budget):
@@ -235,7 +246,14 @@
         await self._finish(attempt, outcome)
         self._log_end(attempt, type(outcome).__name__.lower(), started)
 
-    def _choose(self, attempt: Attempt) -> ListedEndpoint | None:
+    def _comes_too_late(self, attempt: Attempt, choice: Choice) -> bool:
+        """Return whether even the best endpoint answers long after the objective."""
+        objective_ms = attempt.route.latency_objective_s * 1000
+        if attempt.facts.prompt is None or not objective_ms:
+            return False
+        return choice.delay_ms > OVERLOAD_FACTOR * objective_ms
+
+    def _choose(self, attempt: Attempt) -> Choice | None:
         return self._chooser.choose(
             self._beliefs.endpoints.rows.values(),
             attempt.service,
@@ -244,9 +262,11 @@
             asyncio.get_running_loop().time(),
         )
 
-    async def _send(self, attempt: Attempt, endpoint: ListedEndpoint) -> SendOutcome:
+    async def _send(self, attempt: Attempt, choice: Choice) -> SendOutcome:
         loop = asyncio.get_running_loop()
-        self._chooser.note_start(endpoint.key)
+        endpoint = choice.endpoint
+        self._chooser.note_start(choice)
+        attempt.choice, attempt.sent_at = choice, loop.time()
         failed = False
         try:
             outcome = await self._sender.send(
@@ -254,7 +274,8 @@
             )
             failed = isinstance(outcome, Unsent | Broken)
         finally:
-            self._chooser.note_end(endpoint.key, failed, loop.time())
+            began = attempt.choice is None
+            self._chooser.note_end(choice, began, failed, loop.time())
         if isinstance(outcome, Unsent):
             self._chooser.note_unreachable(endpoint.key, loop.time())
         if not isinstance(outcome, Answered | Streamed):
@@ -301,6 +322,9 @@
                 headers = self._codec.list_answer_headers(head)
                 await reply.send(head.status, headers, body)
                 return
+            case Overloaded(delay_ms):
+                cause = Cause.OVERLOADED
+                retry_after_s = round(delay_ms / 1000 / 2, 3)
             case Refused(_, told_s) if not attempt.may_have_run:
                 cause = Cause.ENDPOINTS_FULL
                 retry_after_s = told_s or RETRY_AFTER_S
