--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -1,7 +1,7 @@
 """Pure plan of a service's endpoints by availability zone and kind.
 
-Reclaimable endpoints carry the load: so many that the rest suffices when one zone's
-are taken away. On-demand ones bridge the time in which too few are to be had.
+Reclaimable endpoints carry the load: so many that the rest suffices when reclaims come
+in a wave. On-demand ones bridge the time in which too few are to be had.
 """
 
 import math
@@ -13,6 +13,9 @@
 from tarragonway.endpoints.listing import ListedEndpoint
 from tarragonway.routes.model import ScalingTraits
 
+# Zones whose reclaimable endpoints may be gone at once: reclaims come in waves.
+LOST_ZONES = 2
+
 
 class Kind(msgspec.Struct, frozen=True, order=True):
     """Endpoints that are ordered together."""
@@ -64,7 +67,8 @@
     zones : iterable of ZoneName
         Availability zones of the deployment.
     needed : int
-        Endpoints that must be left after the loss of a zone's reclaimable ones.
+        Endpoints that must be left after the loss of :data:`LOST_ZONES` zones'
+        reclaimable ones.
     state : FleetState
         What there is.
 
@@ -74,14 +78,14 @@
     >>> def show(state):
     ...     plan = plan_fleet(traits, "abc", 2, state)
     ...     return [(k.zone, k.reclaimable, n) for k, n in sorted(plan.items()) if n]
-    >>> full = {Kind(zone, True): 1 for zone in "abc"}
+    >>> full = {Kind(zone, True): 2 for zone in "abc"}
     >>> show(FleetState(full, full))
-    [('a', True, 1), ('b', True, 1), ('c', True, 1)]
+    [('a', True, 2), ('b', True, 2), ('c', True, 2)]
     >>> lost = {Kind("b", True): 1}
     >>> show(FleetState(lost, full))
-    [('a', True, 1), ('b', True, 1), ('c', True, 1)]
-    >>> show(FleetState(lost, lost, frozenset("ac")))
-    [('a', False, 1), ('a', True, 1), ('b', True, 1), ('c', True, 1)]
+    [('a', True, 2), ('b', True, 2), ('c', True, 2)]
+    >>> show(FleetState(lost, lost, frozenset("abc")))
+    [('a', False, 1), ('a', True, 2), ('b', True, 2), ('c', True, 2)]
     """
     ordered = sorted(zones, key=lambda z: traits.zone_prices.get(z, 1.0))
     wanted = _spread_reclaimable(traits, ordered, needed)
@@ -174,20 +178,9 @@
 def _spread_reclaimable(
     traits: ScalingTraits, zones: list[ZoneName], needed: int
 ) -> dict[ZoneName, int]:
-    """Return the least numbers of which ``needed`` remain without any one zone."""
+    """Return equal numbers of which ``needed`` remain after the worst wave."""
     if not traits.reclaimable_price:
         return dict.fromkeys(zones, 0)
-    losable = max(1, len(zones) - 1)
-    each = min(traits.most, max(1, math.ceil(needed / losable)))
-    counts = dict.fromkeys(zones, each)
-    for zone in reversed(zones):
-        # The dearest zones give up what the others can spare.
-        while counts[zone] > max(1, traits.least) and _left(counts, zone) >= needed:
-            counts[zone] -= 1
-    return counts
-
-
-def _left(counts: dict[ZoneName, int], zone: ZoneName) -> int:
-    """Return what remains with one fewer in ``zone`` after the worst loss."""
-    fewer = {**counts, zone: counts[zone] - 1}
-    return sum(fewer.values()) - max(fewer.values())
+    kept = max(1, len(zones) - LOST_ZONES)
+    each = min(traits.most, max(1, math.ceil(needed / kept)))
+    return dict.fromkeys(zones, each)
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -57,6 +57,8 @@
 
     cause: Cause
     retry_after_s: float | None = None
+    account: Account | None = None
+    units: float = 0.0
 
 
 class Forwarder:
@@ -199,8 +201,11 @@
         account = admitted.account
         if account is None:
             return admitted
-        wait_s = await self._quota.admit(account, count_units(account, facts))
-        return OwnRefusal(Cause.QUOTA, wait_s) if wait_s > 0 else admitted
+        units = count_units(account, facts)
+        wait_s = await self._quota.admit(account, units)
+        if wait_s <= 0:
+            return admitted
+        return OwnRefusal(Cause.QUOTA, wait_s, account, units)
 
     async def _refuse(
         self,
@@ -216,6 +221,9 @@
             path=facts.path,
             cause=cause.reason,
             retry_after_s=refusal.retry_after_s,
+            account=refusal.account.id if refusal.account else "",
+            quota_per_s=refusal.account.per_s if refusal.account else 0,
+            units=refusal.units,
             revision=self._beliefs.revision,
         )
         await send_own_answer(reply, cause, refusal.retry_after_s)
@@ -365,6 +373,8 @@
         _log.info(
             "ended",
             attempt=attempt.facts.attempt,
+            account=attempt.account.id if attempt.account else "",
+            units=count_units(attempt.account, attempt.facts) if attempt.account else 0,
             route=attempt.route.name,
             outcome=outcome,
             sends=attempt.sends,
