--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -17,7 +17,7 @@
 from tarragonway.coordinator.listing import ListPublisher
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.coordinator.operators import OperatorInterface
-from tarragonway.coordinator.quotas import QuotaBook
+from tarragonway.coordinator.quotas import QuotaBook, QuotaPolicy
 from tarragonway.coordinator.scaling import FleetKeeper
 from tarragonway.coordinator.usage import UsageReporter
 from tarragonway.core.clock import WallClock
@@ -70,6 +70,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         super().__init__()
         self._settings = settings
+        bounds = settings.bounds
         self._counters = Counters()
         self._address = settings.listen.peers
         self._seeds = settings.seed_peers
@@ -83,8 +84,9 @@
         self._view = EndpointView()
         self._decoded: Configuration | None = None
         self._accounts: dict[AccountId, Account] = {}
-        self._quotas = QuotaBook(settings.bounds.quota_slack)
-        bounds = settings.bounds
+        self._quotas = QuotaBook(
+            QuotaPolicy(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
+        )
         self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
         self._book = GatewayBook(self._driver, self._lease, self._clock)
         address = settings.platform.address
--- a/tarragonway/node/settings.py
+++ b/tarragonway/node/settings.py
@@ -49,6 +49,8 @@
     usage_late_s: Annotated[float, Meta(gt=0)] = 10.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.1
     retry_slack: Annotated[float, Meta(ge=0)] = 10.0
+    quota_window_s: Annotated[float, Meta(gt=0)] = 8.0
+    quota_overrun: Annotated[float, Meta(ge=0)] = 0.0
     quota_slack: Annotated[float, Meta(ge=0)] = 0.0
 
 
