Let requests wait for a starting gateway's first configuration

The load measured in the first quarter second asked for 20 endpoints. Ruled out: a configuration from disk before a leader is known; it may never have been acknowledged. Change: a request waits up to 0.8 s; the load counts over at least 2 s.

--- a/tarragonway/gateway/beliefs.py
+++ b/tarragonway/gateway/beliefs.py
@@ -1,6 +1,7 @@
 """What a gateway holds to be true, with its age."""
 
-import msgspec
+import asyncio
+import contextlib
 
 from tarragonway.core.clock import WallClock
 from tarragonway.endpoints.listing import EndpointView
@@ -18,15 +19,27 @@
         self.gateways = 0
         self.quarantined: frozenset[str] = frozenset()
         self.stopping_since: float | None = None
+        self._complete = asyncio.Event()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a configuration and endpoints are known."""
+        return self.table is not None and bool(self.endpoints.rows)
+
+    def note_change(self) -> None:
+        """Wake the requests that wait for the first configuration and endpoints."""
+        if self.is_complete:
+            self._complete.set()
+
+    async def wait_complete(self, limit_s: float) -> None:
+        """Return once all is known, or after ``limit_s``."""
+        if self.is_complete:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._complete.wait()
 
     @property
     def revision(self) -> int:
         """Revision of the configuration in force here, -1 if none."""
         return self.table.configuration.revision if self.table else -1
-
-
-class Timing(msgspec.Struct, frozen=True):
-    """Bounds from the settings, in seconds."""
-
-    stop_intake_s: float = 3.0
-    stop_deadline_s: float = 7.5
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -157,11 +157,7 @@
         return RetryBudget(bounds.retry_ratio * BUDGET_MARGIN, reserve, reserve)
 
     def _is_ready(self) -> bool:
-        return (
-            self._beliefs.table is not None
-            and bool(self._beliefs.endpoints.rows)
-            and self._beliefs.stopping_since is None
-        )
+        return self._beliefs.is_complete and self._beliefs.stopping_since is None
 
     async def _answer_readiness(self, request: Request, reply: Reply) -> None:
         is_known = request.target.partition("?")[0] == names.READY_PATH
@@ -187,6 +183,7 @@
             return
         changed, gone = self._beliefs.endpoints.replace(rows)
         self._beliefs.listed_at = started
+        self._beliefs.note_change()
         self._link.note_own_listing()
         _log.info("list is read here", changed=len(changed), gone=len(gone))
 
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -37,6 +37,8 @@
 
 UNSENT_TRIES = 3
 RETRY_AFTER_S = 0.25
+# A process that has just started learns the configuration within this time.
+START_WAIT_S = 0.8
 # A request whose first event is foreseen this many objectives late is refused at once.
 OVERLOAD_FACTOR = 1.5
 PRIORITY_MOST = 9
@@ -111,6 +113,7 @@
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
         facts = self._codec.decode_request(request)
+        await self._beliefs.wait_complete(START_WAIT_S)
         attempt = await self._admit(request, facts, reply)
         if attempt is None:
             return
@@ -166,7 +169,7 @@
         """Check a request against the configuration in force."""
         table = self._beliefs.table
         if table is None:
-            return OwnRefusal(Cause.NO_CONFIGURATION, 1.0)
+            return OwnRefusal(Cause.NO_CONFIGURATION, RETRY_AFTER_S)
         route = table.find_route(facts.host, facts.path)
         if route is None:
             return OwnRefusal(Cause.NOT_FOUND)
--- a/tarragonway/gateway/link.py
+++ b/tarragonway/gateway/link.py
@@ -180,6 +180,7 @@
             return
         before = self._beliefs.revision
         self._beliefs.table = RouteTable(configuration)
+        self._beliefs.note_change()
         _log.info(
             "configuration is in force",
             revision=revision,
@@ -200,6 +201,7 @@
         else:
             return
         self._listing = (update.term, update.listing)
+        self._beliefs.note_change()
         self._beliefs.listed_at = asyncio.get_running_loop().time()
         for row in changed:
             _log.info(
--- a/tarragonway/gateway/pressure.py
+++ b/tarragonway/gateway/pressure.py
@@ -4,6 +4,9 @@
 from tarragonway.gateway.model import Prompt
 
 SMOOTHING_S = 5.0
+# Before this time has passed, a burst of callers that come back would look like the
+# load.
+LEAST_KNOWN_S = 2.0
 # Published speed of the engines: tokens of prompts read a second by one engine, and the
 # time that one more generated token costs an engine that runs a full batch.
 PROMPT_TOKENS_PER_S = 55_000.0
@@ -19,9 +22,9 @@
     >>> _ = meter.measure(0.0)
     >>> meter.add("llm", Prompt(5500, 0))
     >>> meter.measure(1.0)
-    {'llm': 0.1}
-    >>> meter.measure(2.0)
     {'llm': 0.05}
+    >>> meter.measure(2.0)
+    {'llm': 0.025}
     """
 
     def __init__(self) -> None:
@@ -48,7 +51,8 @@
         self._at = now
         # The first intervals count in full, so that a restart does not look like
         # idleness.
-        weight = interval_s / min(SMOOTHING_S, max(interval_s, now - self._started))
+        known_s = max(interval_s, now - self._started, LEAST_KNOWN_S)
+        weight = interval_s / min(SMOOTHING_S, known_s)
         for service in {*self._sums, *self._rates}:
             current = self._sums.get(service, 0.0) / interval_s
             rate = self._rates.get(service, 0.0)
--- a/tarragonway/gateway/tests/test_forward.py
+++ b/tarragonway/gateway/tests/test_forward.py
@@ -280,7 +280,19 @@
     assert 100 <= int(line.split(b":")[1]) <= 200
 
 
+async def test_request_waits_for_the_first_configuration(world):
+    endpoint = await world.add(world.ports())
+    endpoint.answers = [whole()]
+    table, world.beliefs.table = world.beliefs.table, None
+    asking = asyncio.create_task(world.ask("/single/"))
+    await asyncio.sleep(0.1)
+    world.beliefs.table = table
+    world.beliefs.note_change()
+    assert (await asking).startswith(b"HTTP/1.1 200")
+
+
 async def test_unknown_routes_and_keys_are_refused(world):
+    await world.add(world.ports())
     assert (await world.ask("/none/")).startswith(b"HTTP/1.1 404")
     assert (await world.ask("/read/", key="odd")).startswith(b"HTTP/1.1 401")
     world.beliefs.table = None
