Repeat the order to elect another leader, and let answers leave before a stop

Ruled out: a slow election; the successor led within 20 ms in the logs of the run. Change: the order is repeated until this process follows; answers get 0.2 s to leave.

--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -127,11 +127,7 @@
 
     async def drain(self) -> None:
         """Hand leadership over and answer what is under way."""
-        if not self._driver.is_leader:
-            return
-        self._driver.transfer()
-        while self._driver.is_leader:
-            await asyncio.sleep(self._settings.cluster.timing.tick_s)
+        await self._driver.step_down(self._settings.cluster.timing.stop_deadline_s)
 
     async def hand_over(self) -> None:
         """Do nothing: the log is on the other replicas already."""
--- a/tarragonway/control/driver.py
+++ b/tarragonway/control/driver.py
@@ -30,6 +30,8 @@
 KEEP_ENTRIES = 500
 MEMBER_PRESENCE_S = 5.0
 DISK_RETRY_S = 0.2
+TRANSFER_AGAIN_TICKS = 4
+FLUSH_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -182,9 +184,21 @@
         self._applied_waiters.append((index, future))
         await future
 
-    def transfer(self) -> None:
-        """Hand leadership to another replica, if this one leads."""
-        self._push(self._transfer)
+    async def step_down(self, limit_s: float) -> bool:
+        """Hand leadership over; return whether this process leads no more.
+
+        The order to elect another may be lost, so it is repeated. Answers that are
+        under way get :data:`FLUSH_S` to leave before the caller closes its sockets.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s
+        led = self.replica.role is Role.LEADER
+        while self.replica.role is Role.LEADER and loop.time() < end:
+            self._push(self._transfer)
+            await asyncio.sleep(TRANSFER_AGAIN_TICKS * self._config.tick_s)
+        if led:
+            await asyncio.sleep(FLUSH_S)
+        return self.replica.role is not Role.LEADER
 
     # The task
 
--- /dev/null
+++ b/tarragonway/control/tests/test_step_down.py
@@ -0,0 +1,54 @@
+import asyncio
+import random
+
+import pytest
+
+from tarragonway.consensus import DataFolder, Member, Parameters, Replica, Role
+from tarragonway.consensus.files import FolderFiles
+from tarragonway.control.driver import DriverConfig, LogDriver
+from tarragonway.coordinator.machine import CoordinatorMachine
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+
+
+class Stubborn(Replica):
+    """Leads until it has been asked to hand over often enough."""
+
+    transfers = 0
+    needed = 2
+
+    def transfer(self):
+        self.transfers += 1
+        if self.transfers >= self.needed:
+            self.role = Role.FOLLOWER
+        return None
+
+
+@pytest.fixture
+async def driver(tmp_path):
+    replica = Stubborn(MemberId("a#1"), Parameters(1000), random.Random(1))
+    replica.role = Role.LEADER
+    own = Member(MemberId("a#1"), ProcessName("a"))
+    driver = LogDriver(
+        DriverConfig(own, 0.01, 1, 100),
+        ClusterId("c"),
+        replica,
+        DataFolder(FolderFiles(tmp_path)),
+        CoordinatorMachine(),
+        lambda packet: None,
+        Counters(),
+    )
+    task = asyncio.create_task(driver.run())
+    yield driver
+    task.cancel()
+    await asyncio.wait([task])
+
+
+async def test_lost_order_to_elect_another_is_repeated(driver):
+    assert await driver.step_down(1.0)
+    assert driver.replica.transfers == 2
+
+
+async def test_step_down_ends_at_its_limit(driver):
+    driver.replica.needed = 1000
+    assert not await driver.step_down(0.1)
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -165,11 +165,9 @@
 
     async def drain(self) -> None:
         """Hand leadership over and answer what is under way."""
+        await self._driver.step_down(STEP_DOWN_S)
         loop = asyncio.get_running_loop()
         end = loop.time() + STEP_DOWN_S
-        self._driver.transfer()
-        while self._driver.is_leader and loop.time() < end:
-            await asyncio.sleep(TICK_S)
         self._operators.announce_close()
         while self._operators.busy and loop.time() < end:
             await asyncio.sleep(TICK_S)
