Add a randomized fault soak of the platform's programs

Change: real coordinators and gateways on loopback, stand-ins for the platform and the endpoints, faults by seed (kills, stops, pauses, lost disks, links delayed, cut one way, silent or reset, endpoints that fail or leave, the platform down), and checks from what callers and endpoints see. A short seed runs with the tests. Processes may advertise another address than they listen on, so that a proxy can stand between them.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,105 @@
+"""Runs the soak: ``python -m soak --seed 1 --seconds 20``."""
+
+import argparse
+import asyncio
+import contextlib
+import pathlib
+import random
+import sys
+import tempfile
+
+from soak.callers import Caller, Operator, Told
+from soak.checks import list_broken
+from soak.faults import Faults
+from soak.stage import Stage
+
+CALLERS = 12
+SETTLE_S = 3.0
+READ_TRIES = 40
+FIRST_PORT = 21000
+LAST_PORT = 29000
+
+
+class Result:
+    """What one seed has shown."""
+
+    def __init__(self, broken: list[str], faults: list[str], told: list[Told]) -> None:
+        self.broken = broken
+        self.faults = faults
+        self.served = sum(one.status == 200 and one.complete for one in told)
+        self.asked = len(told)
+
+
+async def play(seed: int, seconds: float, folder: pathlib.Path) -> Result:
+    """Play one seed and check the promises."""
+    port = random.Random().randrange(FIRST_PORT, LAST_PORT, 10)
+    stage = Stage(folder, port, seed)
+    told: list[Told] = []
+    operator = Operator(stage, seed)
+    faults = Faults(stage, seed)
+    await stage.start()
+    try:
+        async with asyncio.timeout(20.0):
+            await operator.put(0)
+        callers = [Caller(stage, n, told) for n in range(CALLERS)]
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        tasks += [asyncio.create_task(work) for work in (operator.run(), faults.run())]
+        await asyncio.wait(tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        await asyncio.sleep(SETTLE_S)
+        broken = list_broken(told, stage.ledger, operator)
+        broken += await _check_last_read(operator)
+        broken += [
+            repr(task.exception())
+            for task in tasks
+            if not task.cancelled() and task.exception()
+        ]
+    finally:
+        await stage.stop()
+    return Result(broken, faults.log, told)
+
+
+async def _check_last_read(operator: Operator) -> list[str]:
+    """Return a line unless the newest acknowledged configuration comes back."""
+    for _ in range(READ_TRIES):
+        version = await operator.read()
+        if version is not None:
+            return list(operator.broken)
+        await asyncio.sleep(0.25)
+    return ["the configuration cannot be read at the end"]
+
+
+def main() -> int:
+    """Play the seeds that were asked for; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser("soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
+    parser.add_argument("--seconds", type=float, default=20.0, help="length of each")
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        with contextlib.ExitStack() as stack:
+            if arguments.keep is None:
+                name = stack.enter_context(tempfile.TemporaryDirectory())
+                folder = pathlib.Path(name)
+            else:
+                folder = arguments.keep / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+            result = asyncio.run(play(seed, arguments.seconds, folder))
+        verdict = "broken" if result.broken else "kept"
+        print(
+            f"seed {seed}: {verdict}; served {result.served} of {result.asked};"
+            f" {len(result.faults)} faults",
+            flush=True,
+        )
+        for line in [*result.broken[:10], *(result.faults if result.broken else [])]:
+            print(f"  {line}")
+        failed += bool(result.broken)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,132 @@
+"""Faults by lot: which, where, when and for how long follow from the seed alone."""
+
+import asyncio
+import random
+import signal
+
+from soak.proxy import Mode
+from soak.stage import Process, Stage
+
+KINDS = (
+    "kill",
+    "stop",
+    "pause",
+    "wipe",
+    "link",
+    "reset",
+    "endpoint",
+    "platform",
+    "restart_gateway",
+    "pause_gateway",
+    "drain_endpoint",
+)
+FIRST_S = 3.0
+GAP_S = (0.3, 1.6)
+LENGTH_S = (0.3, 2.5)
+RESTART_S = (0.1, 1.0)
+TROUBLE = 0.15
+STOP_LIMIT_S = 9.0
+
+
+class Faults:
+    """Injects faults until cancelled; at most one coordinator loses its disk at a time.
+
+    Parameters
+    ----------
+    stage : Stage
+        The deployment.
+    seed : int
+        Seed of everything that is drawn.
+    """
+
+    def __init__(self, stage: Stage, seed: int) -> None:
+        self._stage = stage
+        self._random = random.Random(seed)
+        self._down: set[str] = set()
+        self.log: list[str] = []
+
+    async def run(self) -> None:
+        """Start faults one after the other; they overlap."""
+        await asyncio.sleep(FIRST_S)
+        async with asyncio.TaskGroup() as group:
+            while True:
+                group.create_task(self._draw())
+                await asyncio.sleep(self._random.uniform(*GAP_S))
+
+    async def _draw(self) -> None:
+        kind = self._random.choice(KINDS)
+        length_s = self._random.uniform(*LENGTH_S)
+        coordinator = self._random.choice(self._stage.coordinators)
+        gateway = self._random.choice(self._stage.gateways)
+        match kind:
+            case "kill" | "stop" | "wipe":
+                await self._restart(coordinator, kind)
+            case "restart_gateway":
+                await self._restart(gateway, self._random.choice(["kill", "stop"]))
+            case "pause" | "pause_gateway":
+                await self._pause(coordinator if kind == "pause" else gateway, length_s)
+            case "link" | "reset":
+                await self._harm_link(kind, length_s)
+            case "endpoint" | "drain_endpoint":
+                await self._harm_endpoint(kind, length_s)
+            case "platform":
+                self.log.append(f"platform down {length_s:.1f} s")
+                self._stage.platform.down = True
+                await asyncio.sleep(length_s)
+                self._stage.platform.down = False
+
+    async def _restart(self, process: Process, how: str) -> None:
+        coordinates = process in self._stage.coordinators
+        if process.name in self._down or (coordinates and self._is_any_down()):
+            return
+        self._down.add(process.name)
+        self.log.append(f"{how} {process.name}")
+        process.send(signal.SIGTERM if how == "stop" else signal.SIGKILL)
+        await process.wait(STOP_LIMIT_S)
+        if how == "wipe":
+            self._stage.wipe(process)
+        await asyncio.sleep(self._random.uniform(*RESTART_S))
+        await process.start()
+        if how == "wipe":
+            # The lost member must be replaced before another disk may go.
+            await asyncio.sleep(4.0)
+        self._down.discard(process.name)
+
+    def _is_any_down(self) -> bool:
+        return any(process.name in self._down for process in self._stage.coordinators)
+
+    async def _pause(self, process: Process, length_s: float) -> None:
+        if process.name in self._down:
+            return
+        self._down.add(process.name)
+        self.log.append(f"pause {process.name} {length_s:.1f} s")
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(length_s)
+        process.send(signal.SIGCONT)
+        self._down.discard(process.name)
+
+    async def _harm_link(self, kind: str, length_s: float) -> None:
+        proxy = self._random.choice(self._stage.proxies)
+        if kind == "reset":
+            self.log.append("reset links")
+            proxy.reset()
+            return
+        mode = self._random.choice([m for m in Mode if m is not Mode.PASS])
+        self.log.append(f"link {mode.value} {length_s:.1f} s")
+        proxy.mode = mode
+        await asyncio.sleep(length_s)
+        proxy.mode = Mode.PASS
+        # What was swallowed is missing from the stream, so the connection is useless.
+        proxy.reset()
+
+    async def _harm_endpoint(self, kind: str, length_s: float) -> None:
+        endpoint = self._random.choice(self._stage.endpoints)
+        self.log.append(f"{kind} {endpoint.name} {length_s:.1f} s")
+        if kind == "endpoint":
+            endpoint.trouble = TROUBLE
+            await asyncio.sleep(length_s)
+            endpoint.trouble = 0.0
+        else:
+            endpoint.draining = True
+            await asyncio.sleep(length_s)
+            endpoint.draining = False
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,84 @@
+"""A loopback proxy that delays, resets, cuts or silences connections."""
+
+import asyncio
+import enum
+
+
+class Mode(enum.Enum):
+    """What the proxy does with connections, old and new."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    CUT_IN = "cut_in"
+    CUT_OUT = "cut_out"
+    SILENT = "silent"
+
+
+DELAY_S = 0.15
+CHUNK_BYTES = 65536
+
+
+class Proxy:
+    """Forwards connections from one address to another.
+
+    Parameters
+    ----------
+    listen, target : str
+        ``IP:port`` each.
+    """
+
+    def __init__(self, listen: str, target: str) -> None:
+        self._listen = listen
+        self._target = target
+        self.mode = Mode.PASS
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self._listen.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def close(self) -> None:
+        """Stop."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self._target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        inward = self._pump(reader, far_writer, Mode.CUT_IN)
+        outward = self._pump(far_reader, writer, Mode.CUT_OUT)
+        await asyncio.gather(inward, outward)
+        for end in (writer, far_writer):
+            end.transport.abort()
+        self._writers -= {writer, far_writer}
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: Mode
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                if self.mode in (cut, Mode.SILENT):
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        if not writer.is_closing():
+            writer.transport.abort()
--- /dev/null
+++ b/soak/stage.py
@@ -0,0 +1,197 @@
+"""The deployment under test: real processes, each with an address of its own."""
+
+import asyncio
+import os
+import pathlib
+import shutil
+import signal
+import sys
+
+from soak.platform import Ledger, StubEndpoint, StubPlatform
+from soak.proxy import Proxy
+
+COORDINATORS = 3
+GATEWAYS = 3
+SERVICES = {"plain": 3, "model": 3}
+PEER_PORT = 0
+OPERATOR_PORT = 1
+CALLER_PORT = 2
+READY_PORT = 3
+PLATFORM_PORT = 4
+ENDPOINT_PORT = 5
+
+
+class Process:
+    """One program that can be signalled and started again."""
+
+    def __init__(self, name: str, module: str, settings: pathlib.Path) -> None:
+        self.name = name
+        self.starts = 0
+        self._module = module
+        self._settings = settings
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the program; its log goes beside its settings."""
+        self.starts += 1
+        with self._settings.with_suffix(".log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                self._module,
+                "--settings",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def wait(self, limit_s: float) -> None:
+        """Wait for the end; kill after the limit."""
+        if self._process is None:
+            return
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self._process.wait()
+
+
+class Stage:
+    """Coordinators behind proxies, gateways, a platform and endpoints.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Receives settings, logs and data folders.
+    base_port : int
+        First of ten free ports; hosts are told apart by their loopback address.
+    seed : int
+        Seed of the endpoints' troubles.
+    """
+
+    def __init__(self, folder: pathlib.Path, base_port: int, seed: int) -> None:
+        self.folder = folder
+        self._base = base_port
+        self.ledger = Ledger()
+        address = self._at("127.0.3.1", PLATFORM_PORT)
+        self.platform = StubPlatform(address, self.ledger)
+        self.proxies = [
+            Proxy(self._at(f"127.0.2.{n}", PEER_PORT), self._at(host, PEER_PORT))
+            for n, host in enumerate(self._coordinator_hosts(), 1)
+        ]
+        self._doors = [
+            Proxy(address, self._at(host, OPERATOR_PORT))
+            for address, host in zip(
+                self.operators, self._coordinator_hosts(), strict=True
+            )
+        ]
+        self.endpoints = [
+            StubEndpoint(
+                f"{service}-{n}",
+                service,
+                self._at(f"127.0.4.{10 * kind + n}", ENDPOINT_PORT),
+                self.ledger,
+                seed * 100 + 10 * kind + n,
+            )
+            for kind, (service, count) in enumerate(SERVICES.items(), 1)
+            for n in range(1, count + 1)
+        ]
+        self.platform.endpoints = list(self.endpoints)
+        self.coordinators = [
+            self._prepare(f"coordinator-{n}", host, True)
+            for n, host in enumerate(self._coordinator_hosts(), 1)
+        ]
+        self.gateways = [
+            self._prepare(f"gateway-{n}", f"127.0.5.{n}", False)
+            for n in range(1, GATEWAYS + 1)
+        ]
+
+    @property
+    def operators(self) -> list[str]:
+        """Operators' addresses of the coordinators."""
+        return [
+            self._at(f"127.0.2.{n}", OPERATOR_PORT) for n in range(1, COORDINATORS + 1)
+        ]
+
+    @property
+    def callers(self) -> list[str]:
+        """Callers' addresses of the gateways."""
+        return [self._at(f"127.0.5.{n}", CALLER_PORT) for n in range(1, GATEWAYS + 1)]
+
+    async def start(self) -> None:
+        """Start everything."""
+        await self.platform.start()
+        for proxy in [*self.proxies, *self._doors]:
+            await proxy.start()
+        for endpoint in self.endpoints:
+            await endpoint.start()
+        for process in [*self.coordinators, *self.gateways]:
+            await process.start()
+        for process in self.coordinators:
+            settings = self.folder / f"{process.name}.toml"
+            text = settings.read_text().replace("bootstrap = true", "bootstrap = false")
+            # Only the first start forms the group; the running process has read it.
+            asyncio.get_running_loop().call_later(2.0, settings.write_text, text)
+
+    async def stop(self) -> None:
+        """End every process that was started here."""
+        processes = [*self.gateways, *self.coordinators]
+        for process in processes:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        await asyncio.gather(*(process.wait(9.0) for process in processes))
+        for proxy in [*self.proxies, *self._doors]:
+            proxy.close()
+        for endpoint in self.endpoints:
+            endpoint.close()
+        self.platform.close()
+
+    def wipe(self, process: Process) -> None:
+        """Remove a coordinator's data folder, as if its disk were lost."""
+        shutil.rmtree(self.folder / f"{process.name}.data", ignore_errors=True)
+
+    def _coordinator_hosts(self) -> list[str]:
+        return [f"127.0.1.{n}" for n in range(1, COORDINATORS + 1)]
+
+    def _at(self, host: str, port: int) -> str:
+        return f"{host}:{self._base + port}"
+
+    def _prepare(self, name: str, host: str, coordinates: bool) -> Process:
+        lines = [
+            f'name = "{name}"',
+            'zone = "z1"',
+            'zones = ["z1"]',
+            f"seeds = {self.operators}".replace("'", '"'),
+        ]
+        listen = [f'peers = "{self._at(host, PEER_PORT)}"']
+        if coordinates:
+            lines += [
+                "bootstrap = true",
+                f'data_folder = "{self.folder / name}.data"',
+            ]
+            number = host.rpartition(".")[2]
+            listen += [
+                f'operators = "{self._at(host, OPERATOR_PORT)}"',
+                f'advertised = "{self._at(f"127.0.2.{number}", PEER_PORT)}"',
+            ]
+        else:
+            listen += [
+                f'callers = "{self._at(host, CALLER_PORT)}"',
+                f'readiness = "{self._at(host, READY_PORT)}"',
+            ]
+        platform = [f'address = "{self.platform.address}"', 'duties = ["usage"]']
+        bounds = ["lease_ms = 1500", "grace_s = 6", "report_window_s = 2"]
+        text = "\n".join(
+            [*lines, "[listen]", *listen, "[platform]", *platform, "[bounds]", *bounds]
+        )
+        path = self.folder / f"{name}.toml"
+        path.write_text(text + "\n", encoding="utf-8")
+        module = "coordinator" if coordinates else "gateway"
+        return Process(name, f"tarragonway.{module}", path)
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,15 @@
+"""A short soak with a fixed seed, and the seeds that ever failed."""
+
+import pytest
+
+from soak.__main__ import play
+
+SECONDS = 8.0
+REGRESSIONS: dict[int, str] = {}
+
+
+@pytest.mark.timeout(90)
+@pytest.mark.parametrize("seed", [11, *REGRESSIONS])
+async def test_promises_are_kept_under_faults(seed, tmp_path):
+    result = await play(seed, SECONDS, tmp_path)
+    assert not result.broken, result.faults
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -72,7 +72,7 @@
         self._settings = settings
         bounds = settings.bounds
         self._counters = Counters()
-        self._address = settings.listen.peers
+        self._address = settings.peer_address
         self._seeds = settings.seed_peers
         self._files = FolderFiles(pathlib.Path(settings.data_folder))
         self._folder = DataFolder(self._files)
@@ -146,7 +146,7 @@
     async def start(self) -> None:
         """Open sockets and start tasks."""
         self._driver.on_change = self._publish_status
-        await self._switch.listen(self._address)
+        await self._switch.listen(self._settings.listen.peers)
         self._spawn(self._driver.run())
         self._spawn(self._follow_members())
         self._spawn(self._tell_status())
--- a/tarragonway/node/settings.py
+++ b/tarragonway/node/settings.py
@@ -21,10 +21,12 @@
     """Addresses that this process serves.
 
     ``peers`` is for the system's own processes. A gateway has ``callers`` and
-    ``readiness``, a coordinator ``operators``.
+    ``readiness``, a coordinator ``operators``. Others dial ``advertised``, if it
+    differs from ``peers``.
     """
 
     peers: Address
+    advertised: str = ""
     callers: str = ""
     readiness: str = ""
     operators: str = ""
@@ -71,6 +73,11 @@
     data_folder: str = ""
     bootstrap: bool = False
 
+    @property
+    def peer_address(self) -> str:
+        """Address between processes that others dial."""
+        return self.listen.advertised or self.listen.peers
+
     @property
     def seed_peers(self) -> list[str]:
         """Addresses of the seeds between processes."""
