Keep contents that crash endpoints away from them

Cause: a content that breaks off every endpoint that runs it comes again with its caller; the gateways had the messages for it and never sent them. Ruled out: quarantine after two endpoints; answers get lost for other reasons, and a resend is the same content. Change: a content that broke off three endpoints is refused everywhere; one that runs to its end is cleared.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -31,7 +31,9 @@
 from tarragonway.links.link import encode_message
 from tarragonway.links.messages import (
     Beat,
+    Cleared,
     ConfigurationText,
+    Crash,
     FetchConfiguration,
     Hello,
     Join,
@@ -280,6 +282,10 @@
                 self._answer_beat(link, message)
             case QuotaAsk():
                 self._answer_quota(link, message)
+            case Crash():
+                self._book.note_crash(message)
+            case Cleared(fingerprint):
+                self._book.clear_content(fingerprint)
             case QuotaReturn():
                 self._quotas.give_back(message)
             case _:
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -8,15 +8,17 @@
 from tarragonway.control.driver import LogDriver
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.clock import WallClock
-from tarragonway.core.ids import AccountId, ProcessName
-from tarragonway.links.messages import Beat, BeatReply
+from tarragonway.core.ids import AccountId, Fingerprint, ProcessName
+from tarragonway.links.messages import Beat, BeatReply, Crash
 
 PRESENT_S = 3.0
 # A new leader first hears from all gateways before it tells their number.
 SETTLED_S = 1.2
 FORGET_S = 120.0
 CLOCK_STEP_MIN_S = 0.02
-CRASHES_TO_QUARANTINE = 2
+# Answers are lost for other reasons too, and a caller's resend is the same content.
+CRASHES_TO_QUARANTINE = 3
+CRASHES_MOST = 4096
 QUARANTINE_MOST = 64
 
 _log = structlog.get_logger()
@@ -48,8 +50,8 @@
         self._lease = lease
         self._clock = clock
         self._gateways: dict[ProcessName, _Gateway] = {}
-        self._crashes: dict[str, set[str]] = {}
-        self.quarantined: dict[str, None] = {}
+        self._crashes: dict[Fingerprint, set[str]] = {}
+        self.quarantined: dict[Fingerprint, None] = {}
 
     def clear(self) -> None:
         """Forget all: another process leads."""
@@ -77,7 +79,8 @@
             len(present) if settled else 0,
             listing,
             listing_age_s,
-            tuple(self.quarantined),  # type: ignore[arg-type]
+            tuple(self.quarantined),
+            tuple(self._list_suspects()),
         )
 
     def sum_window(self, window: int) -> dict[AccountId, int]:
@@ -98,6 +101,20 @@
         present = self._list_present(now).values()
         return sum(gateway.pressure.get(service, 0.0) for gateway in present)
 
+    def note_crash(self, crash: Crash) -> None:
+        """Quarantine a content that has broken off enough endpoints."""
+        fingerprint = crash.fingerprint
+        endpoints = self._crashes.setdefault(fingerprint, set())
+        endpoints.add(crash.endpoint)
+        while len(self._crashes) > CRASHES_MOST:
+            del self._crashes[next(iter(self._crashes))]
+        if len(endpoints) < CRASHES_TO_QUARANTINE or fingerprint in self.quarantined:
+            return
+        self.quarantined[fingerprint] = None
+        _log.warning("content is quarantined", fingerprint=fingerprint)
+        while len(self.quarantined) > QUARANTINE_MOST:
+            del self.quarantined[next(iter(self.quarantined))]
+
     def _take(self, beat: Beat, now: float) -> _Gateway:
         gateway = self._gateways.get(beat.name)
         if gateway is None:
@@ -113,24 +130,26 @@
         while len(gateway.windows) > 32:
             del gateway.windows[min(gateway.windows)]
         for crash in beat.crashes:
-            self._note_crash(crash.fingerprint, crash.endpoint)
+            self.note_crash(crash)
         for name in [
             n for n, g in self._gateways.items() if now - g.heard_at > FORGET_S
         ]:
             del self._gateways[name]
         return gateway
 
-    def _note_crash(self, fingerprint: str, endpoint: str) -> None:
-        endpoints = self._crashes.setdefault(fingerprint, set())
-        endpoints.add(endpoint)
-        while len(self._crashes) > 4096:
-            del self._crashes[next(iter(self._crashes))]
-        if len(endpoints) < CRASHES_TO_QUARANTINE or fingerprint in self.quarantined:
-            return
-        self.quarantined[fingerprint] = None
-        _log.warning("content is quarantined", fingerprint=fingerprint)
-        while len(self.quarantined) > QUARANTINE_MOST:
-            del self.quarantined[next(iter(self.quarantined))]
+    def clear_content(self, fingerprint: Fingerprint) -> None:
+        """Forget what a content is suspected of: it ran to its end."""
+        if self._crashes.pop(fingerprint, None) is not None:
+            _log.info("content is cleared", fingerprint=fingerprint)
+
+    def _list_suspects(self) -> list[Fingerprint]:
+        """Return the contents that one more endpoint would bring into quarantine."""
+        least = CRASHES_TO_QUARANTINE - 1
+        return [
+            fingerprint
+            for fingerprint, endpoints in self._crashes.items()
+            if len(endpoints) >= least and fingerprint not in self.quarantined
+        ][-QUARANTINE_MOST:]
 
     def _list_present(self, now: float) -> dict[ProcessName, _Gateway]:
         return {
--- a/tarragonway/gateway/beliefs.py
+++ b/tarragonway/gateway/beliefs.py
@@ -18,6 +18,7 @@
         self.clock = WallClock()
         self.gateways = 0
         self.quarantined: frozenset[str] = frozenset()
+        self.suspects: frozenset[str] = frozenset()
         self.stopping_since: float | None = None
         self._complete = asyncio.Event()
 
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -74,6 +74,7 @@
             self._pressure,
             self._chooser,
             self._make_budget,
+            self._link,
             requests,
             self._counters,
         )
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 import structlog
@@ -31,6 +32,7 @@
 from tarragonway.gateway.sender import Codec, Sender
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import Pool, Reply, Request
+from tarragonway.links.messages import Crash
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import Account, Repeatability, Route
 from tarragonway.routes.table import RouteTable, draw_service
@@ -63,6 +65,18 @@
     units: float = 0.0
 
 
+class Suspicions(Protocol):
+    """Who learns of contents that may crash endpoints."""
+
+    def report_crash(self, crash: Crash) -> None:
+        """Take a content during which an endpoint broke off."""
+        ...
+
+    def report_cleared(self, fingerprint: Fingerprint) -> None:
+        """Take a suspected content that ran to its end."""
+        ...
+
+
 class Forwarder:
     """Answers callers' requests.
 
@@ -80,6 +94,8 @@
         Picks endpoints.
     make_budget : callable
         Returns the retry budget of a service.
+    suspicions : Suspicions
+        Learns of contents during which an endpoint broke off.
     codec : Codec
         Platform's form of requests and answers.
     counters : Counters
@@ -94,6 +110,7 @@
         pressure: PressureMeter,
         chooser: Chooser,
         make_budget: Callable[[], RetryBudget],
+        suspicions: Suspicions,
         codec: Codec,
         counters: Counters,
     ) -> None:
@@ -103,6 +120,7 @@
         self._pressure = pressure
         self._chooser = chooser
         self._make_budget = make_budget
+        self._suspicions = suspicions
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
@@ -287,6 +305,7 @@
         finally:
             began = attempt.choice is None
             self._chooser.note_end(choice, began, failed, loop.time())
+        self._note_content(attempt, outcome, endpoint)
         if isinstance(outcome, Unsent):
             self._chooser.note_unreachable(endpoint.key, loop.time())
         if not isinstance(outcome, Answered | Streamed):
@@ -301,6 +320,19 @@
             )
         return outcome
 
+    def _note_content(
+        self, attempt: Attempt, outcome: SendOutcome, endpoint: ListedEndpoint
+    ) -> None:
+        """Report a content that broke an endpoint off, or a suspect that did not."""
+        match outcome:
+            case Broken():
+                fingerprint = make_fingerprint(attempt.request, attempt.account)
+                self._suspicions.report_crash(Crash(fingerprint, endpoint.key))
+            case Answered() | Streamed() if self._beliefs.suspects:
+                fingerprint = make_fingerprint(attempt.request, attempt.account)
+                if fingerprint in self._beliefs.suspects:
+                    self._suspicions.report_cleared(fingerprint)
+
     def _may_send_again(
         self, attempt: Attempt, outcome: SendOutcome, budget: RetryBudget
     ) -> bool:
--- a/tarragonway/gateway/link.py
+++ b/tarragonway/gateway/link.py
@@ -1,13 +1,14 @@
 """A gateway's links to the coordinators."""
 
 import asyncio
+import collections
 import zlib
 from collections.abc import Callable, Iterable
 
 import structlog
 
 from tarragonway.core.counters import Counters
-from tarragonway.core.ids import ProcessName
+from tarragonway.core.ids import Fingerprint, ProcessName
 from tarragonway.gateway.beliefs import Beliefs
 from tarragonway.gateway.pressure import PressureMeter
 from tarragonway.gateway.quota import QuotaHolder
@@ -16,6 +17,7 @@
 from tarragonway.links.messages import (
     Beat,
     BeatReply,
+    Cleared,
     ConfigurationText,
     Crash,
     EndpointUpdate,
@@ -33,6 +35,7 @@
 BEAT_S = 0.25
 FETCH_AGAIN_S = 0.3
 USAGE_WINDOWS_AT_START = 8
+CRASHES_KEPT = 64
 CLOCK_STEP_MIN_S = 0.02
 
 _log = structlog.get_logger()
@@ -82,7 +85,7 @@
         self._sent_at: dict[int, float] = {}
         self._listing = (0, 0)
         self._fetching: tuple[str, float] = ("", float("-inf"))
-        self._crashes: list[Crash] = []
+        self._crashes: collections.deque[Crash] = collections.deque(maxlen=CRASHES_KEPT)
         self._full_report = True
         self.answered_at = float("-inf")
 
@@ -99,15 +102,27 @@
         self._switch.want({*self._seeds, *self._switch.links})
 
     def report_crash(self, crash: Crash) -> None:
-        """Tell the leader that a content ran where an endpoint was lost."""
+        """Tell the leader that an endpoint broke off while it ran a content.
+
+        The last ones are told again to a new leader.
+        """
         self._crashes.append(crash)
+        self.send_to_leader(crash)
 
     @property
     def quota(self) -> QuotaHolder:
         """Admission against quotas, by way of the leader."""
         return self._quota
 
-    def send_to_leader(self, message: QuotaAsk | QuotaReturn) -> bool:
+    def report_cleared(self, fingerprint: Fingerprint) -> None:
+        """Tell the leader that a suspected content ran to its end."""
+        self._crashes = collections.deque(
+            (crash for crash in self._crashes if crash.fingerprint != fingerprint),
+            CRASHES_KEPT,
+        )
+        self.send_to_leader(Cleared(fingerprint))
+
+    def send_to_leader(self, message: QuotaAsk | QuotaReturn | Crash | Cleared) -> bool:
         """Send a message; return False if no leader is known."""
         return bool(self._leader) and self._switch.send(self._leader, message)
 
@@ -236,7 +251,7 @@
             clock_s,
             self._listing[1],
             usage,
-            tuple(self._crashes[:32]),
+            tuple(self._crashes) if self._full_report else (),
             self._pressure.measure(now),
         )
         if self._switch.send(self._leader, beat):
@@ -251,11 +266,11 @@
             return
         now = asyncio.get_running_loop().time()
         self.answered_at = now
-        self._crashes = self._crashes[32:]
         beliefs = self._beliefs
         if reply.gateways:
             beliefs.gateways = self._quota.gateways = reply.gateways
         beliefs.quarantined = frozenset(reply.quarantined)
+        beliefs.suspects = frozenset(reply.suspects)
         if abs(reply.clock_correction_s) > CLOCK_STEP_MIN_S:
             _log.info("clock is corrected", seconds=reply.clock_correction_s)
             beliefs.clock.correct(reply.clock_correction_s)
--- a/tarragonway/gateway/tests/test_forward.py
+++ b/tarragonway/gateway/tests/test_forward.py
@@ -107,6 +107,8 @@
 
     def __init__(self) -> None:
         self.beliefs = Beliefs()
+        self.crashes = []
+        self.cleared = []
         configuration = Configuration(
             1, ROUTES, (Service("s", "/", 9),), ChannelLimits(),
             (Account("acct", ("key",), per_s=5.0, burst=5.0),),
@@ -121,12 +123,19 @@
             PressureMeter(),
             Chooser(LoadBoard(), random.Random(1)),
             lambda: RetryBudget(0.5, 5.0, 5.0),
+            self,
             requests,
             Counters(),
         )
         self.server = HttpServer(self.forwarder.handle, ChannelLimits)
         self.endpoints: list[Endpoint] = []
 
+    def report_crash(self, crash):
+        self.crashes.append(crash)
+
+    def report_cleared(self, fingerprint):
+        self.cleared.append(fingerprint)
+
     async def add(self, port, *, listens=True) -> Endpoint:
         endpoint = Endpoint()
         if listens:
@@ -280,6 +289,30 @@
     assert 100 <= int(line.split(b":")[1]) <= 200
 
 
+async def test_content_that_breaks_endpoints_off_is_reported_and_kept_away(world):
+    endpoint = await world.add(world.ports())
+    await world.ask("/single/poison")
+    (crash,) = world.crashes
+    assert crash.endpoint == "e1"
+    world.beliefs.quarantined = frozenset([crash.fingerprint])
+    assert (await world.ask("/single/poison")).startswith(b"HTTP/1.1 503")
+    endpoint.answers = [whole()]
+    assert (await world.ask("/single/other")).startswith(b"HTTP/1.1 200")
+    assert len(endpoint.heads) == 2
+
+
+async def test_suspect_that_runs_to_its_end_is_cleared(world):
+    endpoint = await world.add(world.ports())
+    await world.ask("/single/odd")
+    fingerprint = world.crashes[0].fingerprint
+    world.beliefs.suspects = frozenset([fingerprint])
+    endpoint.answers = [whole(), whole()]
+    await world.ask("/single/else")
+    assert not world.cleared
+    await world.ask("/single/odd")
+    assert world.cleared == [fingerprint]
+
+
 async def test_request_waits_for_the_first_configuration(world):
     endpoint = await world.add(world.ports())
     endpoint.answers = [whole()]
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -74,13 +74,19 @@
     units: float
 
 
-class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """An endpoint was lost while it ran a content."""
+class Crash(msgspec.Struct, frozen=True, tag=True):
+    """An endpoint broke off while it ran a content; sent at once."""
 
     fingerprint: Fingerprint
     endpoint: str
 
 
+class Cleared(msgspec.Struct, frozen=True, tag=True):
+    """A suspected content ran to its end."""
+
+    fingerprint: Fingerprint
+
+
 class Beat(msgspec.Struct, frozen=True, tag=True):
     """A gateway's report to the leader.
 
@@ -113,6 +119,7 @@
     listing: int
     listing_age_s: float
     quarantined: tuple[Fingerprint, ...] = ()
+    suspects: tuple[Fingerprint, ...] = ()
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
@@ -136,6 +143,8 @@
     | QuotaAsk
     | QuotaAnswer
     | QuotaReturn
+    | Crash
+    | Cleared
     | BeatReply
     | EndpointUpdate
 )
