Bound the logs, never block on them, and name the endpoint and its foreseen delay

Cause: the users' engineers have only logs; a line for the choice of an endpoint lacked, and a reader that stands still would have stopped the process. Change: lines beyond a bound, or that a pipe doesn't take, are dropped and counted; the last line of a request names endpoint, foreseen delay and the list's age; readiness has a line.

--- a/tarragonway/core/logs.py
+++ b/tarragonway/core/logs.py
@@ -3,9 +3,13 @@
 import enum
 import logging
 import sys
+from typing import Any, TextIO, cast
 
+import msgspec
 import structlog
 
+from tarragonway.core.output import BoundedOutput
+
 
 class LogFormat(enum.Enum):
     """Form of the log lines on standard output."""
@@ -19,9 +23,10 @@
     renderer: structlog.types.Processor
     match form:
         case LogFormat.JSON:
-            renderer = structlog.processors.JSONRenderer()
+            renderer = structlog.processors.JSONRenderer(serializer=_encode)
         case LogFormat.CONSOLE:
             renderer = structlog.dev.ConsoleRenderer(colors=False)
+    output = cast(TextIO, BoundedOutput(sys.stdout.fileno()))
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -31,6 +36,11 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sys.stdout),
+        logger_factory=structlog.WriteLoggerFactory(output),
     )
     structlog.contextvars.bind_contextvars(process=process)
+
+
+def _encode(line: dict[str, Any], **options: Any) -> str:
+    """Return a log line as JSON; values of other types are written as text."""
+    return msgspec.json.encode(line, enc_hook=repr).decode()
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -32,6 +32,8 @@
     last_event: str | None = None
     choice: Choice | None = None
     sent_at: float = 0.0
+    endpoint: str = ""
+    foreseen_ms: float = 0.0
 
     @property
     def is_stream(self) -> bool:
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -86,6 +86,7 @@
         )
         self._callers = HttpServer(self._forwarder.handle, self._read_limits)
         self._readiness = HttpServer(self._answer_readiness, ChannelLimits)
+        self._told_ready: bool | None = None
         self._metrics = make_metrics_server(self._counters, self.make_dump)
 
     @classmethod
@@ -162,7 +163,17 @@
 
     async def _answer_readiness(self, request: Request, reply: Reply) -> None:
         is_known = request.target.partition("?")[0] == names.READY_PATH
-        status = 404 if not is_known else 200 if self._is_ready() else 503
+        ready = self._is_ready()
+        if ready is not self._told_ready:
+            self._told_ready = ready
+            _log.info(
+                "readiness changes",
+                ready=ready,
+                revision=self._beliefs.revision,
+                endpoints=len(self._beliefs.endpoints.rows),
+                stopping=self._beliefs.stopping_since is not None,
+            )
+        status = 404 if not is_known else 200 if ready else 503
         await reply.send(status, [])
 
     async def _watch_list(self) -> None:
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -296,6 +296,7 @@
         endpoint = choice.endpoint
         self._chooser.note_start(choice)
         attempt.choice, attempt.sent_at = choice, loop.time()
+        attempt.endpoint, attempt.foreseen_ms = endpoint.instance, choice.delay_ms
         failed = False
         try:
             outcome = await self._sender.send(
@@ -316,7 +317,7 @@
                 address=endpoint.address,
                 outcome=repr(outcome),
                 sends=attempt.sends,
-                list_age_s=round(loop.time() - self._beliefs.listed_at, 2),
+                list_age_s=round(self._age_of_list(), 2),
             )
         return outcome
 
@@ -399,6 +400,9 @@
             priority = attempt.account.priority
         return max(0, min(PRIORITY_MOST, priority))
 
+    def _age_of_list(self) -> float:
+        return asyncio.get_running_loop().time() - self._beliefs.listed_at
+
     def _log_end(self, attempt: Attempt, outcome: str, started: float) -> None:
         taken_ms = (asyncio.get_running_loop().time() - started) * 1000
         self._counters.increment(f"request.{outcome}")
@@ -413,7 +417,10 @@
             route=attempt.route.name,
             outcome=outcome,
             sends=attempt.sends,
+            endpoint=attempt.endpoint,
+            foreseen_ms=round(attempt.foreseen_ms, 1),
             taken_ms=round(taken_ms, 1),
+            list_age_s=round(self._age_of_list(), 2),
             revision=self._beliefs.revision,
         )
 
