Let a starting coordinator's first election come sooner

Ruled out: shorter elections throughout; a retransmission on a lossy link takes 0.2 s and more. Change: the first timeout after a start is 0.2 to 0.35 s; pre-votes protect a leader that others hear.

--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -54,11 +54,13 @@
     """Timing in ticks.
 
     An election starts after ``election_ticks`` to ``2 * election_ticks - 1`` ticks
-    without a leader.
+    without a leader. The first one after a start may come sooner, by ``first_ticks``
+    instead: pre-votes keep it from disturbing a leader that others hear.
     """
 
     election_ticks: int = 10
     heartbeat_ticks: int = 2
+    first_ticks: int | None = None
 
 
 class ReadReady(msgspec.Struct, frozen=True):
@@ -126,7 +128,7 @@
             self._note_membership(entry)
         self._unstable = self._log.last_index + 1
         self._elapsed = 0
-        self._timeout = self._draw_timeout()
+        self._timeout = self._draw_timeout(parameters.first_ticks)
         self._votes: set[MemberId] = set()
         self._progress = ProgressTable(own_id)
         self._round = 0
@@ -288,8 +290,8 @@
 
     # Elections
 
-    def _draw_timeout(self) -> int:
-        ticks = self._parameters.election_ticks
+    def _draw_timeout(self, ticks: int | None = None) -> int:
+        ticks = ticks or self._parameters.election_ticks
         return ticks + self._random.randrange(ticks)
 
     def _set_hard_state(self, term: int, voted_for: MemberId | None) -> None:
--- a/tarragonway/consensus/tests/test_votes.py
+++ b/tarragonway/consensus/tests/test_votes.py
@@ -89,3 +89,23 @@
     assert leader.commit == 0
     leader.receive("b", AppendReply(2, True, 3, 2, 1))
     assert leader.commit == 3
+
+
+def test_first_election_comes_sooner_and_disturbs_no_leader():
+    starting = Replica(
+        "a", Parameters(10, 2, 3), random.Random(1), None, Snapshot(0, 0, MEMBERS)
+    )
+    ticks = 0
+    while starting.role is Role.FOLLOWER:
+        starting.tick()
+        ticks += 1
+    assert 3 <= ticks < 6
+    requests = [message for _, message in starting.take_output().messages]
+    assert all(request.pre for request in requests)
+    follower = make_replica()
+    follower.own_id = "b"
+    follower.receive("c", AppendRequest(1, 0, 0, 0, 1))
+    follower.take_output()
+    follower.receive("a", requests[0])
+    assert follower.take_output().messages == []
+    assert follower.term == 1
--- a/tarragonway/coordinator/group.py
+++ b/tarragonway/coordinator/group.py
@@ -22,6 +22,7 @@
 
 ELECTION_TICKS = 12
 HEARTBEAT_TICKS = 2
+FIRST_ELECTION_TICKS = 4
 FIRST = "first"
 
 _log = structlog.get_logger()
@@ -74,7 +75,7 @@
     """Return the replica as it stood when the folder was last written."""
     return Replica(
         identity.member,
-        Parameters(ELECTION_TICKS, HEARTBEAT_TICKS),
+        Parameters(ELECTION_TICKS, HEARTBEAT_TICKS, FIRST_ELECTION_TICKS),
         random.Random(secrets.randbits(64)),
         found.hard_state,
         found.snapshot,
