--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -99,7 +99,11 @@
             self._counters,
         )
         self._publisher = ListPublisher(
-            self._driver, reader, self._view, lambda: list(self._gateways)
+            self._driver,
+            reader,
+            self._view,
+            lambda: list(self._gateways),
+            lambda: self._fleet.note_change(),
         )
         self._usage = UsageReporter(
             settings.name,
--- a/tarragonway/coordinator/listing.py
+++ b/tarragonway/coordinator/listing.py
@@ -31,6 +31,8 @@
         Written here.
     list_gateways : callable
         Returns the links of the gateways.
+    note_change : callable
+        Called after the view has changed.
     """
 
     def __init__(
@@ -39,11 +41,13 @@
         reader: ListReader,
         view: EndpointView,
         list_gateways: Callable[[], list[Link]],
+        note_change: Callable[[], None],
     ) -> None:
         self._driver = driver
         self._reader = reader
         self._view = view
         self._list_gateways = list_gateways
+        self._note_change = note_change
         self.listing = 0
         self.read_at = float("-inf")
 
@@ -71,6 +75,7 @@
         if not changed and not gone and self.listing:
             return
         self.listing += 1
+        self._note_change()
         update = msgspec.structs.replace(
             self.make_whole(), whole=False, rows=tuple(changed), gone=tuple(gone)
         )
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -1,6 +1,7 @@
 """The duty of ordering endpoints."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -94,11 +95,12 @@
         self._needs: dict[ServiceName, list[tuple[float, int]]] = {}
         self._loaded: set[ServiceName] = set()
         self._reclaimed: set[str] = set()
+        self._changed = asyncio.Event()
 
     async def run(self) -> None:
         """Order until the task is cancelled."""
         while True:
-            await asyncio.sleep(CHECK_S)
+            await self._wait()
             configuration = self._read_configuration()
             if not self._driver.is_leader:
                 self._orders.clear()
@@ -109,11 +111,21 @@
                     if service.scaling is not None:
                         await self._keep(service, service.scaling)
 
+    def note_change(self) -> None:
+        """Look again at once: the list of endpoints has changed."""
+        self._changed.set()
+
+    async def _wait(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CHECK_S):
+                await self._changed.wait()
+        self._changed.clear()
+
     async def _keep(self, service: Service, traits: ScalingTraits) -> None:
         now = asyncio.get_running_loop().time()
         rows = [r for r in self._view.rows.values() if r.service == service.name]
         counts = count_kinds(rows)
-        self._drop_lost_orders(service.name, rows)
+        self._note_reclaims(service.name, rows, now)
         needed = self._measure_need(service.name, counts, now)
         expected = self._expect(service.name, traits, counts, now)
         unavailable = self._list_unavailable(service.name, now)
@@ -148,14 +160,18 @@
         self._needs[service] = [(at, n) for at, n in history if now - at < HOLD_S]
         return max(count for _, count in self._needs[service])
 
-    def _drop_lost_orders(
-        self, service: ServiceName, rows: list[ListedEndpoint]
+    def _note_reclaims(
+        self, service: ServiceName, rows: list[ListedEndpoint], now: float
     ) -> None:
-        """Forget the order of a kind that has just been reclaimed: it is void."""
+        """Forget the order of a kind that has just been reclaimed: it is void.
+
+        Others of the kind are rarely to be had at that moment.
+        """
         for row in rows:
             reclaimed = row.reclaimable and row.leaving and row.leaves_s >= 0
             if reclaimed and row.key not in self._reclaimed:
                 self._orders.pop((service, Kind(row.zone, True)), None)
+                self._unavailable[service, row.zone] = now + UNAVAILABLE_S
                 self._reclaimed.add(row.key)
         self._reclaimed &= set(self._view.rows)
 
