--- a/tarragonway/consensus/tests/cluster.py
+++ b/tarragonway/consensus/tests/cluster.py
@@ -268,7 +268,7 @@
 
 
 def plan_repair(nodes, leader, membership):
-    from tarragonway.control.repair import plan_change
+    from tarragonway.replication import plan_change
 
     present = [node.member for node in nodes if node.replica is not None]
     return plan_change(leader.replica, present)
--- a/tarragonway/control/admin.py
+++ b/tarragonway/control/admin.py
@@ -7,7 +7,6 @@
 import msgspec
 from aiohttp import web
 
-from tarragonway.control.driver import LogDriver, NotLeader
 from tarragonway.core.ids import ChangeId, EndpointId, Revision
 from tarragonway.endpoints import MarkLeaving
 from tarragonway.lists.register import (
@@ -17,6 +16,7 @@
     ListsRefused,
 )
 from tarragonway.process.admin import RevisionBody, check_operator, write_json
+from tarragonway.replication import LogDriver, NotLeader
 from tarragonway.settings import Settings
 
 APPLY_TIMEOUT_S = 5.0
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -24,7 +24,6 @@
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.consensus.storage import Identity
 from tarragonway.control.admin import ControlAdmin
-from tarragonway.control.driver import DriverConfig, LogDriver, NotLeader
 from tarragonway.control.messages import (
     ControlCall,
     ControlRedirect,
@@ -43,6 +42,7 @@
 from tarragonway.limits.messages import ShareCall
 from tarragonway.process import run_daemon
 from tarragonway.process.base import ProcessBase
+from tarragonway.replication import DriverConfig, LogDriver, NotLeader
 from tarragonway.settings import Settings, load_settings
 from tarragonway.settings.load import find_control
 from tarragonway.settings.options import read_options
--- a/tarragonway/control/shares.py
+++ b/tarragonway/control/shares.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from tarragonway.control.driver import LogDriver
 from tarragonway.core.ids import AccountId, ProcessName, Revision
 from tarragonway.limits.ledger import Limit, ShareLedger
 from tarragonway.limits.messages import ShareCall, ShareReply
 from tarragonway.lists import Lists, check_lists
+from tarragonway.replication import LogDriver
 
 
 class ShareServer:
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -10,7 +10,6 @@
 from tarragonway.consensus import DataFolder, Member, Packet, Replica
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.consensus.storage import Identity
-from tarragonway.control.driver import DriverConfig, LogDriver
 from tarragonway.coordinator.gateways import GatewayBook
 from tarragonway.coordinator.group import make_replica, prepare_folder, read_address
 from tarragonway.coordinator.lease import DutyLease
@@ -46,6 +45,7 @@
 from tarragonway.node.settings import NodeSettings
 from tarragonway.platform import configuration, duties, listing, names
 from tarragonway.process.tasks import TaskGroup
+from tarragonway.replication import DriverConfig, LogDriver
 from tarragonway.routes.model import Account, ChannelLimits, Configuration
 
 TICK_S = 0.05
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -5,11 +5,11 @@
 import msgspec
 import structlog
 
-from tarragonway.control.driver import LogDriver
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.clock import WallClock
 from tarragonway.core.ids import AccountId, Fingerprint, ProcessName
 from tarragonway.links.messages import Beat, BeatReply, Crash
+from tarragonway.replication import LogDriver
 
 PRESENT_S = 3.0
 # A new leader first hears from all gateways before it tells their number.
--- a/tarragonway/coordinator/lease.py
+++ b/tarragonway/coordinator/lease.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from tarragonway.control.driver import LogDriver
 from tarragonway.core.clock import read_steady
+from tarragonway.replication import LogDriver
 
 CONFIRM_FRESH_S = 0.25
 LEASE_MARGIN = 1.1
--- a/tarragonway/coordinator/listing.py
+++ b/tarragonway/coordinator/listing.py
@@ -6,12 +6,12 @@
 import msgspec
 import structlog
 
-from tarragonway.control.driver import LogDriver
 from tarragonway.endpoints.listing import EndpointView, ListedEndpoint
 from tarragonway.endpoints.reader import ListReader, ListUnread
 from tarragonway.links import Link
 from tarragonway.links.link import encode_message
 from tarragonway.links.messages import EndpointUpdate
+from tarragonway.replication import LogDriver
 
 READ_S = 0.4
 
--- a/tarragonway/coordinator/operators.py
+++ b/tarragonway/coordinator/operators.py
@@ -7,7 +7,6 @@
 import msgspec
 import structlog
 
-from tarragonway.control.driver import LogDriver, NotLeader
 from tarragonway.coordinator.machine import (
     ConfigurationStored,
     CoordinatorMachine,
@@ -17,6 +16,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.http1.client import Headers
 from tarragonway.http1.server import Reply, Request
+from tarragonway.replication import LogDriver, NotLeader
 from tarragonway.routes.model import Configuration, ConfigurationError
 
 ANSWER_LIMIT_S = 0.9
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -16,13 +16,13 @@
     count_safe,
     plan_fleet,
 )
-from tarragonway.control.driver import LogDriver
 from tarragonway.coordinator.gateways import GatewayBook
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ServiceName, ZoneName
 from tarragonway.endpoints.listing import EndpointView, ListedEndpoint
 from tarragonway.http1.call import Call, CallAnswer, CallClient
+from tarragonway.replication import LogDriver
 from tarragonway.routes.model import Configuration, ScalingTraits, Service
 
 CHECK_S = 0.4
--- a/tarragonway/coordinator/usage.py
+++ b/tarragonway/coordinator/usage.py
@@ -5,7 +5,6 @@
 
 import structlog
 
-from tarragonway.control.driver import LogDriver
 from tarragonway.coordinator.gateways import GatewayBook
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.coordinator.machine import (
@@ -18,6 +17,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId
 from tarragonway.http1.call import Call, CallAnswer, CallClient
+from tarragonway.replication import LogDriver
 
 CHECK_S = 0.25
 CALL_TIMEOUT_S = 1.0
--- /dev/null
+++ b/tarragonway/gateway/admission.py
@@ -0,0 +1,172 @@
+"""Admission of requests: configuration, keys, stops, quarantine and quotas."""
+
+import random
+
+import msgspec
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.hashes import compute_fingerprint
+from tarragonway.core.ids import AccountId, Fingerprint
+from tarragonway.exchange import CallerRequest
+from tarragonway.gateway.answers import RETRY_AFTER_S, Cause, send_own_answer
+from tarragonway.gateway.attempt import Attempt
+from tarragonway.gateway.beliefs import Beliefs
+from tarragonway.gateway.quota import QuotaHolder
+from tarragonway.http1 import Reply, Request
+from tarragonway.routes.model import Account, Route
+from tarragonway.routes.table import RouteTable, draw_service
+
+# A process that has just started learns the configuration within this time.
+START_WAIT_S = 0.8
+# Part of its objective that a request may wait for quota rather than be refused.
+HOLD_PART = 1 / 8
+PATIENCE_DEFAULT_S = 60.0
+
+_log = structlog.get_logger()
+
+
+class Admitted(msgspec.Struct, frozen=True):
+    """A request that the configuration and its quota allow."""
+
+    route: Route
+    account: Account | None
+
+
+class OwnRefusal(msgspec.Struct, frozen=True):
+    """Sentinel: the gateway answers by itself."""
+
+    cause: Cause
+    retry_after_s: float | None = None
+    account: Account | None = None
+    units: float = 0.0
+
+
+class Admission:
+    """Decides whether a request may be sent, and answers the refusals.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        Configuration in force.
+    quota : QuotaHolder
+        Admits against client accounts' quotas.
+    counters : Counters
+        Receives ``request.refused.*`` counters.
+    """
+
+    def __init__(
+        self, beliefs: Beliefs, quota: QuotaHolder, counters: Counters
+    ) -> None:
+        self._beliefs = beliefs
+        self._quota = quota
+        self._counters = counters
+        self._random = random.Random()
+
+    def give_back(self, attempt: Attempt) -> None:
+        """Return the quota of a request that did not run."""
+        if attempt.account is not None:
+            units = count_units(attempt.account, attempt.facts)
+            self._quota.give_back(attempt.account, units)
+
+    async def admit(
+        self, request: Request, facts: CallerRequest, reply: Reply
+    ) -> Attempt | None:
+        """Return the attempt, or answer the refusal and return None."""
+        await self._beliefs.wait_complete(START_WAIT_S)
+        judged = self._judge(request, facts)
+        if isinstance(judged, Admitted):
+            judged = await self._take_quota(judged, facts)
+        if isinstance(judged, OwnRefusal):
+            await self._refuse(reply, facts, judged)
+            return None
+        patience_s = facts.patience_s or PATIENCE_DEFAULT_S
+        route = judged.route
+        deadline = request.arrived + min(patience_s, route.timeout_s)
+        service = draw_service(route, self._random)
+        return Attempt(
+            request, facts, reply, route, judged.account, service, deadline, set()
+        )
+
+    def _judge(self, request: Request, facts: CallerRequest) -> Admitted | OwnRefusal:
+        """Check a request against the configuration in force."""
+        table = self._beliefs.table
+        if table is None:
+            return OwnRefusal(Cause.NO_CONFIGURATION, RETRY_AFTER_S)
+        route = table.find_route(facts.host, facts.path)
+        if route is None:
+            return OwnRefusal(Cause.NOT_FOUND)
+        account = self._find_account(table, route, facts)
+        if account is None and table.has_accounts and not route.public:
+            return OwnRefusal(Cause.UNKNOWN_KEY)
+        if self._is_past_intake(request):
+            return OwnRefusal(Cause.STOPPING, RETRY_AFTER_S)
+        if self._fingerprint(request, account) in self._beliefs.quarantined:
+            return OwnRefusal(Cause.QUARANTINED)
+        return Admitted(route, account)
+
+    def _find_account(
+        self, table: RouteTable, route: Route, facts: CallerRequest
+    ) -> Account | None:
+        if not table.has_accounts or facts.key is None:
+            return None
+        return table.find_account(facts.key)
+
+    def _is_past_intake(self, request: Request) -> bool:
+        since = self._beliefs.stopping_since
+        return since is not None and request.arrived >= since
+
+    def _fingerprint(self, request: Request, account: Account | None) -> str:
+        if not self._beliefs.quarantined:
+            return ""
+        return make_fingerprint(request, account)
+
+    async def _take_quota(
+        self, admitted: Admitted, facts: CallerRequest
+    ) -> Admitted | OwnRefusal:
+        account = admitted.account
+        if account is None:
+            return admitted
+        units = count_units(account, facts)
+        patience_s = admitted.route.latency_objective_s * HOLD_PART
+        wait_s = await self._quota.admit(account, units, patience_s)
+        if wait_s <= 0:
+            return admitted
+        return OwnRefusal(Cause.QUOTA, wait_s, account, units)
+
+    async def _refuse(
+        self,
+        reply: Reply,
+        facts: CallerRequest,
+        refusal: OwnRefusal,
+    ) -> None:
+        cause = refusal.cause
+        self._counters.increment(f"request.refused.{cause.reason}")
+        _log.info(
+            "refused",
+            attempt=facts.attempt,
+            path=facts.path,
+            cause=cause.reason,
+            retry_after_s=refusal.retry_after_s,
+            account=refusal.account.id if refusal.account else "",
+            quota_per_s=refusal.account.per_s if refusal.account else 0,
+            units=refusal.units,
+            revision=self._beliefs.revision,
+        )
+        await send_own_answer(reply, cause, refusal.retry_after_s)
+
+
+def count_units(account: Account, facts: CallerRequest) -> float:
+    """Return what a request counts against its client account's quota."""
+    if not account.counts_tokens:
+        return 1.0
+    if facts.prompt is None:
+        return account.unsized_units
+    return float(facts.prompt.tokens)
+
+
+def make_fingerprint(request: Request, account: Account | None) -> Fingerprint:
+    """Return what a content that crashes endpoints is known by."""
+    owner = account.id if account else AccountId("")
+    head = f"{request.method} {request.target}\n".encode()
+    return compute_fingerprint(owner, head + request.body)
--- a/tarragonway/gateway/answers.py
+++ b/tarragonway/gateway/answers.py
@@ -7,6 +7,9 @@
 from tarragonway.http1.client import Headers
 from tarragonway.http1.server import Reply
 
+# What a caller is told if nothing better is known.
+RETRY_AFTER_S = 0.25
+
 
 class Cause(enum.Enum):
     """Why the gateway answers by itself: status and the reason told to the caller."""
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from tarragonway.core.ids import ServiceName
+from tarragonway.exchange import AnswerFacts, CallerRequest
 from tarragonway.gateway.choice import Choice
-from tarragonway.gateway.model import AnswerFacts, CallerRequest
 from tarragonway.http1.client import AnswerHead
 from tarragonway.http1.server import Reply, Request
 from tarragonway.routes.model import Account, Route
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -8,7 +8,7 @@
 from tarragonway.core.hashes import rank_by_hash
 from tarragonway.core.ids import EndpointId, ServiceName
 from tarragonway.endpoints.listing import ListedEndpoint
-from tarragonway.gateway.model import Load, Prompt
+from tarragonway.exchange import Load, Prompt
 from tarragonway.routing.loads import LoadBoard
 
 DOWN_S = 0.5
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -11,6 +11,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ProcessName
 from tarragonway.endpoints.reader import ListReader, ListUnread
+from tarragonway.gateway.admission import Admission
 from tarragonway.gateway.beliefs import Beliefs
 from tarragonway.gateway.choice import Chooser
 from tarragonway.gateway.forward import Forwarder
@@ -69,7 +70,7 @@
         )
         self._forwarder = Forwarder(
             self._beliefs,
-            self._link.quota,
+            Admission(self._beliefs, self._link.quota, self._counters),
             self._usage,
             self._pressure,
             self._chooser,
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -1,18 +1,17 @@
-"""The path of a request: admission, choice, sends, and the final answer."""
+"""The path of an admitted request: choice, sends, and the final answer."""
 
 import asyncio
-import random
 from collections.abc import Callable
 from typing import Protocol
 
-import msgspec
 import structlog
 
 from tarragonway.core.counters import Counters
-from tarragonway.core.hashes import compute_fingerprint
 from tarragonway.core.ids import AccountId, Fingerprint, ServiceName
 from tarragonway.endpoints.listing import ListedEndpoint
-from tarragonway.gateway.answers import Cause, send_own_answer
+from tarragonway.exchange import AnswerFacts
+from tarragonway.gateway.admission import Admission, count_units, make_fingerprint
+from tarragonway.gateway.answers import RETRY_AFTER_S, Cause, send_own_answer
 from tarragonway.gateway.attempt import (
     Answered,
     Attempt,
@@ -26,47 +25,22 @@
 )
 from tarragonway.gateway.beliefs import Beliefs
 from tarragonway.gateway.choice import Choice, Chooser
-from tarragonway.gateway.model import AnswerFacts, CallerRequest
 from tarragonway.gateway.pressure import PressureMeter
-from tarragonway.gateway.quota import QuotaHolder
 from tarragonway.gateway.sender import Codec, Sender
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import Pool, Reply, Request
 from tarragonway.links.messages import Crash
 from tarragonway.retries.budget import RetryBudget
-from tarragonway.routes.model import Account, Repeatability, Route
-from tarragonway.routes.table import RouteTable, draw_service
+from tarragonway.routes.model import Repeatability
 
 UNSENT_TRIES = 3
-RETRY_AFTER_S = 0.25
-# A process that has just started learns the configuration within this time.
-START_WAIT_S = 0.8
-# Part of its objective that a request may wait for quota rather than be refused.
-HOLD_PART = 1 / 8
 # A request whose first event is foreseen this many objectives late is refused at once.
 OVERLOAD_FACTOR = 1.5
 PRIORITY_MOST = 9
-PATIENCE_DEFAULT_S = 60.0
 
 _log = structlog.get_logger()
 
 
-class Admitted(msgspec.Struct, frozen=True):
-    """A request that the configuration and its quota allow."""
-
-    route: Route
-    account: Account | None
-
-
-class OwnRefusal(msgspec.Struct, frozen=True):
-    """Sentinel: the gateway answers by itself."""
-
-    cause: Cause
-    retry_after_s: float | None = None
-    account: Account | None = None
-    units: float = 0.0
-
-
 class Suspicions(Protocol):
     """Who learns of contents that may crash endpoints."""
 
@@ -86,8 +60,8 @@
     ----------
     beliefs : Beliefs
         Configuration and endpoints in force.
-    quota : QuotaHolder
-        Shares of client accounts' quotas.
+    admission : Admission
+        Decides which requests may be sent.
     usage : UsageCounter
         Receives the requests that began to run.
     pressure : PressureMeter
@@ -107,7 +81,7 @@
     def __init__(
         self,
         beliefs: Beliefs,
-        quota: QuotaHolder,
+        admission: Admission,
         usage: UsageCounter,
         pressure: PressureMeter,
         chooser: Chooser,
@@ -117,7 +91,7 @@
         counters: Counters,
     ) -> None:
         self._beliefs = beliefs
-        self._quota = quota
+        self._admission = admission
         self._usage = usage
         self._pressure = pressure
         self._chooser = chooser
@@ -126,15 +100,13 @@
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._random = random.Random()
         self.pool = Pool()
         self._sender = Sender(self.pool, codec, self)
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
         facts = self._codec.decode_request(request)
-        await self._beliefs.wait_complete(START_WAIT_S)
-        attempt = await self._admit(request, facts, reply)
+        attempt = await self._admission.admit(request, facts, reply)
         if attempt is None:
             return
         started = asyncio.get_running_loop().time()
@@ -165,93 +137,6 @@
         if account:
             self._usage.count(account, self._beliefs.clock.now())
 
-    # Admission
-
-    async def _admit(
-        self, request: Request, facts: CallerRequest, reply: Reply
-    ) -> Attempt | None:
-        """Return the attempt, or answer the refusal and return None."""
-        judged = self._judge(request, facts)
-        if isinstance(judged, Admitted):
-            judged = await self._take_quota(judged, facts)
-        if isinstance(judged, OwnRefusal):
-            await self._refuse(reply, facts, judged)
-            return None
-        patience_s = facts.patience_s or PATIENCE_DEFAULT_S
-        route = judged.route
-        deadline = request.arrived + min(patience_s, route.timeout_s)
-        service = draw_service(route, self._random)
-        return Attempt(
-            request, facts, reply, route, judged.account, service, deadline, set()
-        )
-
-    def _judge(self, request: Request, facts: CallerRequest) -> Admitted | OwnRefusal:
-        """Check a request against the configuration in force."""
-        table = self._beliefs.table
-        if table is None:
-            return OwnRefusal(Cause.NO_CONFIGURATION, RETRY_AFTER_S)
-        route = table.find_route(facts.host, facts.path)
-        if route is None:
-            return OwnRefusal(Cause.NOT_FOUND)
-        account = self._find_account(table, route, facts)
-        if account is None and table.has_accounts and not route.public:
-            return OwnRefusal(Cause.UNKNOWN_KEY)
-        if self._is_past_intake(request):
-            return OwnRefusal(Cause.STOPPING, RETRY_AFTER_S)
-        if self._fingerprint(request, account) in self._beliefs.quarantined:
-            return OwnRefusal(Cause.QUARANTINED)
-        return Admitted(route, account)
-
-    def _find_account(
-        self, table: RouteTable, route: Route, facts: CallerRequest
-    ) -> Account | None:
-        if not table.has_accounts or facts.key is None:
-            return None
-        return table.find_account(facts.key)
-
-    def _is_past_intake(self, request: Request) -> bool:
-        since = self._beliefs.stopping_since
-        return since is not None and request.arrived >= since
-
-    def _fingerprint(self, request: Request, account: Account | None) -> str:
-        if not self._beliefs.quarantined:
-            return ""
-        return make_fingerprint(request, account)
-
-    async def _take_quota(
-        self, admitted: Admitted, facts: CallerRequest
-    ) -> Admitted | OwnRefusal:
-        account = admitted.account
-        if account is None:
-            return admitted
-        units = count_units(account, facts)
-        patience_s = admitted.route.latency_objective_s * HOLD_PART
-        wait_s = await self._quota.admit(account, units, patience_s)
-        if wait_s <= 0:
-            return admitted
-        return OwnRefusal(Cause.QUOTA, wait_s, account, units)
-
-    async def _refuse(
-        self,
-        reply: Reply,
-        facts: CallerRequest,
-        refusal: OwnRefusal,
-    ) -> None:
-        cause = refusal.cause
-        self._counters.increment(f"request.refused.{cause.reason}")
-        _log.info(
-            "refused",
-            attempt=facts.attempt,
-            path=facts.path,
-            cause=cause.reason,
-            retry_after_s=refusal.retry_after_s,
-            account=refusal.account.id if refusal.account else "",
-            quota_per_s=refusal.account.per_s if refusal.account else 0,
-            units=refusal.units,
-            revision=self._beliefs.revision,
-        )
-        await send_own_answer(reply, cause, refusal.retry_after_s)
-
     # Sends
 
     async def _run(self, attempt: Attempt) -> None:
@@ -384,9 +269,8 @@
             case _:
                 cause, retry_after_s = Cause.BROKEN, None
         self._counters.increment(f"request.failed.{cause.reason}")
-        if not attempt.may_have_run and attempt.account is not None:
-            units = count_units(attempt.account, attempt.facts)
-            self._quota.give_back(attempt.account, units)
+        if not attempt.may_have_run:
+            self._admission.give_back(attempt)
         await send_own_answer(reply, cause, retry_after_s)
 
     def _get_budget(self, service: ServiceName) -> RetryBudget:
@@ -426,19 +310,3 @@
             list_age_s=round(self._age_of_list(), 2),
             revision=self._beliefs.revision,
         )
-
-
-def count_units(account: Account, facts: CallerRequest) -> float:
-    """Return what a request counts against its client account's quota."""
-    if not account.counts_tokens:
-        return 1.0
-    if facts.prompt is None:
-        return account.unsized_units
-    return float(facts.prompt.tokens)
-
-
-def make_fingerprint(request: Request, account: Account | None) -> Fingerprint:
-    """Return what a content that crashes endpoints is known by."""
-    owner = account.id if account else AccountId("")
-    head = f"{request.method} {request.target}\n".encode()
-    return compute_fingerprint(owner, head + request.body)
--- a/tarragonway/gateway/pressure.py
+++ b/tarragonway/gateway/pressure.py
@@ -1,7 +1,7 @@
 """The work that a gateway sends to each service."""
 
 from tarragonway.core.ids import ServiceName
-from tarragonway.gateway.model import Prompt
+from tarragonway.exchange import Prompt
 
 SMOOTHING_S = 5.0
 # Before this time has passed, a burst of callers that come back would look like the
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -6,6 +6,7 @@
 import structlog
 
 from tarragonway.endpoints.listing import ListedEndpoint
+from tarragonway.exchange import AnswerFacts, CallerRequest, Dispatch
 from tarragonway.gateway.attempt import (
     Answered,
     Attempt,
@@ -17,7 +18,6 @@
     Unsent,
 )
 from tarragonway.gateway.events import EventSplitter
-from tarragonway.gateway.model import AnswerFacts, CallerRequest, Dispatch
 from tarragonway.http1 import (
     AnswerHead,
     ConnectFailed,
--- a/tarragonway/gateway/tests/test_forward.py
+++ b/tarragonway/gateway/tests/test_forward.py
@@ -6,6 +6,7 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.listing import ListedEndpoint
+from tarragonway.gateway.admission import Admission
 from tarragonway.gateway.beliefs import Beliefs
 from tarragonway.gateway.choice import Chooser
 from tarragonway.gateway.forward import Forwarder
@@ -118,7 +119,7 @@
         self.usage = UsageCounter(5.0)
         self.forwarder = Forwarder(
             self.beliefs,
-            self.quota,
+            Admission(self.beliefs, self.quota, Counters()),
             self.usage,
             PressureMeter(),
             Chooser(LoadBoard(), random.Random(1)),
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -1,7 +1,7 @@
 """Requests and answers between the platform's headers and the product's types."""
 
 from tarragonway.core.ids import AttemptId
-from tarragonway.gateway.model import (
+from tarragonway.exchange import (
     AnswerFacts,
     CallerRequest,
     Dispatch,
--- a/tarragonway/platform/tests/test_requests.py
+++ b/tarragonway/platform/tests/test_requests.py
@@ -1,5 +1,5 @@
 from tarragonway.core.ids import AccountId
-from tarragonway.gateway.model import Dispatch, Load
+from tarragonway.exchange import Dispatch, Load
 from tarragonway.http1 import AnswerHead, Request
 from tarragonway.platform import requests
 
--- a/tarragonway/control/driver.py
+++ b/tarragonway/replication/driver.py
@@ -22,9 +22,9 @@
     Replica,
     Role,
 )
-from tarragonway.control.repair import plan_change
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId
+from tarragonway.replication.repair import plan_change
 
 MIN_VOTERS = 3
 KEEP_ENTRIES = 500
--- a/tarragonway/control/tests/test_step_down.py
+++ b/tarragonway/replication/tests/test_step_down.py
@@ -5,10 +5,10 @@
 
 from tarragonway.consensus import DataFolder, Member, Parameters, Replica, Role
 from tarragonway.consensus.files import FolderFiles
-from tarragonway.control.driver import DriverConfig, LogDriver
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+from tarragonway.replication import DriverConfig, LogDriver
 
 
 class Stubborn(Replica):
--- a/tarragonway/watch/server.py
+++ b/tarragonway/watch/server.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from tarragonway.control.driver import LogDriver, NotLeader
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ProcessName
+from tarragonway.replication import LogDriver, NotLeader
 from tarragonway.watch.messages import WatchPoll, WatchPush, WatchReply
 
 SUBSCRIPTION_S = 5.0
