--- a/bench/load.py
+++ b/bench/load.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import random
+import sys
 import tempfile
 
 import aiohttp
@@ -47,7 +48,7 @@
         raise RuntimeError("a stream was lost")
     if adopted:
         raise RuntimeError(f"{adopted} requests were adopted from live owners")
-    print(f"  largest entry process after the load: {memory:.1f} MB")
+    print(f"  largest entry process after the load: {memory:.1f} MB", file=sys.stderr)
     return [
         fit_slope("load", "all entries' time a streamed token", "us", tokens, costs),
         fit_slope("load", "all entries' time a plain call", "us", counts, calls),
--- a/bench/path.py
+++ b/bench/path.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import re
+import sys
 import tempfile
 import time
 
@@ -123,7 +124,7 @@
 
 def _measure_memory(deployment: Deployment) -> Row:
     control = read_memory_mb(deployment, "control")
-    print(f"  largest control process: {control:.1f} MB")
+    print(f"  largest control process: {control:.1f} MB", file=sys.stderr)
     entry = read_memory_mb(deployment, "entry")
     return Row("path", "memory of an entry process", "budget", 128.0, entry, "MB")
 
--- a/tarragonway/core/counters.py
+++ b/tarragonway/core/counters.py
@@ -6,6 +6,8 @@
 if TYPE_CHECKING:
     import statsd
 
+HISTOGRAM_MS = (5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000)
+
 
 class Counters:
     """Named counters of one process.
@@ -44,17 +46,25 @@
             self._client.incr(name, amount)
 
     def record_ms(self, name: str, milliseconds: float) -> None:
-        """Record one duration in milliseconds under ``name``."""
+        """Record one duration in milliseconds under ``name``.
+
+        The histogram counts, for each bound, the durations up to it.
+
+        Examples
+        --------
+        >>> counters = Counters()
+        >>> counters.record_ms("sync", 3000.0)
+        >>> counters.snapshot()
+        {'sync.count': 1, 'sync.sum_ms': 3000, 'sync.le_5000': 1, 'sync.le_10000': 1}
+        """
         self._values[name + ".count"] += 1
+        self._values[name + ".sum_ms"] += round(milliseconds)
+        for bound in HISTOGRAM_MS:
+            if milliseconds <= bound:
+                self._values[f"{name}.le_{bound}"] += 1
         if self._client:
             self._client.timing(name, milliseconds)
 
-    def set_gauge(self, name: str, value: int) -> None:
-        """Set the gauge ``name``."""
-        self._values[name] = value
-        if self._client:
-            self._client.gauge(name, value)
-
     def snapshot(self) -> dict[str, int]:
         """Return a copy of all counters."""
         return dict(self._values)
--- a/tarragonway/engines/adapter.py
+++ b/tarragonway/engines/adapter.py
@@ -16,7 +16,6 @@
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_TIMEOUT_S = 30.0
 CONTROL_TIMEOUT_S = 1.5
-LINE_LIMIT_BYTES = 1_048_576
 
 
 class StreamCall(msgspec.Struct, frozen=True):
--- a/tarragonway/entry/runner.py
+++ b/tarragonway/entry/runner.py
@@ -26,7 +26,6 @@
 
 RETRY_PAUSE_S = 0.1
 RETRY_PAUSE_MAX_S = 2.0
-BLAME_WAIT_S = 1.5
 
 
 class Moved(msgspec.Struct, frozen=True):
--- a/tarragonway/limits/queue.py
+++ b/tarragonway/limits/queue.py
@@ -74,10 +74,6 @@
             self._forget(priority)
         return None
 
-    def count_ahead(self, priority: int) -> int:
-        """Return how many items of this or a more urgent priority wait."""
-        return sum(len(heap) for p, heap in self._heaps.items() if p <= priority)
-
     def _forget(self, priority: int) -> None:
         """Drop the tags of an idle priority."""
         del self._heaps[priority]
--- a/tarragonway/requests/keeper.py
+++ b/tarragonway/requests/keeper.py
@@ -105,9 +105,8 @@
         self._sent[live.record.id] = {}
         loop = asyncio.get_running_loop()
         deadline = loop.time() + ACCEPT_WAIT_S
-        avoid: set[ProcessName] = set()
         while loop.time() < deadline:
-            wanted = self._assign(live, avoid)
+            wanted = self._assign(live)
             if wanted and all(name in live.acknowledged for name in wanted):
                 return True
             changed = asyncio.ensure_future(live.wait_change())
@@ -299,7 +298,7 @@
         for name in lost:
             del sent[name]
             live.acknowledged.pop(name, None)
-        wanted = self._assign(live, set())
+        wanted = self._assign(live)
         if not wanted and self._is_fresh():
             # Nobody is left to hold a copy, and control knows no other owner.
             over = live.state is not RequestState.RUNNING
@@ -371,12 +370,12 @@
             copy.record = msgspec.structs.replace(copy.record, owner=owner, epoch=epoch)
             copy.heard_at = asyncio.get_running_loop().time()
 
-    def _assign(self, live: LiveRequest, avoid: set[ProcessName]) -> list[ProcessName]:
+    def _assign(self, live: LiveRequest) -> list[ProcessName]:
         """Send the record to peers until two hold it; return the assigned ones."""
         sent = self._sent.get(live.record.id)
         if sent is None:
             return []
-        for name in self._partners.pick(avoid):
+        for name in self._partners.pick():
             if len(sent) < 2 and name not in sent:
                 self._send_record(live, name)
         return list(sent)
--- a/tarragonway/requests/partners.py
+++ b/tarragonway/requests/partners.py
@@ -50,14 +50,12 @@
         heard = self._echoed.get(partner, float("-inf"))
         return now - heard < self._silence_s
 
-    def pick(self, avoid: set[ProcessName] | None = None) -> list[ProcessName]:
+    def pick(self) -> list[ProcessName]:
         """Return live partners for one request, in different zones if possible."""
         usable = [
             name
             for name in self.chosen
-            if self.is_live(name)
-            and name not in self._stopping
-            and name not in (avoid or set())
+            if self.is_live(name) and name not in self._stopping
         ]
         picked: list[ProcessName] = []
         zones = {self._zones[self._own]}
--- a/tarragonway/transport/mailbox.py
+++ b/tarragonway/transport/mailbox.py
@@ -12,7 +12,6 @@
 
 import msgspec
 import pynng
-import structlog
 
 from tarragonway.core.counters import Counters
 from tarragonway.core.hashes import compute_mac, verify_mac
@@ -28,8 +27,6 @@
 RECONNECT_MAX_MS = 1000
 DRAIN_BATCH_MESSAGES = 256
 
-_log = structlog.get_logger()
-
 
 class _Envelope(msgspec.Struct, frozen=True, array_like=True):
     sender: str
