Remove what nothing uses; heed connection limits, moved addresses and two bounds

Cause: reading the change as a newcomer: methods without a caller, settings without an effect, one constant three times; an endpoint's limit of connections was decoded and not used. Change: removed or put to use: a gateway keeps to its part of an endpoint's connections, leaves an address out that has moved, reads the list itself after half of the bound on leaving endpoints, and waits for late counts for 0.4 of the time in which they are due.

--- a/soak/platform.py
+++ b/soak/platform.py
@@ -21,7 +21,6 @@
     attempt: str
     endpoint: str
     path: str
-    revision_seen: bytes
 
 
 class Ledger:
@@ -77,7 +76,7 @@
             await reply.send(503, [*echo, (names.NOT_RUN, b"1")])
             return
         path = request.target
-        self._ledger.runs.append(Run(attempt, self.name, path, b""))
+        self._ledger.runs.append(Run(attempt, self.name, path))
         if path.startswith("/stream/"):
             await self._stream(request, reply, echo)
             return
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -26,14 +26,12 @@
 
     def __init__(self, name: str, module: str, settings: pathlib.Path) -> None:
         self.name = name
-        self.starts = 0
         self._module = module
         self._settings = settings
         self._process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         """Start the program; its log goes beside its settings."""
-        self.starts += 1
         with self._settings.with_suffix(".log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -108,6 +108,7 @@
         self._usage = UsageReporter(
             settings.name,
             bounds.report_window_s,
+            bounds.usage_late_s,
             self._driver,
             self._machine,
             self._lease,
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -57,10 +57,6 @@
         """Forget all: another process leads."""
         self._gateways.clear()
 
-    def count_present(self, now: float) -> int:
-        """Return how many gateways have reported lately."""
-        return len(self._list_present(now))
-
     def answer(
         self,
         beat: Beat,
--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -60,7 +60,7 @@
     >>> book.answer(QuotaAsk(1, "a", 7.0), accounts, 0.0).granted
     True
     >>> book.answer(QuotaAsk(2, "a", 7.0), accounts, 0.0)
-    QuotaAnswer(sequence=2, granted=False, wait_s=0.1)
+    QuotaAnswer(sequence=2, granted=False, wait_s=0.3)
     """
 
     def __init__(self, policy: QuotaPolicy) -> None:
--- a/tarragonway/coordinator/usage.py
+++ b/tarragonway/coordinator/usage.py
@@ -23,7 +23,7 @@
 CALL_TIMEOUT_S = 1.0
 # Reports of gateways take up to two beats; a lost one is waited for a little longer.
 SETTLE_S = 1.0
-SETTLE_MOST_S = 4.0
+SETTLE_MOST_PART = 0.4
 CATCH_UP_WINDOWS = 8
 STATUS_OK = 200
 
@@ -41,6 +41,8 @@
         Name under which this process calls.
     window_s : float
         Length of a window.
+    late_s : float
+        Time after a window's end by which its report is due.
     driver, machine, lease, book, clock
         The log, its state, the right to act, the gateways' reports, the wall clock.
     client : CallClient
@@ -55,6 +57,7 @@
         self,
         holder: str,
         window_s: float,
+        late_s: float,
         driver: LogDriver,
         machine: CoordinatorMachine,
         lease: DutyLease,
@@ -66,6 +69,7 @@
     ) -> None:
         self._holder = holder
         self._window_s = window_s
+        self._settle_most_s = late_s * SETTLE_MOST_PART
         self._driver = driver
         self._machine = machine
         self._lease = lease
@@ -103,7 +107,7 @@
         if clock_s < end_s + SETTLE_S:
             return False
         heard = self._book.has_heard_past(end_s + SETTLE_S / 2, loop_s)
-        return heard or clock_s > end_s + SETTLE_MOST_S
+        return heard or clock_s > end_s + self._settle_most_s
 
     async def _report(self, window: int) -> None:
         counts = self._machine.usage.get(window)
--- a/tarragonway/endpoints/listing.py
+++ b/tarragonway/endpoints/listing.py
@@ -65,21 +65,6 @@
         for key in gone:
             self.rows.pop(key, None)
 
-    def mark_leaving(self, key: str) -> bool:
-        """Mark one endpoint as leaving; return whether that is new."""
-        if key in self._leaving:
-            return False
-        self._leaving[key] = None
-        row = self.rows.get(key)
-        if row is not None:
-            self.rows[key] = self._mark(row)
-        return True
-
-    def is_leaving(self, key: str) -> bool:
-        """Return whether the endpoint leaves or is gone."""
-        row = self.rows.get(key)
-        return row is None or row.leaving
-
     def _mark(self, row: ListedEndpoint) -> ListedEndpoint:
         if row.leaving:
             self._leaving[row.key] = None
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -35,13 +35,6 @@
     endpoint: str = ""
     foreseen_ms: float = 0.0
 
-    @property
-    def is_stream(self) -> bool:
-        """Whether the answer is a series of events."""
-        return (
-            self.route.pause_limit_s > 0 or self.route.repeatability.value == "stream"
-        )
-
 
 class Unsent(msgspec.Struct, frozen=True):
     """No connection could be opened: nothing reached the endpoint."""
--- a/tarragonway/gateway/beliefs.py
+++ b/tarragonway/gateway/beliefs.py
@@ -7,6 +7,9 @@
 from tarragonway.endpoints.listing import EndpointView
 from tarragonway.routes.table import RouteTable
 
+# Taken for the number of gateways until the leader tells it; too many is cautious.
+UNKNOWN_GATEWAYS = 16
+
 
 class Beliefs:
     """State that requests read and the control link writes."""
@@ -16,7 +19,7 @@
         self.endpoints = EndpointView()
         self.listed_at = float("-inf")
         self.clock = WallClock()
-        self.gateways = 0
+        self.gateways = UNKNOWN_GATEWAYS
         self.quarantined: frozenset[str] = frozenset()
         self.suspects: frozenset[str] = frozenset()
         self.stopping_since: float | None = None
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -27,11 +27,11 @@
 from tarragonway.routes.model import ChannelLimits
 from tarragonway.routing.loads import LoadBoard
 
-# A gateway reads the platform's list itself once the leader's is older than this.
-LIST_AGE_S = 1.5
+# A gateway reads the platform's list itself once the leader's is older than this part
+# of the time within which endpoints that leave get no more work.
+LIST_AGE_PART = 0.5
 LIST_CHECK_S = 0.3
 LIST_SHARE = 0.6
-UNKNOWN_GATEWAYS = 16
 BUDGET_MARGIN = 0.7
 STOP_MARGIN_S = 0.6
 INTAKE_S = 3.0
@@ -154,7 +154,7 @@
 
     def _make_budget(self) -> RetryBudget:
         bounds = self._settings.bounds
-        gateways = self._beliefs.gateways or UNKNOWN_GATEWAYS
+        gateways = self._beliefs.gateways
         reserve = bounds.retry_slack * BUDGET_MARGIN / gateways
         reserve = max(1.0, reserve)
         return RetryBudget(bounds.retry_ratio * BUDGET_MARGIN, reserve, reserve)
@@ -180,10 +180,11 @@
     async def _watch_list(self) -> None:
         """Read the platform's list while the leader's does not come."""
         loop = asyncio.get_running_loop()
+        old_s = self._settings.bounds.drain_ms / 1000 * LIST_AGE_PART
         while True:
             await asyncio.sleep(LIST_CHECK_S)
             self._forget_gone()
-            if loop.time() - self._beliefs.listed_at < LIST_AGE_S:
+            if loop.time() - self._beliefs.listed_at < old_s:
                 continue
             await self._read_list()
             await asyncio.sleep(self._draw_list_pause())
@@ -202,7 +203,7 @@
 
     def _draw_list_pause(self) -> float:
         """Keep all gateways together within the platform's rate."""
-        gateways = self._beliefs.gateways or UNKNOWN_GATEWAYS
+        gateways = self._beliefs.gateways
         rate = self._settings.platform.calls_per_s * LIST_SHARE
         return gateways / rate * random.uniform(0.7, 1.3)
 
--- a/tarragonway/gateway/events.py
+++ b/tarragonway/gateway/events.py
@@ -33,10 +33,6 @@
         self._note(whole)
         return whole
 
-    def restart(self) -> None:
-        """Drop a part of an event: another run of the stream follows."""
-        self._buffer = b""
-
     def _note(self, whole: bytes) -> None:
         for line in whole.splitlines():
             if line.startswith(b"id:"):
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -1,6 +1,7 @@
 """The path of an admitted request: choice, sends, and the final answer."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -37,6 +38,9 @@
 # A request whose first event is foreseen this many objectives late is refused at once.
 OVERLOAD_FACTOR = 1.5
 PRIORITY_MOST = 9
+# The address belongs to another endpoint by now (RFC 9110, section 15.5.20).
+STATUS_MISDIRECTED = 421
+LEAST_CONNECTIONS = 4
 
 _log = structlog.get_logger()
 
@@ -171,14 +175,25 @@
         return choice.delay_ms > OVERLOAD_FACTOR * objective_ms
 
     def _choose(self, attempt: Attempt) -> Choice | None:
+        rows = self._beliefs.endpoints.rows.values()
+        most = self._count_connections_allowed(attempt.service)
         return self._chooser.choose(
-            self._beliefs.endpoints.rows.values(),
+            [row for row in rows if self.pool.count_used(row.key) < most],
             attempt.service,
             attempt.facts.prompt,
             attempt.tried,
             asyncio.get_running_loop().time(),
         )
 
+    def _count_connections_allowed(self, service: ServiceName) -> float:
+        """Return this gateway's part of the connections that an endpoint accepts."""
+        table = self._beliefs.table
+        known = table.services.get(service) if table else None
+        if known is None or not known.max_connections:
+            return math.inf
+        part = known.max_connections / self._beliefs.gateways
+        return max(LEAST_CONNECTIONS, part)
+
     async def _send(self, attempt: Attempt, choice: Choice) -> SendOutcome:
         loop = asyncio.get_running_loop()
         endpoint = choice.endpoint
@@ -195,7 +210,8 @@
             began = attempt.choice is None
             self._chooser.note_end(choice, began, failed, loop.time())
         self._note_content(attempt, outcome, endpoint)
-        if isinstance(outcome, Unsent):
+        moved = isinstance(outcome, Refused) and outcome.status == STATUS_MISDIRECTED
+        if moved or isinstance(outcome, Unsent):
             self._chooser.note_unreachable(endpoint.key, loop.time())
         if not isinstance(outcome, Answered | Streamed):
             _log.info(
--- a/tarragonway/gateway/link.py
+++ b/tarragonway/gateway/link.py
@@ -34,7 +34,6 @@
 
 BEAT_S = 0.25
 FETCH_AGAIN_S = 0.3
-USAGE_WINDOWS_AT_START = 8
 CRASHES_KEPT = 64
 CLOCK_STEP_MIN_S = 0.02
 
@@ -88,7 +87,6 @@
         self._fetching: tuple[str, float] = ("", float("-inf"))
         self._crashes: collections.deque[Crash] = collections.deque(maxlen=CRASHES_KEPT)
         self._full_report = True
-        self.answered_at = float("-inf")
 
     async def run(self) -> None:
         """Report to the leader until the task is cancelled."""
@@ -272,8 +270,6 @@
         sent_at = self._sent_at.pop(reply.sequence, None)
         if reply.term < self._term or sent_at is None:
             return
-        now = asyncio.get_running_loop().time()
-        self.answered_at = now
         beliefs = self._beliefs
         if reply.gateways:
             beliefs.gateways = self._quota.gateways = reply.gateways
--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -16,11 +16,11 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId
+from tarragonway.gateway.beliefs import UNKNOWN_GATEWAYS
 from tarragonway.limits.tokens import UnitBucket
 from tarragonway.links.messages import QuotaAnswer, QuotaAsk, QuotaReturn
 from tarragonway.routes.model import Account
 
-UNKNOWN_GATEWAYS = 16
 ANSWER_LIMIT_S = 0.25
 # Without a leader, a request needs this much of the own rate at hand, or its size.
 ALONE_WINDOW_S = 2.0
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -13,7 +13,6 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 ANSWER_HEAD_LIMIT_BYTES = 64 * 1024
-UNREAD_LIMIT_BYTES = 1024 * 1024
 
 
 class ConnectionEnded(Exception):  # noqa: N818
--- a/tarragonway/http1/pool.py
+++ b/tarragonway/http1/pool.py
@@ -18,7 +18,7 @@
 
     Examples
     --------
-    >>> Pool().count("e1")
+    >>> Pool().count_used("e1")
     0
     """
 
@@ -27,9 +27,9 @@
         self._used: dict[str, int] = {}
         self.opened = 0
 
-    def count(self, key: str) -> int:
-        """Return how many connections an endpoint has."""
-        return len(self._idle.get(key, ())) + self._used.get(key, 0)
+    def count_used(self, key: str) -> int:
+        """Return how many connections to an endpoint carry a request."""
+        return self._used.get(key, 0)
 
     async def take(
         self, key: str, address: str, max_idle_s: float
--- a/tarragonway/links/link.py
+++ b/tarragonway/links/link.py
@@ -51,7 +51,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self._heard_at = 0.0
         self.peer = ""
-        self.sent_bytes = 0
 
     @property
     def is_open(self) -> bool:
@@ -71,7 +70,6 @@
             self.abort()
             return False
         self._transport.write(frame)
-        self.sent_bytes += len(frame)
         return True
 
     def abort(self) -> None:
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -75,11 +75,6 @@
     return [(k, v) for k, v in head.headers if k not in names.ONE_CONNECTION]
 
 
-def is_own_failure_allowed(headers: Headers) -> bool:
-    """Return whether headers may stand on an answer of the system's own."""
-    return all(key != names.SIGNATURE for key, _ in headers)
-
-
 def _read_text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
 
