Keep quotas over repeated changes of leader, shown by a property test

Change: a new bucket starts with 0.05 s, gateways alone with 0.1 s and half their part; a bucket holds half of the tolerance.

--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -9,13 +9,11 @@
 from tarragonway.links.messages import QuotaAnswer, QuotaAsk, QuotaReturn
 from tarragonway.routes.model import Account
 
-# A former leader has granted lately too, so a new bucket starts nearly empty: with this
-# part, and what has accrued in the time that an election takes.
-FIRST_FILL = 0.1
-ELECTION_S = 0.3
+# A former leader has granted lately too, so a new bucket starts with next to nothing.
+FIRST_FILL_S = 0.05
 # Part of what the deployment tolerates beyond a quota that bursts may use; the rest is
 # for requests that overdraw, and for gateways that admit without a leader.
-TOLERANCE_PART = 0.3
+TOLERANCE_PART = 0.5
 UNKNOWN_ACCOUNT_WAIT_S = 0.2
 
 
@@ -37,7 +35,7 @@
         --------
         >>> account = Account("a", (), counts_tokens=True, per_s=10.0, burst=20.0)
         >>> QuotaPolicy(8.0, 0.1, 5.0).compute_capacity(account)
-        24.5
+        27.5
         """
         tolerated = self.overrun * (account.per_s * self.window_s + account.burst)
         if account.counts_tokens:
@@ -60,7 +58,7 @@
     >>> book.answer(QuotaAsk(1, "a", 7.0), accounts, 0.0).granted
     True
     >>> book.answer(QuotaAsk(2, "a", 7.0), accounts, 0.0)
-    QuotaAnswer(sequence=2, granted=False, wait_s=0.3)
+    QuotaAnswer(sequence=2, granted=False, wait_s=0.65)
     """
 
     def __init__(self, policy: QuotaPolicy) -> None:
@@ -84,8 +82,8 @@
         capacity = self._policy.compute_capacity(account)
         bucket = self._buckets.get(account.id)
         if bucket is None:
-            level = capacity * FIRST_FILL + account.per_s * ELECTION_S
-            bucket = UnitBucket(min(capacity, level), now)
+            level = min(capacity, account.per_s * FIRST_FILL_S)
+            bucket = UnitBucket(level, now)
             self._buckets[account.id] = bucket
         wait_s = bucket.take(ask.units, account.per_s, capacity, now)
         return QuotaAnswer(ask.sequence, wait_s == 0.0, wait_s)
--- /dev/null
+++ b/tarragonway/coordinator/tests/test_quotas.py
@@ -0,0 +1,74 @@
+import collections
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonway.coordinator.quotas import QuotaBook, QuotaPolicy
+from tarragonway.gateway.quota import LoneShare
+from tarragonway.links.messages import QuotaAsk
+from tarragonway.routes import Account
+
+WINDOW_S = 8.0
+OVERRUN = 0.1
+SLACK = 140_000.0
+STEP_S = 0.02
+LENGTH_S = 24.0
+SIZES = (200, 900, 2400, 2400, 5000, 12000)
+
+
+def play(rate, gateways, changes, seed):
+    """Saturate one account while leaders change; return the fullest window."""
+    source = random.Random(seed)
+    account = Account("a", (), counts_tokens=True, per_s=rate, burst=rate)
+    policy = QuotaPolicy(WINDOW_S, OVERRUN, SLACK)
+    shares = [LoneShare() for _ in range(gateways)]
+    book = QuotaBook(policy)
+    window = collections.deque()
+    total = fullest = 0.0
+    # Before the saturation the account is quiet, so that buckets are full.
+    book.answer(QuotaAsk(0, "a", 0.0), {"a": account}, -60.0)
+    for step in range(int(LENGTH_S / STEP_S)):
+        now = step * STEP_S
+        down = any(at <= now < at + length for at, length in changes)
+        if down:
+            book.clear()
+        for _ in range(max(1, int(3 * rate * STEP_S / 4000))):
+            units = float(source.choice(SIZES))
+            share = source.choice(shares)
+            if down:
+                admitted = share.take(units, rate, gateways, now) == 0.0
+            else:
+                ask = QuotaAsk(0, "a", units)
+                admitted = book.answer(ask, {"a": account}, now).granted
+                if admitted:
+                    share.note_granted(units, now)
+            if admitted:
+                window.append((now, units))
+                total += units
+        while window and window[0][0] <= now - WINDOW_S:
+            total -= window.popleft()[1]
+        fullest = max(fullest, total)
+    return fullest
+
+
+@settings(max_examples=25, deadline=None)
+@given(
+    rate=st.sampled_from([36_000.0, 100_000.0, 450_000.0, 900_000.0]),
+    gateways=st.sampled_from([8, 64]),
+    first=st.floats(1.0, 10.0),
+    length=st.floats(0.2, 1.5),
+    pause=st.floats(1.5, 6.0),
+    seed=st.integers(0, 10**6),
+)
+def test_hot_account_stays_within_the_bound_over_changes_of_leader(
+    rate, gateways, first, length, pause, seed
+):
+    bound = (rate * WINDOW_S + rate) * (1 + OVERRUN) + SLACK
+    changes = [(first, length), (first + length + pause, length)]
+    assert play(rate, gateways, changes, seed) <= bound
+
+
+def test_hot_account_gets_what_it_is_allowed():
+    rate = 100_000.0
+    assert play(rate, 8, [], 1) >= rate * WINDOW_S + rate
--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -11,7 +11,6 @@
 import itertools
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from tarragonway.core.counters import Counters
@@ -24,19 +23,39 @@
 ANSWER_LIMIT_S = 0.25
 # Without a leader, a request needs this much of the own rate at hand, or its size.
 ALONE_WINDOW_S = 2.0
-ALONE_START_S = 0.3
+ALONE_START_S = 0.1
+# Parts of single gateways add up to more than the quota where they are unequal.
+ALONE_PART = 0.5
 ALONE_PAUSE_S = 2.0
 GRANTED_MEMORY_S = 8.0
 
 _log = structlog.get_logger()
 
 
-class _Alone(msgspec.Struct):
-    """What a gateway admits of a client account's quota without a leader."""
+class LoneShare:
+    """What a gateway admits of a client account's quota without a leader.
 
-    bucket: UnitBucket
-    granted: float = 0.0
-    granted_at: float = 0.0
+    That is what the leader has granted it lately, or an equal part if that is more.
+    """
+
+    def __init__(self) -> None:
+        self._bucket = UnitBucket(0.0, -ALONE_PAUSE_S)
+        self._granted = 0.0
+        self._granted_at = 0.0
+
+    def note_granted(self, units: float, now: float) -> None:
+        """Remember what the leader has granted."""
+        fraction = min(1.0, (now - self._granted_at) / GRANTED_MEMORY_S)
+        self._granted = self._granted * (1 - fraction) + units
+        self._granted_at = now
+
+    def take(self, units: float, per_s: float, gateways: int, now: float) -> float:
+        """Take units of a quota of ``per_s``; return 0, or the seconds to wait."""
+        lately = min(per_s, self._granted / GRANTED_MEMORY_S)
+        rate = ALONE_PART * max(per_s / gateways, lately)
+        if now - self._bucket.at > ALONE_PAUSE_S:
+            self._bucket = UnitBucket(rate * ALONE_START_S, now)
+        return self._bucket.take_strictly(units, rate, ALONE_WINDOW_S, now)
 
 
 class QuotaHolder:
@@ -55,7 +74,7 @@
     ) -> None:
         self._send = send
         self._counters = counters
-        self._alone: dict[AccountId, _Alone] = {}
+        self._alone: dict[AccountId, LoneShare] = {}
         self._waiting: dict[int, asyncio.Future[QuotaAnswer]] = {}
         self._sequence = itertools.count(1)
         self.gateways = UNKNOWN_GATEWAYS
@@ -75,10 +94,13 @@
             answer = await self._ask(account.id, units)
         if answer is not None:
             if answer.granted:
-                self._note_granted(account.id, units)
+                now = asyncio.get_running_loop().time()
+                self._get_alone(account.id).note_granted(units, now)
             return 0.0 if answer.granted else answer.wait_s
         self._counters.increment("quota.without_leader")
-        return self._admit_alone(account, units)
+        now = asyncio.get_running_loop().time()
+        alone = self._get_alone(account.id)
+        return alone.take(units, account.per_s, self.gateways, now)
 
     def give_back(self, account: Account, units: float) -> None:
         """Return the units of a request that did not run."""
@@ -106,19 +128,5 @@
         finally:
             del self._waiting[sequence]
 
-    def _note_granted(self, account: AccountId, units: float) -> None:
-        """Remember the rate at which the leader has granted."""
-        now = asyncio.get_running_loop().time()
-        alone = self._alone.setdefault(account, _Alone(UnitBucket(0.0, -1e9)))
-        fraction = min(1.0, (now - alone.granted_at) / GRANTED_MEMORY_S)
-        alone.granted = alone.granted * (1 - fraction) + units
-        alone.granted_at = now
-
-    def _admit_alone(self, account: Account, units: float) -> float:
-        now = asyncio.get_running_loop().time()
-        alone = self._alone.setdefault(account.id, _Alone(UnitBucket(0.0, -1e9)))
-        equal = account.per_s / self.gateways
-        rate = max(equal, min(account.per_s, alone.granted / GRANTED_MEMORY_S))
-        if now - alone.bucket.at > ALONE_PAUSE_S:
-            alone.bucket = UnitBucket(rate * ALONE_START_S, now)
-        return alone.bucket.take_strictly(units, rate, ALONE_WINDOW_S, now)
+    def _get_alone(self, account: AccountId) -> LoneShare:
+        return self._alone.setdefault(account, LoneShare())
