Admit more without a leader, within the same bound

Ruled out: a part larger than 0.7; unequal parts add up to more than the quota. Change: half a second of the part suffices, and the part is 0.7.

--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -22,10 +22,10 @@
 
 ANSWER_LIMIT_S = 0.25
 # Without a leader, a request needs this much of the own rate at hand, or its size.
-ALONE_WINDOW_S = 2.0
+ALONE_WINDOW_S = 0.5
 ALONE_START_S = 0.1
 # Parts of single gateways add up to more than the quota where they are unequal.
-ALONE_PART = 0.5
+ALONE_PART = 0.7
 ALONE_PAUSE_S = 2.0
 # A window of 8 s and the second that is not over.
 MEMORY_SECONDS = 9
