Let the soak's group form before later starts join

Ruled out: a fault of the group; all three logs show identities without a group. Change: the settings change once the first configuration is acknowledged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,7 @@
     try:
         async with asyncio.timeout(20.0):
             await operator.put(0)
+        stage.end_bootstrap()
         callers = [Caller(stage, n, told) for n in range(CALLERS)]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         tasks += [asyncio.create_task(work) for work in (operator.run(), faults.run())]
--- a/soak/stage.py
+++ b/soak/stage.py
@@ -132,11 +132,13 @@
             await endpoint.start()
         for process in [*self.coordinators, *self.gateways]:
             await process.start()
+
+    def end_bootstrap(self) -> None:
+        """Let later starts join: the group has been formed."""
         for process in self.coordinators:
             settings = self.folder / f"{process.name}.toml"
             text = settings.read_text().replace("bootstrap = true", "bootstrap = false")
-            # Only the first start forms the group; the running process has read it.
-            asyncio.get_running_loop().call_later(2.0, settings.write_text, text)
+            settings.write_text(text)
 
     async def stop(self) -> None:
         """End every process that was started here."""
