Send whole lists of endpoints once, compressed, within a bound

Found beside it: a list was known by its number alone, so that a gateway that held list 7 of a former leader counted as up to date at a new leader that happens to be at 7. Ruled out: smaller rows; the list is 163 B an endpoint and shrinks to a fifth by itself. Change: a whole list goes once a second to a gateway, only when nothing waits on its link and while less than 16 MB are under way to all; differences go to those that got it; lists are known by term and number; frames from 2 KB on are compressed.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -270,6 +270,7 @@
 
     def _forget_link(self, link: Link) -> None:
         self._gateways.pop(link, None)
+        self._publisher.forget(link)
 
     def _receive(self, link: Link, message: LinkMessage) -> None:
         match message:
@@ -301,8 +302,7 @@
             link.send(self._make_status())
             return
         now = asyncio.get_running_loop().time()
-        if beat.listing != self._publisher.listing and self._publisher.listing:
-            link.send(self._publisher.make_whole())
+        self._publisher.bring_up(link, (beat.listing_term, beat.listing), now)
         if beat.history is not None:
             self._read_configuration()
             self._quotas.take_history(beat.name, beat.history, self._accounts, now)
--- a/tarragonway/coordinator/listing.py
+++ b/tarragonway/coordinator/listing.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from tarragonway.endpoints.listing import EndpointView, ListedEndpoint
@@ -14,6 +13,10 @@
 from tarragonway.replication import LogDriver
 
 READ_S = 0.4
+# A gateway that is behind gets the whole list again after this time, four reports long.
+WHOLE_AGAIN_S = 1.0
+# Whole lists under way to all gateways together; the rest wait for their next report.
+WHOLE_UNSENT_BYTES = 16 * 1024 * 1024
 
 _log = structlog.get_logger()
 
@@ -48,6 +51,8 @@
         self._view = view
         self._list_gateways = list_gateways
         self._note_change = note_change
+        self._sent_whole: dict[Link, float] = {}
+        self._whole: tuple[tuple[int, int], bytes] = ((0, 0), b"")
         self.listing = 0
         self.read_at = float("-inf")
 
@@ -65,10 +70,41 @@
             self.read_at = started
             self._publish(rows)
 
-    def make_whole(self) -> EndpointUpdate:
-        """Return the whole list as a message."""
-        rows = tuple(self._view.rows.values())
-        return EndpointUpdate(self._driver.replica.term, self.listing, True, rows, ())
+    def bring_up(self, link: Link, held: tuple[int, int], now: float) -> None:
+        """Send the whole list to a gateway that holds another one.
+
+        It travels once: until it can have arrived, later reports of the gateway are
+        still those of one that is behind.
+
+        Parameters
+        ----------
+        link : Link
+            The gateway's link.
+        held : tuple of int
+            Term and number of the list that the gateway holds.
+        now : float
+            The loop's time.
+        """
+        if not self.listing or held == (self._driver.replica.term, self.listing):
+            return
+        waits = now - self._sent_whole.get(link, float("-inf")) < WHOLE_AGAIN_S
+        unsent = sum(known.unsent_bytes for known in self._sent_whole)
+        if waits or link.unsent_bytes or unsent > WHOLE_UNSENT_BYTES:
+            return
+        self._sent_whole[link] = now
+        link.send_encoded(self._encode_whole())
+
+    def forget(self, link: Link) -> None:
+        """Forget a link that has ended."""
+        self._sent_whole.pop(link, None)
+
+    def _encode_whole(self) -> bytes:
+        number = (self._driver.replica.term, self.listing)
+        if self._whole[0] != number:
+            rows = tuple(self._view.rows.values())
+            update = EndpointUpdate(*number, True, rows, ())
+            self._whole = (number, encode_message(update))
+        return self._whole[1]
 
     def _publish(self, rows: list[ListedEndpoint]) -> None:
         changed, gone = self._view.replace(rows)
@@ -76,11 +112,11 @@
             return
         self.listing += 1
         self._note_change()
-        update = msgspec.structs.replace(
-            self.make_whole(), whole=False, rows=tuple(changed), gone=tuple(gone)
-        )
+        term = self._driver.replica.term
+        update = EndpointUpdate(term, self.listing, False, tuple(changed), tuple(gone))
         frame = encode_message(update)
-        links = self._list_gateways()
+        # Others cannot use differences, and get the whole list with their next report.
+        links = [link for link in self._list_gateways() if link in self._sent_whole]
         for link in links:
             link.send_encoded(frame)
         _log.info(
--- /dev/null
+++ b/tarragonway/coordinator/tests/conftest.py
@@ -0,0 +1,27 @@
+from types import SimpleNamespace
+
+import pytest
+
+from tarragonway.coordinator.listing import ListPublisher
+from tarragonway.endpoints.listing import EndpointView, ListedEndpoint
+
+TERM = 3
+
+
+def make_rows(count):
+    return [
+        ListedEndpoint(f"e{n}.1", f"e{n}", "llm", f"10.0.0.{n}:80", "a", 4, False)
+        for n in range(count)
+    ]
+
+
+@pytest.fixture
+def publisher():
+    """A publisher of a leader that has read a list of three endpoints."""
+    driver = SimpleNamespace(is_leader=True, replica=SimpleNamespace(term=TERM))
+    publisher = ListPublisher(
+        driver, None, EndpointView(), lambda: publisher.links, lambda: None
+    )
+    publisher.links = []
+    publisher._publish(make_rows(3))
+    return publisher
--- a/tarragonway/coordinator/tests/test_daemon.py
+++ b/tarragonway/coordinator/tests/test_daemon.py
@@ -1,27 +1,20 @@
 from types import SimpleNamespace
 
 from tarragonway.coordinator.daemon import CoordinatorProcess
+from tarragonway.coordinator.tests.test_listing import FakeLink, count_whole
 from tarragonway.links.messages import Beat
 
 
-class FakeLink:
-    def __init__(self):
-        self.sent = []
-
-    def send(self, message):
-        self.sent.append(message)
-
-
-async def test_gateway_that_is_behind_gets_the_whole_list_once_in_a_while():
+async def test_gateway_that_is_behind_gets_the_whole_list_once_in_a_while(publisher):
     """At 3,000 endpoints a whole list is 300 KB, and 300 gateways may be behind."""
     link = FakeLink()
     process = SimpleNamespace(
         _driver=SimpleNamespace(is_leader=True),
-        _publisher=SimpleNamespace(listing=5, read_at=0.0, make_whole=lambda: "whole"),
+        _publisher=publisher,
         _book=SimpleNamespace(answer=lambda *arguments: "reply"),
     )
     for sequence in range(5):
-        beat = Beat("g", sequence, 0.0, 4, (), ())
+        beat = Beat("g", sequence, 0.0, 3, 0, (), ())
         CoordinatorProcess._answer_beat(process, link, beat)
     assert link.sent.count("reply") == 5
-    assert link.sent.count("whole") <= 2
+    assert 1 <= count_whole(link) <= 2
--- a/tarragonway/coordinator/tests/test_gateways.py
+++ b/tarragonway/coordinator/tests/test_gateways.py
@@ -15,7 +15,7 @@
 
 def beat(book, name, *, lead_s=0.0, usage=(), crashes=()):
     clock_s = book._clock.now() + lead_s
-    return Beat(name, 1, clock_s, 0, usage, crashes)
+    return Beat(name, 1, clock_s, 1, 0, usage, crashes)
 
 
 def test_repeated_reports_count_once_and_gateways_add_up(book):
--- /dev/null
+++ b/tarragonway/coordinator/tests/test_listing.py
@@ -0,0 +1,72 @@
+import struct
+import zlib
+
+import msgspec
+
+from tarragonway.coordinator.listing import WHOLE_AGAIN_S, WHOLE_UNSENT_BYTES
+from tarragonway.coordinator.tests.conftest import TERM, make_rows
+from tarragonway.links.link import COMPRESSED_BIT
+from tarragonway.links.messages import EndpointUpdate, LinkMessage
+
+
+class FakeLink:
+    def __init__(self):
+        self.sent = []
+        self.unsent_bytes = 0
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def send_encoded(self, frame):
+        (marked,) = struct.unpack_from(">I", frame)
+        body = frame[4:]
+        body = zlib.decompress(body) if marked & COMPRESSED_BIT else body
+        self.sent.append(msgspec.msgpack.decode(body, type=LinkMessage))
+
+
+def count_whole(link):
+    updates = [sent for sent in link.sent if isinstance(sent, EndpointUpdate)]
+    return sum(update.whole for update in updates)
+
+
+def test_gateway_that_holds_the_list_gets_differences_only(publisher):
+    link = FakeLink()
+    publisher.links.append(link)
+    publisher.bring_up(link, (TERM, 0), 0.0)
+    publisher._publish(make_rows(4))
+    publisher.bring_up(link, (TERM, publisher.listing), 5.0)
+    whole, difference = link.sent
+    assert whole.whole and len(whole.rows) == 3
+    assert not difference.whole and [row.instance for row in difference.rows] == ["e3"]
+
+
+def test_differences_are_not_sent_to_gateways_that_never_got_the_list(publisher):
+    link = FakeLink()
+    publisher.links.append(link)
+    publisher._publish(make_rows(4))
+    assert link.sent == []
+
+
+def test_list_of_the_same_number_under_another_leader_is_replaced(publisher):
+    link = FakeLink()
+    publisher.bring_up(link, (TERM - 1, publisher.listing), 0.0)
+    assert count_whole(link) == 1
+
+
+def test_gateway_that_stays_behind_gets_the_list_again(publisher):
+    link = FakeLink()
+    publisher.bring_up(link, (TERM, -1), 0.0)
+    publisher.bring_up(link, (TERM, -1), WHOLE_AGAIN_S / 2)
+    publisher.bring_up(link, (TERM, -1), WHOLE_AGAIN_S)
+    assert count_whole(link) == 2
+
+
+def test_whole_lists_under_way_are_bounded(publisher):
+    slow, other = FakeLink(), FakeLink()
+    publisher.bring_up(slow, (TERM, 0), 0.0)
+    slow.unsent_bytes = WHOLE_UNSENT_BYTES + 1
+    publisher.bring_up(other, (TERM, 0), 0.1)
+    assert count_whole(other) == 0
+    slow.unsent_bytes = 0
+    publisher.bring_up(other, (TERM, 0), 0.35)
+    assert count_whole(other) == 1
--- a/tarragonway/gateway/link.py
+++ b/tarragonway/gateway/link.py
@@ -255,7 +255,7 @@
             self._name,
             self._sequence,
             clock_s,
-            self._listing[1],
+            *self._listing,
             usage,
             tuple(self._crashes) if self._full_report else (),
             self._pressure.measure(now),
@@ -279,5 +279,5 @@
         if abs(reply.clock_correction_s) > CLOCK_STEP_MIN_S:
             _log.info("clock is corrected", seconds=reply.clock_correction_s)
             beliefs.clock.correct(reply.clock_correction_s)
-        if reply.listing == self._listing[1]:
+        if (reply.term, reply.listing) == self._listing:
             beliefs.listed_at = max(beliefs.listed_at, sent_at - reply.listing_age_s)
--- a/tarragonway/gateway/tests/test_link.py
+++ b/tarragonway/gateway/tests/test_link.py
@@ -8,7 +8,12 @@
 from tarragonway.gateway.link import ControlLink
 from tarragonway.gateway.pressure import PressureMeter
 from tarragonway.gateway.usage import UsageCounter
-from tarragonway.links.messages import ConfigurationText, EndpointUpdate, Status
+from tarragonway.links.messages import (
+    BeatReply,
+    ConfigurationText,
+    EndpointUpdate,
+    Status,
+)
 from tarragonway.routes import ChannelLimits, Configuration
 
 
@@ -90,3 +95,16 @@
     assert list(link._beliefs.endpoints.rows) == ["e@1"]
     tell(link, "c", EndpointUpdate(1, 5, False, (), ("e@1",)))
     assert not link._beliefs.endpoints.rows
+
+
+async def test_list_of_a_former_leader_does_not_count_as_fresh(link):
+    tell(link, "s1:1", status(1, "s1:1", True))
+    row = ListedEndpoint("e.1", "e", "s", "127.0.0.1:9", "z", 4, False)
+    tell(link, "s1:1", EndpointUpdate(1, 7, True, (row,), ()))
+    link._beliefs.listed_at = -100.0
+    tell(link, "c2:1", status(2, "c2:1", True))
+    link._send_beat()
+    beat = link._switch.sent[-1][1]
+    assert (beat.listing_term, beat.listing) == (1, 7)
+    tell(link, "c2:1", BeatReply(2, beat.sequence, 0.0, 1, 7, 0.1))
+    assert link._beliefs.listed_at == -100.0
--- a/tarragonway/links/link.py
+++ b/tarragonway/links/link.py
@@ -1,13 +1,15 @@
 """One connection between two processes.
 
-Frames are a four-byte length and a MessagePack body; an empty frame is a heartbeat. A
-connection may go silent without being reset, so both sides send heartbeats and end a
-connection on which nothing arrives.
+Frames are a four-byte length and a MessagePack body; an empty frame is a heartbeat. The
+highest bit of the length tells that the body is compressed. A connection may go silent
+without being reset, so both sides send heartbeats and end a connection on which nothing
+arrives.
 """
 
 import asyncio
 import socket
 import struct
+import zlib
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +21,9 @@
 SILENCE_LIMIT_S = 1.6
 FRAME_LIMIT_BYTES = 32 * 1024 * 1024
 UNSENT_LIMIT_BYTES = 16 * 1024 * 1024
+# Lists and configurations shrink to a fifth; below this size it isn't worth the time.
+COMPRESS_MIN_BYTES = 2048
+COMPRESSED_BIT = 0x8000_0000
 
 _LENGTH = struct.Struct(">I")
 _HEARTBEAT = _LENGTH.pack(0)
@@ -57,6 +62,12 @@
         """Whether messages can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the peer to read."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
     def send(self, message: LinkMessage) -> bool:
         """Queue one message; return False if the connection has ended."""
         return self.send_encoded(encode_message(message))
@@ -65,7 +76,7 @@
         """Queue one frame made by :func:`encode_message`."""
         if self._transport is None or self._transport.is_closing():
             return False
-        if self._transport.get_write_buffer_size() > UNSENT_LIMIT_BYTES:
+        if self.unsent_bytes > UNSENT_LIMIT_BYTES:
             _log.warning("link is ended", peer=self.peer, reason="peer does not read")
             self.abort()
             return False
@@ -95,7 +106,8 @@
         self._heard_at = asyncio.get_running_loop().time()
         self._buffer += data
         while len(self._buffer) >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer)
+            (marked,) = _LENGTH.unpack_from(self._buffer)
+            length = marked & ~COMPRESSED_BIT
             if length > FRAME_LIMIT_BYTES:
                 _log.error("link is ended", peer=self.peer, reason="frame too long")
                 self.abort()
@@ -105,7 +117,7 @@
                 return
             body = bytes(self._buffer[_LENGTH.size : end])
             del self._buffer[:end]
-            if length and not self._deliver(body):
+            if length and not self._deliver(body, bool(marked & COMPRESSED_BIT)):
                 return
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -115,10 +127,10 @@
         self._transport = None
         self._lost(self)
 
-    def _deliver(self, body: bytes) -> bool:
+    def _deliver(self, body: bytes, compressed: bool) -> bool:
         try:
-            message = _decoder.decode(body)
-        except msgspec.MsgspecError as error:
+            message = _decoder.decode(zlib.decompress(body) if compressed else body)
+        except (msgspec.MsgspecError, zlib.error) as error:
             _log.error("link is ended", peer=self.peer, reason=str(error))
             self.abort()
             return False
@@ -140,4 +152,7 @@
 def encode_message(message: LinkMessage) -> bytes:
     """Return a message as one frame, to be sent on several links."""
     body = _encoder.encode(message)
-    return _LENGTH.pack(len(body)) + body
+    if len(body) < COMPRESS_MIN_BYTES:
+        return _LENGTH.pack(len(body)) + body
+    body = zlib.compress(body, 1)
+    return _LENGTH.pack(len(body) | COMPRESSED_BIT) + body
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -103,14 +103,16 @@
 class Beat(msgspec.Struct, frozen=True, tag=True):
     """A gateway's report to the leader.
 
-    ``clock_s`` is its wall-clock time at sending. ``usage`` counts are cumulative, so a
-    repeated report changes nothing. ``pressure`` is the work that it sends to each
-    service, in seconds a second.
+    ``clock_s`` is its wall-clock time at sending. ``listing_term`` and ``listing`` name
+    the list of endpoints that it holds. ``usage`` counts are cumulative, so a repeated
+    report changes nothing. ``pressure`` is the work that it sends to each service, in
+    seconds a second.
     """
 
     name: ProcessName
     sequence: int
     clock_s: float
+    listing_term: int
     listing: int
     usage: tuple[WindowCounts, ...]
     crashes: tuple[Crash, ...]
