Let a control member go on until a majority remains without it

The logs show control-2 stopping at 18.69 s and control-1 starting at 19.54 s, control-3 stopping at 19.74 s and control-2 starting at 20.37 s: between, one of three was left and no command was committed. A call whose claim waited 2.5 s was told refused, its resend not_run at 3.08 to 3.33 s. Ruled out: the order to elect another (repeated since), answers that were dropped at the close (0.2 s since); a wait in the test, as operators' scripts would stay exposed. Change: heartbeats tell how many voters the leader hears; a member that is to stop first waits, for half of its limit, until a majority remains without it. Groups of one or two don't wait. A coordinator has three quarters of the grace period for both.

--- a/tarragonway/consensus/messages.py
+++ b/tarragonway/consensus/messages.py
@@ -74,6 +74,7 @@
     """Entries after ``prev_index``; without entries a heartbeat.
 
     ``round`` numbers the leader's broadcasts, to confirm its leadership for reads.
+    ``heard`` is how many voters the leader hears, itself included.
     """
 
     term: int
@@ -82,6 +83,7 @@
     commit: int
     round: int
     entries: tuple[Entry, ...] = ()
+    heard: int = 0
 
 
 class AppendReply(msgspec.Struct, frozen=True, tag=True):
--- a/tarragonway/consensus/progress.py
+++ b/tarragonway/consensus/progress.py
@@ -69,6 +69,15 @@
         rounds[self._own_id] = own_round
         return _pick_quorum(membership, rounds)
 
+    def count_heard(self, membership: Membership, limit_ticks: int) -> int:
+        """Return how many voters, with this one, have answered within a limit."""
+        heard = {
+            row_id
+            for row_id, row in self._rows.items()
+            if row.round and row.silent_ticks <= limit_ticks
+        }
+        return len((heard | {self._own_id}) & membership.voter_ids)
+
     def take_active_quorum(self, membership: Membership) -> bool:
         """Return whether a quorum answered since the last call, and start anew."""
         active = {row_id for row_id, row in self._rows.items() if row.active}
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -128,6 +128,7 @@
             self._note_membership(entry)
         self._unstable = self._log.last_index + 1
         self._elapsed = 0
+        self._heard = 0
         self._timeout = self._draw_timeout(parameters.first_ticks)
         self._votes: set[MemberId] = set()
         self._progress = ProgressTable(own_id)
@@ -175,6 +176,24 @@
         limit = SILENT_ELECTIONS * self._parameters.election_ticks
         return row is not None and row.silent_ticks > limit
 
+    @property
+    def can_be_spared(self) -> bool:
+        """Whether a majority of the voters remains if this member stops.
+
+        A follower takes its leader's word for it. A group of one or two voters never
+        has a member to spare, so there it makes no difference.
+        """
+        membership = self.membership
+        if self.own_id not in membership.voter_ids:
+            return True
+        if len(membership.voters) - 1 < membership.quorum:
+            return True
+        if self.role is Role.LEADER:
+            heard = self._count_heard()
+        else:
+            heard = self._heard if self._hears_leader() else 0
+        return heard - 1 >= membership.quorum
+
     # Inputs
 
     def tick(self) -> None:
@@ -437,7 +456,13 @@
             # Assume delivery; a refusal of a later message sets it back.
             row.next_index = entries[-1].index + 1
         request = AppendRequest(
-            self.term, prev_index, prev_term, self.commit, self._round, entries
+            self.term,
+            prev_index,
+            prev_term,
+            self.commit,
+            self._round,
+            entries,
+            self._count_heard(),
         )
         self._send(member_id, request)
 
@@ -472,6 +497,10 @@
             self.commit = quorum_match
             self._broadcast_due = True
 
+    def _count_heard(self) -> int:
+        limit_ticks = self._parameters.election_ticks
+        return self._progress.count_heard(self.membership, limit_ticks)
+
     def _release_reads(self) -> None:
         confirmed = self._progress.compute_round(self.membership, self._round)
         ready = [read for read in self._reads if read[2] <= confirmed]
@@ -489,6 +518,7 @@
         if self.role is Role.LEADER:
             raise InvariantError(f"two leaders in term {self.term}")
         self._become_follower(request.term, source)
+        self._heard = request.heard
         if self._log.get_term(request.prev_index) != request.prev_term:
             self._reject_append(source, request)
             return
--- a/tarragonway/consensus/tests/test_votes.py
+++ b/tarragonway/consensus/tests/test_votes.py
@@ -109,3 +109,34 @@
     follower.receive("a", requests[0])
     assert follower.take_output().messages == []
     assert follower.term == 1
+
+
+def test_leader_is_spared_once_enough_others_answer():
+    leader = make_leader((1, 1), 1)
+    assert not leader.can_be_spared
+    leader.receive("b", AppendReply(2, True, 2, 0, 1))
+    assert not leader.can_be_spared
+    leader.receive("c", AppendReply(2, True, 2, 0, 1))
+    assert leader.can_be_spared
+    for _ in range(Parameters().election_ticks + 1):
+        leader.tick()
+        leader.receive("b", AppendReply(2, True, 2, 0, 2))
+    assert not leader.can_be_spared
+
+
+def test_follower_is_spared_by_the_word_of_a_leader_that_it_hears():
+    follower = make_replica((1,), 1)
+    assert not follower.can_be_spared
+    follower.receive("b", AppendRequest(1, 1, 1, 0, 1, (), 2))
+    assert not follower.can_be_spared
+    follower.receive("b", AppendRequest(1, 1, 1, 0, 1, (), 3))
+    assert follower.can_be_spared
+    for _ in range(Parameters().election_ticks):
+        follower.tick()
+    assert not follower.can_be_spared
+
+
+def test_learner_is_always_spared():
+    learner = make_replica()
+    learner.own_id = "d"
+    assert learner.can_be_spared
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -54,7 +54,9 @@
 SNAPSHOT_ENTRIES = 200
 KEEP_ENTRIES = 50
 VOTERS_MIN = 3
-STEP_DOWN_S = 1.0
+# Part of the grace period in which a member that is needed goes on and then hands over.
+STEP_DOWN_PART = 0.75
+LAST_ANSWERS_S = 1.0
 OPERATOR_BODY_BYTES = 16 * 1024 * 1024
 
 _log = structlog.get_logger()
@@ -172,9 +174,9 @@
 
     async def drain(self) -> None:
         """Hand leadership over and answer what is under way."""
-        await self._driver.step_down(STEP_DOWN_S)
+        await self._driver.step_down(self._settings.bounds.grace_s * STEP_DOWN_PART)
         loop = asyncio.get_running_loop()
-        end = loop.time() + STEP_DOWN_S
+        end = loop.time() + LAST_ANSWERS_S
         self._operators.announce_close()
         while self._operators.busy and loop.time() < end:
             await asyncio.sleep(TICK_S)
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -187,11 +187,14 @@
     async def step_down(self, limit_s: float) -> bool:
         """Hand leadership over; return whether this process leads no more.
 
+        In a rolling restart the member that was stopped before may not be back yet.
+        This one goes on until a majority remains without it, for up to half the limit.
         The order to elect another may be lost, so it is repeated. Answers that are
         under way get :data:`FLUSH_S` to leave before the caller closes its sockets.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + limit_s
+        await self._wait_spared(limit_s / 2)
         led = self.replica.role is Role.LEADER
         while self.replica.role is Role.LEADER and loop.time() < end:
             self._push(self._transfer)
@@ -200,6 +203,18 @@
             await asyncio.sleep(FLUSH_S)
         return self.replica.role is not Role.LEADER
 
+    async def _wait_spared(self, limit_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not self.replica.can_be_spared and loop.time() - started < limit_s:
+            await asyncio.sleep(self._config.tick_s)
+        waited_s = loop.time() - started
+        if waited_s > self._config.tick_s:
+            spared = self.replica.can_be_spared
+            _log.info(
+                "stop waits for a majority", waited_s=round(waited_s, 2), spared=spared
+            )
+
     # The task
 
     async def run(self) -> None:
--- a/tarragonway/replication/tests/test_step_down.py
+++ b/tarragonway/replication/tests/test_step_down.py
@@ -52,3 +52,30 @@
 async def test_step_down_ends_at_its_limit(driver):
     driver.replica.needed = 1000
     assert not await driver.step_down(0.1)
+
+
+class Needed(Stubborn):
+    """Is one of the last two of three voters until another one is back."""
+
+    asked = 0
+    back_after = 5
+
+    @property
+    def can_be_spared(self):
+        self.asked += 1
+        return self.asked > self.back_after
+
+
+async def test_member_that_is_needed_goes_on_until_another_is_back(driver):
+    driver.replica.__class__ = Needed
+    assert await driver.step_down(10.0)
+    assert driver.replica.asked > Needed.back_after
+
+
+async def test_member_that_stays_needed_stops_within_its_limit(driver):
+    driver.replica.__class__ = Needed
+    driver.replica.back_after = 10**9
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    assert await driver.step_down(1.0)
+    assert 0.5 <= loop.time() - started < 1.0
