Pay for on-demand endpoints only once there is load; keep what a wave of reclaims leaves

Six on-demand ones that the deployment was created with were kept from -9.7 to -4.7 s, before the first request, while the reclaimable ones started. Ruled out: fewer reclaimable endpoints (they bear the loss of two zones, measured before). Change: while no request has come since the deployment began, on-demand endpoints beyond two leave as soon as the reclaimable ones are ordered; nothing reclaimable is given up while a zone refuses or loses them.

--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -15,6 +15,7 @@
 
 # Zones whose reclaimable endpoints may be gone at once: reclaims come in waves.
 LOST_ZONES = 2
+LEAST_READY = 2
 
 
 class Kind(msgspec.Struct, frozen=True, order=True):
@@ -31,7 +32,7 @@
     """
 
     utilization: float = 0.8
-    least_ready: int = 2
+    least_ready: int = LEAST_READY
 
 
 class FleetState(msgspec.Struct, frozen=True):
@@ -39,12 +40,19 @@
 
     ``serving`` endpoints are listed and not leaving; ``expected`` counts those too that
     are ordered and must still start. ``unavailable`` zones refused reclaimable
-    endpoints just now.
+    endpoints just now. ``idle`` tells that no request has come yet, so that endpoints
+    may lack while kinds are swapped.
     """
 
     serving: Mapping[Kind, int]
     expected: Mapping[Kind, int]
     unavailable: frozenset[ZoneName] = frozenset()
+    idle: bool = False
+
+    @property
+    def reclaimable_expected(self) -> int:
+        """Reclaimable endpoints that serve or will."""
+        return sum(n for kind, n in self.expected.items() if kind.reclaimable)
 
 
 def count_needed(pressure: float, policy: FleetPolicy) -> int:
@@ -89,6 +97,12 @@
     """
     ordered = sorted(zones, key=lambda z: traits.zone_prices.get(z, 1.0))
     wanted = _spread_reclaimable(traits, ordered, needed)
+    if state.unavailable:
+        # What is given up during a wave of reclaims would not be had back.
+        wanted = {
+            zone: max(count, state.serving.get(Kind(zone, True), 0))
+            for zone, count in wanted.items()
+        }
     placed = {
         zone: max(
             state.serving.get(Kind(zone, True), 0) if wanted[zone] else 0,
@@ -140,6 +154,8 @@
         for zone, count in placed.items()
     )
     present = sum(n for kind, n in state.serving.items() if kind.reclaimable)
+    if state.idle and state.reclaimable_expected >= needed:
+        return max(0, LEAST_READY - present)
     running = sum(n for kind, n in state.expected.items() if not kind.reclaimable)
     lacking = max(0, needed - coming)
     bridge = min(max(running, lacking), max(lacking, needed - present))
--- a/tarragonway/capacity/tests/test_fleet.py
+++ b/tarragonway/capacity/tests/test_fleet.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from tarragonway.capacity.fleet import FleetState, Kind, compute_step, plan_fleet
+from tarragonway.capacity.fleet import (
+    LEAST_READY,
+    FleetState,
+    Kind,
+    compute_step,
+    plan_fleet,
+)
 from tarragonway.routes.model import ScalingTraits
 
 ZONES = ("a", "b", "c")
@@ -34,7 +40,7 @@
         self.serving[Kind(zone, True)] = 0
         self.orders.pop(Kind(zone, True), None)
 
-    def step(self, needed):
+    def step(self, needed, idle=False):
         self.now += 1
         for at, kind in [b for b in self.booting if b[0] <= self.now]:
             self.serving[kind] += 1
@@ -42,7 +48,7 @@
         expected = collections.Counter(self.serving)
         for _, kind in self.booting:
             expected[kind] += 1
-        state = FleetState(dict(self.serving), dict(expected), self.dry)
+        state = FleetState(dict(self.serving), dict(expected), self.dry, idle)
         for kind, count in sorted(plan_fleet(TRAITS, ZONES, needed, state).items()):
             if count != expected[kind]:
                 self.order(kind, count)
@@ -96,3 +102,32 @@
     for _ in range(10):
         platform.step(4)
     assert not platform.orders
+
+
+def test_idle_deployment_gives_on_demand_endpoints_up_while_others_start():
+    """A new deployment has no load, and pays for what it was created with."""
+    platform = Platform({Kind(zone, False): 2 for zone in ZONES})
+    platform.step(6, idle=True)
+    platform.step(6, idle=True)
+    assert platform.count(reclaimable=False) == LEAST_READY
+    for _ in range(2 * BOOT_STEPS + 2):
+        platform.step(6, idle=True)
+    assert platform.count(reclaimable=False) == 0
+    assert platform.count(reclaimable=True) == 12
+
+
+def test_idle_deployment_keeps_its_endpoints_while_no_others_are_to_be_had():
+    platform = Platform({Kind(zone, False): 2 for zone in ZONES})
+    platform.dry = frozenset(ZONES)
+    for _ in range(5):
+        platform.step(6, idle=True)
+    assert platform.count(reclaimable=False) == 6
+
+
+def test_no_reclaimable_endpoint_is_given_up_during_a_wave_of_reclaims():
+    """A smaller need came just as one zone was lost; the next was lost after it."""
+    platform = Platform({Kind(zone, True): 4 for zone in ZONES})
+    platform.dry = frozenset(ZONES)
+    platform.reclaim("c")
+    platform.step(2)
+    assert platform.count(reclaimable=True) == 8
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -129,7 +129,7 @@
         needed = self._measure_need(service.name, counts, now)
         expected = self._expect(service.name, traits, counts, now)
         unavailable = self._list_unavailable(service.name, now)
-        state = FleetState(counts, expected, unavailable)
+        state = FleetState(counts, expected, unavailable, self._is_idle(service.name))
         plan = plan_fleet(traits, self._zones, needed, state)
         # Reclaimable endpoints are ordered first, so that others leave after they
         # serve.
@@ -160,6 +160,13 @@
         self._needs[service] = [(at, n) for at, n in history if now - at < HOLD_S]
         return max(count for _, count in self._needs[service])
 
+    def _is_idle(self, service: ServiceName) -> bool:
+        """Return whether no request has come since the deployment began.
+
+        A later leader can't know that.
+        """
+        return service not in self._loaded and self._driver.replica.is_first_leader
+
     def _note_reclaims(
         self, service: ServiceName, rows: list[ListedEndpoint], now: float
     ) -> None:
