Let small requests pass a bucket that a long prompt has overdrawn

Ruled out: a floor for small requests in the same bucket (a long prompt passes it as well). Change: requests of up to a hundredth of a second's quota may go out of turn, within 3 in 100 of the quota and 5 in 100 of the tolerance; they count in the account's bucket all the same.

--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -19,6 +19,12 @@
 # Part of what the deployment tolerates beyond a quota that bursts may use; the rest is
 # for requests that overdraw, and for gateways that admit without a leader.
 TOLERANCE_PART = 0.5
+# A request of this part of a second's quota is small: it does not wait until a long
+# prompt, which may overdraw the bucket for a second, is paid off.
+SMALL_PART = 0.01
+# Part of the quota, and of the tolerance, that small requests may use out of turn.
+SMALL_RATE_PART = 0.03
+SMALL_TOLERANCE_PART = 0.05
 UNKNOWN_ACCOUNT_WAIT_S = 0.2
 
 
@@ -42,10 +48,12 @@
         >>> QuotaPolicy(8.0, 0.1, 5.0).compute_capacity(account)
         27.5
         """
+        return account.burst + TOLERANCE_PART * self.compute_tolerance(account)
+
+    def compute_tolerance(self, account: Account) -> float:
+        """Return by how much the account may exceed its quota in a window."""
         tolerated = self.overrun * (account.per_s * self.window_s + account.burst)
-        if account.counts_tokens:
-            tolerated += self.slack
-        return account.burst + TOLERANCE_PART * tolerated
+        return tolerated + (self.slack if account.counts_tokens else 0.0)
 
 
 class QuotaBook:
@@ -71,10 +79,12 @@
         self._histories: dict[ProcessName, GrantHistory] = {}
         self._judged = False
         self._buckets: dict[AccountId, UnitBucket] = {}
+        self._small: dict[AccountId, UnitBucket] = {}
 
     def clear(self) -> None:
         """Forget all: another process leads."""
         self._buckets.clear()
+        self._small.clear()
         self._histories.clear()
         self._judged = False
 
@@ -141,8 +151,19 @@
         bucket = self._get_bucket(account, now)
         capacity = self._policy.compute_capacity(account)
         wait_s = bucket.take(ask.units, account.per_s, capacity, now)
+        if wait_s > 0 and self._take_out_of_turn(account, ask.units, now):
+            bucket.level -= ask.units
+            wait_s = 0.0
         return QuotaAnswer(ask.sequence, wait_s == 0.0, wait_s)
 
+    def _take_out_of_turn(self, account: Account, units: float, now: float) -> bool:
+        """Return whether a small request passes an overdrawn bucket."""
+        if not account.counts_tokens or units > account.per_s * SMALL_PART:
+            return False
+        most = SMALL_TOLERANCE_PART * self._policy.compute_tolerance(account)
+        small = self._small.setdefault(account.id, UnitBucket(most, now))
+        return small.take(units, account.per_s * SMALL_RATE_PART, most, now) == 0.0
+
     def _get_bucket(self, account: Account, now: float) -> UnitBucket:
         bucket = self._buckets.get(account.id)
         if bucket is None:
--- a/tarragonway/coordinator/tests/test_quotas.py
+++ b/tarragonway/coordinator/tests/test_quotas.py
@@ -106,3 +106,32 @@
 def test_what_nobody_has_seen_counts_as_used():
     assert make_book(used=0.0, seen_s=0.0) == 1
     assert make_book(used=0.0, seen_s=60.0, told=3) == 1
+
+
+def test_small_requests_do_not_wait_for_a_long_prompt_to_be_paid_off():
+    """A booking counts 200 tokens and a digest 40,000, of one client account."""
+    account = Account("a", (), counts_tokens=True, per_s=36_000.0, burst=36_000.0)
+    book = QuotaBook(QuotaPolicy(WINDOW_S, OVERRUN, SLACK))
+
+    def ask(units, now):
+        return book.answer(QuotaAsk(0, "a", units), {"a": account}, now).granted
+
+    ask(0.0, -60.0)
+    while ask(40_000.0, 0.0):
+        pass
+    ask(200.0, 0.0)
+    granted = [ask(200.0, 0.1 + 0.02 * n) for n in range(10)]
+    assert all(granted)
+    assert not ask(2400.0, 0.3)
+
+
+def test_small_requests_alone_stay_within_the_quota():
+    account = Account("a", (), counts_tokens=True, per_s=36_000.0, burst=36_000.0)
+    book = QuotaBook(QuotaPolicy(WINDOW_S, OVERRUN, SLACK))
+    book.answer(QuotaAsk(0, "a", 0.0), {"a": account}, -60.0)
+    granted = 0.0
+    for step in range(int(WINDOW_S * 2000)):
+        ask = QuotaAsk(0, "a", 200.0)
+        if book.answer(ask, {"a": account}, step / 2000).granted:
+            granted += 200.0
+    assert granted <= (36_000.0 * (WINDOW_S + 1)) * (1 + OVERRUN) + SLACK
