Keep the readers of a long list within the platform's calls

Ruled out: the leader's whole lists (0.1 MB each since they are compressed). Change: a starting gateway leaves the leader some time first; a page beyond the rate is asked for again; gateways count pages when they space their reads and double the pause while there are too many calls; the leader spaces long lists.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -106,6 +106,7 @@
             self._view,
             lambda: list(self._gateways),
             lambda: self._fleet.note_change(),
+            settings.platform.calls_per_s,
         )
         self._usage = UsageReporter(
             settings.name,
--- a/tarragonway/coordinator/listing.py
+++ b/tarragonway/coordinator/listing.py
@@ -13,6 +13,9 @@
 from tarragonway.replication import LogDriver
 
 READ_S = 0.4
+# Part of the platform's calls that reading a long list may take, and the longest pause.
+CALLS_PART = 0.5
+READ_MOST_S = 1.0
 # A gateway that is behind gets the whole list again after this time, four reports long.
 WHOLE_AGAIN_S = 1.0
 # Whole lists under way to all gateways together; the rest wait for their next report.
@@ -36,6 +39,8 @@
         Returns the links of the gateways.
     note_change : callable
         Called after the view has changed.
+    calls_per_s : float
+        Calls that the platform takes from all processes.
     """
 
     def __init__(
@@ -45,12 +50,14 @@
         view: EndpointView,
         list_gateways: Callable[[], list[Link]],
         note_change: Callable[[], None],
+        calls_per_s: float,
     ) -> None:
         self._driver = driver
         self._reader = reader
         self._view = view
         self._list_gateways = list_gateways
         self._note_change = note_change
+        self._calls_per_s = calls_per_s
         self._sent_whole: dict[Link, float] = {}
         self._whole: tuple[tuple[int, int], bytes] = ((0, 0), b"")
         self.listing = 0
@@ -60,7 +67,7 @@
         """Read and publish until the task is cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(READ_S)
+            await asyncio.sleep(self._compute_pause())
             if not self._driver.is_leader:
                 continue
             started = loop.time()
@@ -70,6 +77,10 @@
             self.read_at = started
             self._publish(rows)
 
+    def _compute_pause(self) -> float:
+        needed_s = self._reader.pages / (self._calls_per_s * CALLS_PART)
+        return min(READ_MOST_S, max(READ_S, needed_s))
+
     def bring_up(self, link: Link, held: tuple[int, int], now: float) -> None:
         """Send the whole list to a gateway that holds another one.
 
--- a/tarragonway/coordinator/tests/conftest.py
+++ b/tarragonway/coordinator/tests/conftest.py
@@ -20,7 +20,7 @@
     """A publisher of a leader that has read a list of three endpoints."""
     driver = SimpleNamespace(is_leader=True, replica=SimpleNamespace(term=TERM))
     publisher = ListPublisher(
-        driver, None, EndpointView(), lambda: publisher.links, lambda: None
+        driver, None, EndpointView(), lambda: publisher.links, lambda: None, 40.0
     )
     publisher.links = []
     publisher._publish(make_rows(3))
--- a/tarragonway/endpoints/reader.py
+++ b/tarragonway/endpoints/reader.py
@@ -1,5 +1,6 @@
 """Reading of the platform's whole list of endpoints."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -8,19 +9,28 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.listing import ListedEndpoint
-from tarragonway.http1.call import Call, CallAnswer, CallClient
+from tarragonway.http1.call import Call, CallAnswer, CallClient, CallFailed
 
 READ_TIMEOUT_S = 1.0
 PAGES_MOST = 100
 STATUS_OK = 200
+STATUS_CROWDED = 429
+# A page beyond the platform's rate is asked for again, so that a long list is not
+# started over while many others read it too.
+CROWDED_PAUSE_S = 0.05
+CROWDED_TRIES = 5
 
 _log = structlog.get_logger()
 
 
 class ListUnread(msgspec.Struct, frozen=True):
-    """Sentinel: the list could not be read."""
+    """Sentinel: the list could not be read.
+
+    ``crowded`` tells that the platform had too many calls.
+    """
 
     reason: str
+    crowded: bool = False
 
 
 class ListReader:
@@ -51,6 +61,7 @@
         self._decode_page = decode_page
         self._counters = counters
         self._failing = False
+        self.pages = 1
 
     async def read(self) -> list[ListedEndpoint] | ListUnread:
         """Return all usable rows."""
@@ -66,12 +77,13 @@
     async def _read_pages(self) -> list[ListedEndpoint] | ListUnread:
         rows: list[ListedEndpoint] = []
         token: str | None = None
-        for _ in range(PAGES_MOST):
-            answer = await self._client.call(self._make_call(token), READ_TIMEOUT_S)
+        for number in range(1, PAGES_MOST + 1):
+            answer = await self._read_page(token)
             if not isinstance(answer, CallAnswer):
                 return ListUnread(answer.reason)
             if answer.status != STATUS_OK:
-                return ListUnread(f"status {answer.status}")
+                crowded = answer.status == STATUS_CROWDED
+                return ListUnread(f"status {answer.status}", crowded)
             page = self._decode_page(answer.body)
             if not hasattr(page, "rows"):
                 return ListUnread(page.reason)
@@ -80,5 +92,16 @@
                 self._counters.increment("list.unusable", page.unusable)
             token = page.next
             if token is None:
+                self.pages = number
                 return rows
         return ListUnread("too many pages")
+
+    async def _read_page(self, token: str | None) -> CallAnswer | CallFailed:
+        for tries_left in reversed(range(CROWDED_TRIES)):
+            answer = await self._client.call(self._make_call(token), READ_TIMEOUT_S)
+            crowded = isinstance(answer, CallAnswer) and answer.status == STATUS_CROWDED
+            if not crowded or not tries_left:
+                break
+            self._counters.increment("list.crowded")
+            await asyncio.sleep(CROWDED_PAUSE_S)
+        return answer
--- /dev/null
+++ b/tarragonway/endpoints/tests/test_reader.py
@@ -0,0 +1,46 @@
+from types import SimpleNamespace
+
+import pytest
+
+from tarragonway.core.counters import Counters
+from tarragonway.endpoints.reader import CROWDED_TRIES, ListReader, ListUnread
+from tarragonway.http1.call import CallAnswer
+
+
+class Platform:
+    """A list of three pages that refuses some calls."""
+
+    def __init__(self, refusals):
+        self.refusals = list(refusals)
+        self.calls = 0
+
+    async def call(self, page, timeout_s):
+        self.calls += 1
+        if self.refusals and self.refusals.pop(0):
+            return CallAnswer(429, b"")
+        return CallAnswer(200, str(page or 0).encode())
+
+
+def decode(body):
+    number = int(body)
+    following = str(number + 1) if number < 2 else None
+    return SimpleNamespace(rows=[number], next=following, unusable=0)
+
+
+def make_reader(platform):
+    return ListReader(platform, lambda page: page, decode, Counters())
+
+
+async def test_page_beyond_the_rate_is_asked_for_again():
+    platform = Platform([False, True, True, False])
+    reader = make_reader(platform)
+    assert await reader.read() == [0, 1, 2]
+    assert (platform.calls, reader.pages) == (5, 3)
+
+
+@pytest.mark.parametrize("first", [0, 1])
+async def test_crowded_platform_is_given_up_after_some_tries(first):
+    platform = Platform([False] * first + [True] * 100)
+    answer = await make_reader(platform).read()
+    assert isinstance(answer, ListUnread) and answer.crowded
+    assert platform.calls == first + CROWDED_TRIES
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -32,6 +32,9 @@
 LIST_AGE_PART = 0.5
 LIST_CHECK_S = 0.3
 LIST_SHARE = 0.6
+# A gateway that has just started leaves the leader this part of that time to tell it.
+LIST_START_PART = 0.5
+CROWDED_MOST_S = 30.0
 BUDGET_MARGIN = 0.7
 STOP_MARGIN_S = 0.6
 INTAKE_S = 3.0
@@ -181,31 +184,42 @@
         """Read the platform's list while the leader's does not come."""
         loop = asyncio.get_running_loop()
         old_s = self._settings.bounds.drain_ms / 1000 * LIST_AGE_PART
+        heard_at = loop.time() - old_s * (1 - LIST_START_PART)
+        crowded = 0
         while True:
             await asyncio.sleep(LIST_CHECK_S)
             self._forget_gone()
-            if loop.time() - self._beliefs.listed_at < old_s:
+            heard_at = max(heard_at, self._beliefs.listed_at)
+            if loop.time() - heard_at < old_s:
+                crowded = 0
                 continue
-            await self._read_list()
-            await asyncio.sleep(self._draw_list_pause())
+            crowded = crowded + 1 if await self._read_list() else 0
+            await asyncio.sleep(self._draw_list_pause(crowded))
 
-    async def _read_list(self) -> None:
+    async def _read_list(self) -> bool:
+        """Read the list; return whether the platform had too many calls."""
         loop = asyncio.get_running_loop()
         started = loop.time()
         rows = await self._reader.read()
         if isinstance(rows, ListUnread):
-            return
+            return rows.crowded
         changed, gone = self._beliefs.endpoints.replace(rows)
         self._beliefs.listed_at = started
         self._beliefs.note_change()
         self._link.note_own_listing()
         _log.info("list is read here", changed=len(changed), gone=len(gone))
+        return False
 
-    def _draw_list_pause(self) -> float:
-        """Keep all gateways together within the platform's rate."""
-        gateways = self._beliefs.gateways
+    def _draw_list_pause(self, crowded: int) -> float:
+        """Keep all gateways together within the platform's rate.
+
+        Their number may not be known, so the pause doubles while there are too many
+        calls.
+        """
+        calls = self._beliefs.gateways * self._reader.pages
         rate = self._settings.platform.calls_per_s * LIST_SHARE
-        return gateways / rate * random.uniform(0.7, 1.3)
+        pause_s = min(CROWDED_MOST_S, calls / rate * 2**crowded)
+        return pause_s * random.uniform(0.7, 1.3)
 
     def _forget_gone(self) -> None:
         rows = self._beliefs.endpoints.rows
