Start an account's first bucket full when the whole window is known

Ruled out: overload by what bursts admit; the refusals are for quota. Change: a leader that has led for a window, or has all histories, knows that nothing was granted and starts the bucket full.

--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -15,7 +15,7 @@
 )
 from tarragonway.routes.model import Account
 
-# A former leader has granted lately too, so a new bucket starts with next to nothing.
+# A former leader may have granted lately, so what is unknown starts next to empty.
 FIRST_FILL_S = 0.05
 # Part of what the deployment tolerates beyond a quota that bursts may use; the rest is
 # for requests that overdraw, and for gateways that admit without a leader.
@@ -242,12 +242,12 @@
 
     def review(self, accounts: Mapping[AccountId, Account], now: float) -> None:
         """Look at the marks of accounts that may have fallen silent."""
+        self._note_start(now)
         for name in list(self._read_marked()):
             account = accounts.get(name)
             if account is None or account.per_s <= 0:
                 self.wanted_marks[name] = False
                 continue
-            self._note_start(now)
             capacity = self._policy.compute_capacity(account)
             self._get_bucket(account, now).spend(0.0, account.per_s, capacity, now)
             self._judge_mark(account, True, now)
@@ -301,7 +301,10 @@
     def _get_bucket(self, account: Account, now: float) -> UnitBucket:
         bucket = self._buckets.get(account.id)
         if bucket is None:
-            bucket = UnitBucket(account.per_s * FIRST_FILL_S, now)
+            level = account.per_s * FIRST_FILL_S
+            if self._is_past_known(now):
+                level = self._policy.compute_capacity(account)
+            bucket = UnitBucket(level, now)
             self._buckets[account.id] = bucket
         return bucket
 
--- a/tarragonway/coordinator/tests/test_quotas.py
+++ b/tarragonway/coordinator/tests/test_quotas.py
@@ -149,6 +149,15 @@
     assert granted >= 0.85 * (rate * WINDOW_S + rate)
 
 
+def test_first_request_of_a_quiet_deployment_marks_nobody():
+    """The leader knows that nothing was granted, and a mark would cost after a kill."""
+    account = Account("a", (), counts_tokens=True, per_s=36_000.0, burst=36_000.0)
+    book = QuotaBook(QuotaPolicy(WINDOW_S, OVERRUN, SLACK))
+    book.review({"a": account}, 0.0)
+    assert book.answer(QuotaAsk(0, "a", 12_000.0), {"a": account}, 9.0).granted
+    assert not book.take_wanted_marks()
+
+
 def test_hot_account_gets_what_it_is_allowed():
     rate = 100_000.0
     assert play(rate, 8, [], 1) >= rate * WINDOW_S + rate
