Take the sliding window of bursting accounts out again

It kept every bound, and did not serve callers better: what bursts admit comes to engines that are full, and long prompts of all accounts are late. A wider window pays only with capacity for it, or with fair shares of full engines by client account.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -2,7 +2,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import pathlib
 from typing import Any
 
@@ -15,7 +14,7 @@
 from tarragonway.coordinator.group import make_replica, prepare_folder, read_address
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.coordinator.listing import ListPublisher
-from tarragonway.coordinator.machine import CoordinatorMachine, MarkBurst
+from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.coordinator.operators import OperatorInterface
 from tarragonway.coordinator.quotas import QuotaBook, QuotaPolicy
 from tarragonway.coordinator.scaling import FleetKeeper
@@ -50,7 +49,6 @@
 from tarragonway.routes.model import Account, ChannelLimits, Configuration
 
 TICK_S = 0.05
-MARK_REVIEW_S = 1.0
 STATUS_S = 0.5
 JOIN_S = 0.3
 SNAPSHOT_ENTRIES = 200
@@ -91,10 +89,7 @@
         self._decoded: Configuration | None = None
         self._accounts: dict[AccountId, Account] = {}
         self._quotas = QuotaBook(
-            QuotaPolicy(
-                bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack
-            ),
-            lambda: self._machine.bursting,
+            QuotaPolicy(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
         )
         self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
         self._book = GatewayBook(self._driver, self._lease, self._clock)
@@ -149,7 +144,6 @@
         limits = ChannelLimits(body_bytes=OPERATOR_BODY_BYTES)
         self._operators = HttpServer(interface.handle, lambda: limits)
         self._metrics = make_metrics_server(self._counters, self.make_dump)
-        self._marks_wanted = asyncio.Event()
         self._told: tuple[object, ...] = ()
 
     @classmethod
@@ -167,7 +161,6 @@
         self._spawn(self._follow_members())
         self._spawn(self._tell_status())
         self._spawn(self._publisher.run())
-        self._spawn(self._keep_marks())
         if "usage" in self._settings.platform.duties:
             self._spawn(self._usage.run())
         if "scaling" in self._settings.platform.duties:
@@ -303,8 +296,7 @@
             case Cleared(fingerprint):
                 self._book.clear_content(fingerprint)
             case QuotaReturn():
-                now = asyncio.get_running_loop().time()
-                self._quotas.give_back(message, now)
+                self._quotas.give_back(message)
             case _:
                 self._counters.increment("links.unexpected")
 
@@ -332,24 +324,6 @@
         now = asyncio.get_running_loop().time()
         self._read_configuration()
         link.send(self._quotas.answer(ask, self._accounts, now))
-        if self._quotas.wanted_marks:
-            self._marks_wanted.set()
-
-    async def _keep_marks(self) -> None:
-        """Make the marks of bursting accounts durable."""
-        loop = asyncio.get_running_loop()
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(MARK_REVIEW_S):
-                    await self._marks_wanted.wait()
-            self._marks_wanted.clear()
-            if not self._driver.is_leader:
-                continue
-            self._read_configuration()
-            self._quotas.review(self._accounts, loop.time())
-            for account, bursting in self._quotas.take_wanted_marks().items():
-                _log.info("quota burst", account=account, bursting=bursting)
-                await self._driver.propose(MarkBurst(account, bursting))
 
     # Status
 
--- a/tarragonway/coordinator/machine.py
+++ b/tarragonway/coordinator/machine.py
@@ -1,7 +1,6 @@
 """The coordinators' replicated state: configuration and decided usage reports."""
 
 import zlib
-from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -44,18 +43,7 @@
     window: int
 
 
-class MarkBurst(msgspec.Struct, frozen=True, tag=True):
-    """Lets an account use its window's worth faster than its rate, or no more.
-
-    The mark outlives all processes: a new leader that knows nothing of the last window
-    must take a marked account's quota for used.
-    """
-
-    account: AccountId
-    bursting: bool
-
-
-Command = PutConfiguration | DecideUsage | MarkReported | MarkBurst
+Command = PutConfiguration | DecideUsage | MarkReported
 Result = ConfigurationStored | UsageDecided | None
 
 
@@ -64,7 +52,6 @@
     data: bytes = b""
     usage: dict[int, dict[AccountId, int]] = {}
     reported: dict[int, bool] = {}
-    bursting: dict[AccountId, bool] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -104,11 +91,6 @@
         """Decided counts by window."""
         return self._content.usage
 
-    @property
-    def bursting(self) -> Collection[AccountId]:
-        """Accounts that are marked as bursting."""
-        return self._content.bursting.keys()
-
     @property
     def last_window(self) -> int:
         """The newest window with decided counts, or -1."""
@@ -150,12 +132,6 @@
                     del content.usage[oldest]
                     content.reported.pop(oldest, None)
                 return UsageDecided(window, decided)
-            case MarkBurst(account, bursting):
-                if bursting:
-                    content.bursting[account] = True
-                else:
-                    content.bursting.pop(account, None)
-                return None
             case MarkReported(window):
                 if window in content.usage:
                     content.reported[window] = True
--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -41,8 +41,6 @@
 
     def __init__(self) -> None:
         self._bucket = UnitBucket(0.0, -ALONE_PAUSE_S)
-        self._burst_at = float("-inf")
-        self._burst_most = 0.0
         self._seconds: dict[int, float] = {}
 
     def note_granted(self, units: float, now: float) -> None:
@@ -52,10 +50,6 @@
         for old in [at for at in self._seconds if at <= second - MEMORY_SECONDS]:
             del self._seconds[old]
 
-    def note_bursting(self, now: float) -> None:
-        """Remember that the leader has let the account burst."""
-        self._burst_at = now
-
     def list_granted(self, now: float) -> tuple[float, ...]:
         """Return what was granted in each of the last seconds, the latest first."""
         second = int(now)
@@ -65,14 +59,7 @@
 
     def take(self, units: float, per_s: float, gateways: int, now: float) -> float:
         """Take units of a quota of ``per_s``; return 0, or the seconds to wait."""
-        granted = sum(self.list_granted(now))
-        if now - self._bucket.at > ALONE_PAUSE_S:
-            self._burst_most = granted
-        if now - self._burst_at <= MEMORY_SECONDS:
-            # The account may have used up its window: as much as leaves it is granted.
-            self._bucket.at = now
-            return 0.0 if granted + units <= self._burst_most else ALONE_PAUSE_S
-        lately = min(per_s, granted / MEMORY_SECONDS)
+        lately = min(per_s, sum(self.list_granted(now)) / MEMORY_SECONDS)
         rate = ALONE_PART * max(per_s / gateways, lately)
         if now - self._bucket.at > ALONE_PAUSE_S:
             self._bucket = UnitBucket(rate * ALONE_START_S, now)
@@ -115,10 +102,8 @@
             await asyncio.sleep(answer.wait_s)
             answer = await self._ask(account.id, units)
         if answer is not None:
-            now = asyncio.get_running_loop().time()
-            if answer.bursting:
-                self._get_alone(account.id).note_bursting(now)
             if answer.granted:
+                now = asyncio.get_running_loop().time()
                 self._get_alone(account.id).note_granted(units, now)
             return 0.0 if answer.granted else answer.wait_s
         self._counters.increment("quota.without_leader")
--- a/tarragonway/limits/tokens.py
+++ b/tarragonway/limits/tokens.py
@@ -38,11 +38,6 @@
             return 0.0
         return max(0.05, round((needed - self.level) / per_s, 3))
 
-    def spend(self, units: float, per_s: float, burst: float, now: float) -> None:
-        """Take units whatever the level is."""
-        self._refill(per_s, burst, now)
-        self.level -= units
-
     def give_back(self, units: float) -> None:
         """Return units of a request that did not run."""
         self.level += units
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -60,15 +60,11 @@
 
 
 class QuotaAnswer(msgspec.Struct, frozen=True, tag=True):
-    """The units are granted, or may be asked for again after ``wait_s``.
-
-    ``bursting`` tells that the account uses its window's worth faster than its rate.
-    """
+    """The units are granted, or may be asked for again after ``wait_s``."""
 
     sequence: int
     granted: bool
     wait_s: float = 0.0
-    bursting: bool = False
 
 
 class QuotaReturn(msgspec.Struct, frozen=True, tag=True):
