Let late answers of control count

Ruled out: longer tries; a dead process would hold each command up for longer. Change: an answer to any try of the command counts; repeats change nothing.

--- a/tarragonway/control/client.py
+++ b/tarragonway/control/client.py
@@ -15,6 +15,9 @@
 BUSY_PAUSE_S = 0.05
 
 
+_Answers = asyncio.Queue[ControlReply | ControlRedirect]
+
+
 class NoControl(msgspec.Struct, frozen=True):
     """Sentinel: no leader answered in time; the command may still be applied."""
 
@@ -47,26 +50,33 @@
         self._send = send
         self._counters = counters
         self._calls = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future] = {}
+        self._waiting: dict[int, _Answers] = {}
 
     async def call(self, command: Command, timeout_s: float) -> Result | NoControl:
-        """Return the command's result, or NoControl after ``timeout_s``."""
+        """Return the command's result, or NoControl after ``timeout_s``.
+
+        An answer to any of its tries counts, also one that comes after the next try.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        while True:
-            left_s = deadline - loop.time()
-            if left_s <= 0:
-                self._counters.increment("control.no_answer")
-                return NoControl("no control process answered in time")
-            reply = await self._try(command, min(TRY_S, left_s))
-            match reply:
-                case ControlReply(_, result):
-                    return result
-                case ControlRedirect(_, leader) if leader:
-                    self._target = leader
-                case _:
-                    self._turn()
-                    await asyncio.sleep(min(BUSY_PAUSE_S, left_s))
+        answers: _Answers = asyncio.Queue()
+        calls: list[int] = []
+        try:
+            while (left_s := deadline - loop.time()) > 0:
+                calls.append(self._ask(command, answers))
+                match await self._take(answers, min(TRY_S, left_s)):
+                    case ControlReply(_, result):
+                        return result
+                    case ControlRedirect(_, leader) if leader:
+                        self._target = leader
+                    case _:
+                        self._turn()
+                        await asyncio.sleep(min(BUSY_PAUSE_S, left_s))
+        finally:
+            for call in calls:
+                self._waiting.pop(call, None)
+        self._counters.increment("control.no_answer")
+        return NoControl("no control process answered in time")
 
     @property
     def target(self) -> ProcessName:
@@ -79,24 +89,25 @@
 
     def receive(self, reply: ControlReply | ControlRedirect) -> None:
         """Take an answer from the mailbox."""
-        future = self._waiting.pop(reply.call, None)
-        if future is not None and not future.done():
-            future.set_result(reply)
+        answers = self._waiting.pop(reply.call, None)
+        if answers is not None:
+            answers.put_nowait(reply)
 
-    async def _try(
-        self, command: Command, timeout_s: float
-    ) -> ControlReply | ControlRedirect | None:
+    def _ask(self, command: Command, answers: _Answers) -> int:
         call = next(self._calls)
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[call] = future
+        self._waiting[call] = answers
         self._send(self._target, ControlCall(call, command))
+        return call
+
+    async def _take(
+        self, answers: _Answers, timeout_s: float
+    ) -> ControlReply | ControlRedirect | None:
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await answers.get()
         except TimeoutError:
             self._counters.increment("control.repeats")
             return None
-        finally:
-            self._waiting.pop(call, None)
 
     def _turn(self) -> None:
         position = self._control.index(self._target)
