Don't count on a member that has just stopped

Ruled out: late answers of control (they count since the last commit). Change: a voter counts as heard for three heartbeats, and a member that is to stop looks only after that time.

--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -39,6 +39,8 @@
 APPEND_LIMIT_ENTRIES = 512
 APPEND_LIMIT_BYTES = 1_000_000
 SILENT_ELECTIONS = 6
+# A voter that has missed this many heartbeats does not count as heard.
+HEARD_HEARTBEATS = 3
 
 
 class Role(enum.Enum):
@@ -176,6 +178,11 @@
         limit = SILENT_ELECTIONS * self._parameters.election_ticks
         return row is not None and row.silent_ticks > limit
 
+    @property
+    def heard_ticks(self) -> int:
+        """Ticks after which a voter that has stopped counts as heard no more."""
+        return HEARD_HEARTBEATS * self._parameters.heartbeat_ticks
+
     @property
     def can_be_spared(self) -> bool:
         """Whether a majority of the voters remains if this member stops.
@@ -498,8 +505,7 @@
             self._broadcast_due = True
 
     def _count_heard(self) -> int:
-        limit_ticks = self._parameters.election_ticks
-        return self._progress.count_heard(self.membership, limit_ticks)
+        return self._progress.count_heard(self.membership, self.heard_ticks)
 
     def _release_reads(self) -> None:
         confirmed = self._progress.compute_round(self.membership, self._round)
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -204,6 +204,10 @@
         return self.replica.role is not Role.LEADER
 
     async def _wait_spared(self, limit_s: float) -> None:
+        # One that has stopped just now is still counted for this time, and the leader's
+        # word of it is a heartbeat older.
+        if len(self.replica.membership.voters) >= MIN_VOTERS:
+            await asyncio.sleep((self.replica.heard_ticks + 2) * self._config.tick_s)
         loop = asyncio.get_running_loop()
         started = loop.time()
         while not self.replica.can_be_spared and loop.time() - started < limit_s:
--- a/tarragonway/replication/tests/test_step_down.py
+++ b/tarragonway/replication/tests/test_step_down.py
@@ -3,7 +3,14 @@
 
 import pytest
 
-from tarragonway.consensus import DataFolder, Member, Parameters, Replica, Role
+from tarragonway.consensus import (
+    DataFolder,
+    Member,
+    Membership,
+    Parameters,
+    Replica,
+    Role,
+)
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.core.counters import Counters
@@ -58,11 +65,13 @@
     """Is one of the last two of three voters until another one is back."""
 
     asked = 0
+    asked_at = None
     back_after = 5
 
     @property
     def can_be_spared(self):
         self.asked += 1
+        self.asked_at = self.asked_at or asyncio.get_running_loop().time()
         return self.asked > self.back_after
 
 
@@ -79,3 +88,14 @@
     started = loop.time()
     assert await driver.step_down(1.0)
     assert 0.5 <= loop.time() - started < 1.0
+
+
+async def test_member_that_has_just_stopped_is_not_counted_on(driver):
+    """In a rolling restart the next one is stopped 0.4 s after the one before it."""
+    members = tuple(Member(MemberId(f"{n}#1"), ProcessName(n)) for n in "abc")
+    driver.replica._memberships = [(0, Membership(members))]
+    driver.replica.__class__ = Needed
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    await driver.step_down(10.0)
+    assert driver.replica.asked_at - started >= driver.replica.heard_ticks * 0.01
