Mend faults of stand-ins, the control process and bounds that were known by reading

- The cloud stand-in's reclaim answered 500 when a chosen engine had already ended (its notice raised ClientConnectorError).
An ended instance needs no notice.
- A control process that has just started reported revision 0 until its stored log was applied.
A reader of the revision needs what is in force, so the dump now says -1 (unknown) and /admin/revision answers 503 until then.
- Two test runs on one machine searched the same ports.
Each process claims a block of its own by a socket that the system releases.
- The exponent of a long series of failures overflowed at the 1027th.
- A forward header that is not hexadecimal raised instead of being refused.
- Any answer but 409 to an order of a model version counted as sent.
- is_first_ready_leader turned false after compaction, so that a deployment without load stopped counting as idle after 200 configurations.

--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import pathlib
 
@@ -46,7 +47,8 @@
     async def reclaim(self, request: web.Request) -> web.Response:
         """Announce the reclaim of a zone or of named instances.
 
-        Each chosen instance receives the notice and exits when it ends.
+        Each chosen instance receives the notice and exits when it ends. An instance
+        that has already ended needs no notice.
         """
         body = await request.json()
         chosen = [
@@ -60,7 +62,8 @@
         async with aiohttp.ClientSession() as session:
             for item in chosen:
                 notice = {"notice_s": body["notice_s"]}
-                await session.post(item["url"] + "/test/leave", json=notice)
+                with contextlib.suppress(aiohttp.ClientConnectorError):
+                    await session.post(item["url"] + "/test/leave", json=notice)
         return web.json_response({"leaving": [item["id"] for item in chosen]})
 
     async def add(self, request: web.Request) -> web.Response:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -13,7 +13,6 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
 
 import aiohttp
 
@@ -25,7 +24,8 @@
 START_TIMEOUT_S = 40.0
 STOP_TIMEOUT_S = 40.0
 MIN_PORT = 10_000
-PORTS_PER_WORKER = 2_500
+PORT_BLOCKS = 32
+PORTS_PER_BLOCK = 625
 MODEL_REPLICAS = 6
 PLAIN_REPLICAS = 3
 
@@ -39,25 +39,64 @@
     """Return loopback ports that nothing listens on.
 
     They lie below the range from which the system takes ports for outgoing connections,
-    and parallel test workers search separate ranges.
+    and each process on the machine searches a block of its own.
     """
+    global _block
+    if _block is None:
+        _block = PortBlock.claim()
     ports: list[int] = []
     while len(ports) < count:
-        port = next(_PORTS)
+        port = next(_block.ports)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             ports.append(port)
     return ports
 
 
-def _cycle_ports() -> Iterator[int]:
-    # Outside pytest-xdist the last of the eight ranges is used.
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw7")
-    first = MIN_PORT + PORTS_PER_WORKER * (int(worker[2:]) % 8)
-    return itertools.cycle(range(first, first + PORTS_PER_WORKER))
+class PortBlock:
+    """A range of ports that no other process on this machine claims.
 
+    The claim is a bound socket in the abstract namespace, which the system releases
+    when the process ends.
 
-_PORTS = _cycle_ports()
+    Parameters
+    ----------
+    number : int
+        Number of the block, from 0.
+    claim : socket.socket
+        The bound socket.
+    """
+
+    def __init__(self, number: int, claim: socket.socket) -> None:
+        self.first = MIN_PORT + PORTS_PER_BLOCK * number
+        self.ports = itertools.cycle(range(self.first, self.first + PORTS_PER_BLOCK))
+        self._claim = claim
+
+    @classmethod
+    def claim(cls) -> "PortBlock":
+        """Claim the first free block.
+
+        Raises
+        ------
+        OSError
+            If other processes have claimed all blocks.
+        """
+        for number in range(PORT_BLOCKS):
+            claim = socket.socket(socket.AF_UNIX)
+            try:
+                claim.bind(f"\0tarragonway-ports-{number}")
+            except OSError:
+                claim.close()
+                continue
+            return cls(number, claim)
+        raise OSError(f"all {PORT_BLOCKS} blocks of ports are claimed; end other runs")
+
+    def release(self) -> None:
+        """Let other processes claim the block."""
+        self._claim.close()
+
+
+_block: PortBlock | None = None
 
 
 class Deployment:
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -140,6 +140,7 @@
         self._progress = ProgressTable(own_id)
         self._round = 0
         self._term_start_index = 0
+        self._first_entry_term: int | None = None
         self._reads: list[tuple[int, int, int]] = []
         self._broadcast_due = False
         self._output = Output()
@@ -178,7 +179,8 @@
         If an earlier leader had committed an entry, then the entry at index 1, which is
         never replaced after that, would have an earlier term.
         """
-        return self.is_ready_leader and self._log.get_term(1) == self.term
+        first_entry_term = self._log.get_term(1) or self._first_entry_term
+        return self.is_ready_leader and first_entry_term == self.term
 
     def is_unresponsive(self, member_id: MemberId) -> bool:
         """Return whether a follower has not replied for several election timeouts."""
@@ -312,6 +314,7 @@
                 f"cannot compact to entry {index}: it is not applied or not in the log"
             )
         membership = self._find_membership(index)
+        self._first_entry_term = self._log.get_term(1) or self._first_entry_term
         self.snapshot = Snapshot(index, term, membership, state)
         self._log.compact(index - keep)
         self._memberships = [
--- a/tarragonway/consensus/tests/test_replica.py
+++ b/tarragonway/consensus/tests/test_replica.py
@@ -294,3 +294,21 @@
     cluster.flush(old)
     run(cluster, 5)
     assert cluster.leader() is not old
+
+
+def test_first_leader_is_still_known_after_compaction():
+    cluster = Cluster(3)
+    leader = elect(cluster)
+    assert leader.replica.is_first_ready_leader
+    for value in range(50):
+        cluster.propose(leader, b"v%d" % value)
+        run(cluster, 1)
+    run(cluster, 10)
+    for node in cluster.nodes:
+        cluster.compact(node)
+    assert leader.replica.is_first_ready_leader
+    leader.replica.transfer_leadership()
+    cluster.flush(leader)
+    run(cluster, 20)
+    assert cluster.leader() is not leader
+    assert not cluster.leader().replica.is_first_ready_leader
--- a/tarragonway/control/admin.py
+++ b/tarragonway/control/admin.py
@@ -95,6 +95,9 @@
 
     async def _get_revision(self, request: web.Request) -> web.Response:
         check_operator(request, self._settings.cluster)
+        if not self._driver.has_applied_restored_log:
+            problem = "the process has started and not applied its stored log yet"
+            return make_json_response({"problem": problem}, 503)
         return make_json_response(
             RevisionBody(self._driver.machine.content.lists.revision)
         )
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -157,7 +157,9 @@
             "snapshot": replica.snapshot.index,
             "voters": [member.id for member in replica.membership.voters],
             "learners": [member.id for member in replica.membership.learners],
-            "revision": content.lists.revision,
+            "revision": (
+                content.lists.revision if self._driver.has_applied_restored_log else -1
+            ),
             "endpoints": list(content.endpoints.rows.values()),
             "claims": len(content.claims.records),
             "quarantined": list(content.quarantine.quarantined),
--- a/tarragonway/entry/fetch.py
+++ b/tarragonway/entry/fetch.py
@@ -95,7 +95,10 @@
         """
         request_id = RequestId(request.match_info["id"])
         account = request.query.get("account", "")
-        mac = bytes.fromhex(request.headers.get(FORWARD_HEADER, "") or "00")
+        try:
+            mac = bytes.fromhex(request.headers.get(FORWARD_HEADER, ""))
+        except ValueError:
+            raise web.HTTPForbidden() from None
         if not verify_mac(self._key, _encode_signed_text(request_id, account), mac):
             raise web.HTTPForbidden()
         found = await self._serve_locally(request, request_id, account)
--- a/tarragonway/fencing/order_sender.py
+++ b/tarragonway/fencing/order_sender.py
@@ -137,11 +137,17 @@
         url = f"{endpoint.url}/orders"
         try:
             async with session.post(url, data=body, headers=headers) as response:
-                refused = response.status == 409
+                status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError):
             self._counters.increment("orders.failed")
             return
-        self._counters.increment("orders.refused" if refused else "orders.sent")
+        match status:
+            case _ if status < 300:
+                self._counters.increment("orders.sent")
+            case 409:
+                self._counters.increment("orders.refused")
+            case _:
+                self._counters.increment("orders.failed")
         _log.info(
-            "order answered", endpoint=endpoint.id, fence=order.fence, refused=refused
+            "order answered", endpoint=endpoint.id, fence=order.fence, status=status
         )
--- a/tarragonway/fencing/tests/test_order_sender.py
+++ b/tarragonway/fencing/tests/test_order_sender.py
@@ -103,3 +103,22 @@
             )
     assert len(control.engine.orders) == 1
     await server.close()
+
+
+async def test_order_that_the_engine_fails_to_take_does_not_count_as_sent(monkeypatch):
+    control = Control(checks_fence=False)
+    counters = Counters()
+    sender = control.make_order_sender("one")
+    sender._counters = counters
+
+    async def fail(request):
+        return web.Response(status=500)
+
+    monkeypatch.setattr(control.engine, "order", fail)
+    server, endpoint = await start(control, monkeypatch)
+    async with aiohttp.ClientSession() as session:
+        await sender.reconcile(session, DesiredModel(endpoint, "v1"))
+    await server.close()
+    snapshot = counters.snapshot()
+    assert snapshot.get("orders.failed") == 1
+    assert "orders.sent" not in snapshot
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -119,6 +119,7 @@
         self.machine.restore(replica.snapshot.state)
         self.replica = replica
         self.applied = replica.snapshot.index
+        self._restored_index = replica.last_index
         self._config = config
         self._cluster = cluster
         self._folder = folder
@@ -156,6 +157,15 @@
         """Current leader as far as this replica has learned; None if unknown."""
         return self.replica.leader
 
+    @property
+    def has_applied_restored_log(self) -> bool:
+        """Whether the entries that were stored before the start are applied.
+
+        Until then, the state machine may lack changes that this process has
+        acknowledged before. Entries that a new leader has removed do not count.
+        """
+        return self.applied >= min(self._restored_index, self.replica.last_index)
+
     @property
     def is_leader(self) -> bool:
         """Whether this replica is a ready leader with enough voters for commands."""
--- /dev/null
+++ b/tarragonway/replication/tests/test_restored_log.py
@@ -0,0 +1,52 @@
+"""What a process that has just started knows of the log that it has stored."""
+
+import random
+
+import pytest
+
+from tarragonway.consensus import (
+    DataFolder,
+    Entry,
+    EntryKind,
+    Member,
+    Parameters,
+    RaftLog,
+    Replica,
+)
+from tarragonway.consensus.files import FolderFiles
+from tarragonway.coordinator.machine import CoordinatorMachine
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+from tarragonway.replication import DriverConfig, LogDriver
+
+
+def make_driver(folder, stored):
+    entries = [Entry(n + 1, 1, EntryKind.NOOP, b"") for n in range(stored)]
+    replica = Replica(
+        MemberId("a#1"),
+        Parameters(1000),
+        random.Random(1),
+        log=RaftLog(0, 0, entries),
+    )
+    return LogDriver(
+        DriverConfig(Member(MemberId("a#1"), ProcessName("a")), 0.01, 1, 100),
+        ClusterId("c"),
+        replica,
+        DataFolder(FolderFiles(folder)),
+        CoordinatorMachine(),
+        lambda packet: None,
+        Counters(),
+    )
+
+
+@pytest.mark.parametrize(("stored", "applied"), [(0, True), (3, False)])
+async def test_stored_entries_are_not_applied_at_the_start(tmp_path, stored, applied):
+    assert make_driver(tmp_path, stored).has_applied_restored_log is applied
+
+
+async def test_entries_that_a_leader_has_removed_need_not_be_applied(tmp_path):
+    driver = make_driver(tmp_path, 3)
+    driver.applied = 2
+    assert not driver.has_applied_restored_log
+    driver.replica._log.truncate(3)
+    assert driver.has_applied_restored_log
--- a/tarragonway/routing/loads.py
+++ b/tarragonway/routing/loads.py
@@ -13,6 +13,8 @@
 EJECTION_FAILURE_COUNT = 3
 MIN_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
+# Bounds the exponent of a long series of failures.
+MAX_DOUBLINGS = 16
 
 
 class _Load(msgspec.Struct):
@@ -113,8 +115,9 @@
             return
         row.failures += 1
         if row.failures >= EJECTION_FAILURE_COUNT:
-            excess = row.failures - EJECTION_FAILURE_COUNT
-            row.ejected_until = now + min(MAX_EJECTION_S, MIN_EJECTION_S * 2**excess)
+            doublings = min(row.failures - EJECTION_FAILURE_COUNT, MAX_DOUBLINGS)
+            ejection_s = MIN_EJECTION_S * 2**doublings
+            row.ejected_until = now + min(MAX_EJECTION_S, ejection_s)
 
     def get_expected(self, endpoint: EndpointId) -> float:
         """Return the expected number of requests.
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -19,9 +19,10 @@
 
 
 async def read_revisions(deployment):
+    """Return the revision of each process, -1 while it has not applied its log."""
     peers = [*deployment.cluster.control, *deployment.cluster.entry]
     dumps = [await deployment.read_dump(peer.name) for peer in peers]
-    return [dump.get("revision") for dump in dumps]
+    return [dump.get("revision", -1) for dump in dumps]
 
 
 def test_concurrent_applies_with_equal_expected_revisions(deployment):
@@ -82,8 +83,16 @@
         for name in names:
             await deployment.wait_for_exit(name)
             deployment.start_daemon(name)
+        seen = set()
+
+        async def all_report_a_revision():
+            revisions = await read_revisions(deployment)
+            seen.update(revisions)
+            return -1 not in revisions
+
         await deployment.wait_ready()
-        assert set(await read_revisions(deployment)) == {revision}
+        await wait_until(all_report_a_revision, MAX_LIST_DELAY_S)
+        assert seen - {-1} == {revision}
 
     asyncio.run(run())
 
