--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -42,7 +42,8 @@
 
     ``serving`` counts endpoints that are listed and not leaving. ``expected`` also
     counts endpoints that are ordered and have not started yet. ``unavailable`` are the
-    zones that have recently refused reclaimable endpoints. ``idle`` means that no
+    zones that have recently refused reclaimable endpoints, ``unavailable_on_demand``
+    those that have refused on-demand ones. ``idle`` means that no
     request has arrived yet, so that fewer endpoints than needed may serve while
     on-demand ones are replaced by reclaimable ones.
     """
@@ -51,6 +52,7 @@
     expected: Mapping[EndpointKind, int]
     unavailable: frozenset[ZoneName] = frozenset()
     idle: bool = False
+    unavailable_on_demand: frozenset[ZoneName] = frozenset()
 
     @property
     def reclaimable_expected(self) -> int:
@@ -145,6 +147,25 @@
     return sum(counts.values()) - largest_loss
 
 
+def estimate_initial_need(counts: Mapping[EndpointKind, int]) -> int:
+    """Return the need for which a deployment was created, before it has any load.
+
+    The endpoints that it was created with are taken for a fleet with spare ones, as
+    :func:`plan_fleet` makes it, so the need is what remains after the worst loss.
+
+    Examples
+    --------
+    >>> counts = zip("abcd", (5, 5, 4, 4), strict=True)
+    >>> estimate_initial_need({EndpointKind(z, False): n for z, n in counts})
+    8
+    """
+    by_zone: dict[ZoneName, int] = {}
+    for kind, count in counts.items():
+        by_zone[kind.zone] = by_zone.get(kind.zone, 0) + count
+    remaining_zones = max(1, len(by_zone) - MAX_LOST_ZONES)
+    return max(MIN_ENDPOINTS, sum(sorted(by_zone.values())[:remaining_zones]))
+
+
 def _count_on_demand(
     needed: int,
     wanted: Mapping[ZoneName, int],
@@ -204,6 +225,8 @@
         count -= placed[kind]
     for zone in zones:
         kind = EndpointKind(zone, False)
+        if zone in state.unavailable_on_demand:
+            continue
         added = min(count, capacities[zone] - placed[kind])
         placed[kind] += added
         count -= added
@@ -213,13 +236,46 @@
 def _spread_reclaimable(
     traits: ScalingTraits, zones: list[ZoneName], needed: int
 ) -> dict[ZoneName, int]:
-    """Return equal numbers per zone, so that ``needed`` remain after the worst loss.
+    """Return the cheapest numbers, so that ``needed`` remain after the worst loss.
+
+    With at most ``cap`` endpoints in each zone, a loss of several zones takes at most
+    ``cap`` in each of them, so that many spare endpoints suffice. A small cap needs
+    fewer spare ones and a large cap fewer of the expensive zones.
+
+    Fewer endpoints remain if the bound per zone is lower. The numbers are 0 if the
+    service has no price for reclaimable endpoints.
 
-    Fewer remain if the bound per zone is lower. The numbers are 0 if the service has no
-    price for reclaimable endpoints.
+    Parameters
+    ----------
+    traits : ScalingTraits
+        Bounds per zone and prices.
+    zones : list of ZoneName
+        Availability zones, the cheapest first.
+    needed : int
+        Endpoints that must remain.
     """
     if not traits.reclaimable_price:
         return dict.fromkeys(zones, 0)
-    surviving_zones = max(1, len(zones) - MAX_LOST_ZONES)
-    per_zone = min(traits.max_endpoints, max(1, math.ceil(needed / surviving_zones)))
-    return dict.fromkeys(zones, per_zone)
+    lost_zones = min(MAX_LOST_ZONES, len(zones) - 1)
+    plans = (
+        _fill_zones(zones, needed + lost_zones * cap, cap)
+        for cap in range(1, traits.max_endpoints + 1)
+        if len(zones) * cap >= needed + lost_zones * cap
+    )
+    largest = dict.fromkeys(zones, traits.max_endpoints)
+    return min(plans, key=lambda plan: _compute_price(traits, plan), default=largest)
+
+
+def _fill_zones(zones: list[ZoneName], count: int, cap: int) -> dict[ZoneName, int]:
+    """Return ``count`` endpoints, at most ``cap`` in a zone, the first zones first."""
+    plan: dict[ZoneName, int] = {}
+    for zone in zones:
+        plan[zone] = min(cap, count)
+        count -= plan[zone]
+    return plan
+
+
+def _compute_price(traits: ScalingTraits, plan: Mapping[ZoneName, int]) -> float:
+    return sum(
+        count * traits.zone_prices.get(zone, 1.0) for zone, count in plan.items()
+    )
--- a/tarragonway/capacity/tests/test_fleet.py
+++ b/tarragonway/capacity/tests/test_fleet.py
@@ -1,8 +1,12 @@
 import collections
+import math
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tarragonway.capacity.fleet import (
+    MAX_LOST_ZONES,
     MIN_ENDPOINTS,
     EndpointKind,
     FleetState,
@@ -141,3 +145,26 @@
     platform.reclaim("c")
     platform.step(2)
     assert platform.count(reclaimable=True) == 8
+
+
+@given(
+    st.lists(st.floats(0.5, 2.0), min_size=1, max_size=6),
+    st.integers(1, 12),
+    st.integers(1, 40),
+)
+def test_enough_remain_after_the_worst_loss_at_the_least_price(prices, bound, needed):
+    """The plan is compared with equal numbers in all zones, for any deployment."""
+    zone_prices = {str(n): price for n, price in enumerate(prices)}
+    traits = ScalingTraits(1, bound, 4.0, 0.2, zone_prices)
+    plan = plan_fleet(traits, list(zone_prices), needed, FleetState({}, {}))
+    counts = sorted(n for kind, n in plan.items() if kind.reclaimable)
+    remaining = sum(counts[: max(1, len(counts) - MAX_LOST_ZONES)])
+    lost_zones = min(MAX_LOST_ZONES, len(prices) - 1)
+    surviving_zones = len(prices) - lost_zones
+    assert max(counts) <= bound
+    assert remaining >= min(needed, bound * surviving_zones)
+    equal = min(bound, math.ceil(needed / surviving_zones))
+    price = sum(
+        n * zone_prices[kind.zone] for kind, n in plan.items() if kind.reclaimable
+    )
+    assert price <= equal * sum(prices) + 1e-9
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -50,7 +50,12 @@
 from tarragonway.platform import configuration, duties, listing, names
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.replication import DriverConfig, LogDriver
-from tarragonway.routes.model import Account, Configuration, ConnectionLimits
+from tarragonway.routes.model import (
+    MAX_CONFIGURATION_BYTES,
+    Account,
+    Configuration,
+    ConnectionLimits,
+)
 
 TICK_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.5
@@ -63,7 +68,6 @@
 # leadership.
 STEP_DOWN_GRACE_FRACTION = 0.75
 PENDING_CALLS_TIMEOUT_S = 1.0
-MAX_OPERATOR_BODY_BYTES = 16 * 1024 * 1024
 
 _log = structlog.get_logger()
 
@@ -153,7 +157,7 @@
             self._find_leader_operator_address,
             self._counters,
         )
-        limits = ConnectionLimits(body_bytes=MAX_OPERATOR_BODY_BYTES)
+        limits = ConnectionLimits(body_bytes=MAX_CONFIGURATION_BYTES)
         self._operators = HttpServer(interface.handle, lambda: limits)
         self._metrics = make_metrics_server(self._counters, self.make_dump)
         self._published_status: tuple[object, ...] = ()
@@ -321,9 +325,11 @@
             case QuotaRequest():
                 self._handle_quota_request(link, message)
             case CrashReport():
-                self._gateway_reports.record_crash(message)
+                self._gateway_reports.suspects.record_crash(
+                    message, asyncio.get_running_loop().time()
+                )
             case SuspectCleared(fingerprint):
-                self._gateway_reports.clear_suspect(fingerprint)
+                self._gateway_reports.suspects.clear_suspect(fingerprint)
             case QuotaReturn():
                 self._quotas.return_units(message)
             case _:
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -1,4 +1,4 @@
-"""Reports of the gateways to the leader: clocks, usage, load and crashes."""
+"""Reports of the gateways to the leader: clocks, usage, load, speeds and crashes."""
 
 import statistics
 
@@ -6,9 +6,11 @@
 import structlog
 
 from tarragonway.coordinator.lease import DutyLease
+from tarragonway.coordinator.suspects import SuspectedContents
 from tarragonway.core.clock import WallClock
-from tarragonway.core.ids import AccountId, Fingerprint, ProcessName
-from tarragonway.links.messages import CrashReport, GatewayReport, GatewayReportReply
+from tarragonway.core.ids import AccountId, ProcessName, ServiceName
+from tarragonway.exchange import EngineSpeed, combine_speeds
+from tarragonway.links.messages import GatewayReport, GatewayReportReply
 from tarragonway.replication import LogDriver
 
 # Time after its last report for which a gateway counts as live.
@@ -20,11 +22,8 @@
 GATEWAY_RETENTION_S = 120.0
 # Smaller deviations of this process's clock from the median are not corrected.
 MIN_CLOCK_STEP_S = 0.02
-# An answer may be lost for other reasons than its content, and a resend by the caller
-# has the same content, so crashes of fewer distinct endpoints are no proof.
-MIN_CRASHED_ENDPOINTS = 3
-MAX_CRASH_RECORDS = 4096
-MAX_QUARANTINED = 64
+# Time for which the combined speeds of engines are sent without being computed again.
+SPEEDS_INTERVAL_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -35,10 +34,13 @@
     clock_s: float
     windows: dict[int, dict[AccountId, int]]
     offered_load: dict[str, float]
+    speeds: dict[ServiceName, EngineSpeed] = {}
 
 
 class GatewayReports:
-    """The latest report of each gateway, and the contents that crash endpoints.
+    """The latest report of each gateway.
+
+    ``suspects`` are the contents on which endpoints have failed.
 
     Parameters
     ----------
@@ -55,8 +57,9 @@
         self._lease = lease
         self._clock = clock
         self._gateways: dict[ProcessName, _GatewayState] = {}
-        self._crashes: dict[Fingerprint, set[str]] = {}
-        self.quarantined: dict[Fingerprint, None] = {}
+        self._speeds: dict[ServiceName, EngineSpeed] = {}
+        self._speeds_combined_at = float("-inf")
+        self.suspects = SuspectedContents()
 
     def clear(self) -> None:
         """Remove all reports; called while this process is not the leader.
@@ -95,8 +98,9 @@
             len(live) if is_grace_over else 0,
             list_version,
             list_age_s,
-            tuple(self.quarantined),
-            tuple(self._list_suspects()),
+            self.suspects.quarantined,
+            self.suspects.suspects,
+            None if gateway_report.speeds is None else self._combine_speeds(now),
         )
 
     def sum_window(self, window: int) -> dict[AccountId, int]:
@@ -117,23 +121,6 @@
         live = self._list_live(now).values()
         return sum(gateway.offered_load.get(service, 0.0) for gateway in live)
 
-    def record_crash(self, crash: CrashReport) -> None:
-        """Record a crash, and quarantine its content once enough endpoints crashed."""
-        fingerprint = crash.fingerprint
-        endpoints = self._crashes.setdefault(fingerprint, set())
-        endpoints.add(crash.endpoint)
-        while len(self._crashes) > MAX_CRASH_RECORDS:
-            del self._crashes[next(iter(self._crashes))]
-        if len(endpoints) < MIN_CRASHED_ENDPOINTS or fingerprint in self.quarantined:
-            return
-        self.quarantined[fingerprint] = None
-        _log.warning(
-            "content quarantined after crashes of several endpoints",
-            fingerprint=fingerprint,
-        )
-        while len(self.quarantined) > MAX_QUARANTINED:
-            del self.quarantined[next(iter(self.quarantined))]
-
     def _record_report(
         self, gateway_report: GatewayReport, now: float
     ) -> _GatewayState:
@@ -146,12 +133,15 @@
         gateway.clock_offset_s = gateway_report.clock_s - self._clock.now()
         gateway.clock_s = gateway_report.clock_s
         gateway.offered_load = gateway_report.offered_load
+        if gateway_report.speeds is not None:
+            gateway.speeds = gateway_report.speeds
         for window in gateway_report.usage:
             gateway.windows[window.window] = window.counts
         while len(gateway.windows) > 32:
             del gateway.windows[min(gateway.windows)]
         for crash in gateway_report.crashes:
-            self.record_crash(crash)
+            self.suspects.record_crash(crash, now)
+        self.suspects.expire(now)
         for name in [
             n
             for n, g in self._gateways.items()
@@ -160,22 +150,19 @@
             del self._gateways[name]
         return gateway
 
-    def clear_suspect(self, fingerprint: Fingerprint) -> None:
-        """Remove the crash record of a content that was answered completely."""
-        if self._crashes.pop(fingerprint, None) is not None:
-            _log.info(
-                "suspect cleared after a complete answer",
-                fingerprint=fingerprint,
-            )
-
-    def _list_suspects(self) -> list[Fingerprint]:
-        """Return the contents that a crash of one more endpoint would quarantine."""
-        threshold = MIN_CRASHED_ENDPOINTS - 1
-        return [
-            fingerprint
-            for fingerprint, endpoints in self._crashes.items()
-            if len(endpoints) >= threshold and fingerprint not in self.quarantined
-        ][-MAX_QUARANTINED:]
+    def _combine_speeds(self, now: float) -> dict[ServiceName, EngineSpeed]:
+        """Return the median of the live gateways' speeds for each service."""
+        if now - self._speeds_combined_at < SPEEDS_INTERVAL_S:
+            return self._speeds
+        fitted: dict[ServiceName, list[EngineSpeed]] = {}
+        for gateway in self._list_live(now).values():
+            for service, speed in gateway.speeds.items():
+                fitted.setdefault(service, []).append(speed)
+        combined = {name: combine_speeds(speeds) for name, speeds in fitted.items()}
+        if combined != self._speeds:
+            _log.info("speeds of engines combined", speeds=repr(combined))
+        self._speeds, self._speeds_combined_at = combined, now
+        return combined
 
     def _list_live(self, now: float) -> dict[ProcessName, _GatewayState]:
         return {
--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -17,9 +17,11 @@
 # A new bucket starts with the quota of this time, so almost empty, since a former
 # leader may have granted the rest just before.
 INITIAL_FILL_S = 0.05
-# Fraction of the tolerated overrun that is added to the burst. The rest covers requests
-# that overdraw the bucket, and gateways that admit requests without a leader.
+# Fractions of the tolerated overrun that are added to the burst, and to what a window
+# refills. The rest covers requests that overdraw the bucket, and gateways that admit
+# requests without a leader.
 BURST_TOLERANCE_FRACTION = 0.5
+REFILL_TOLERANCE_FRACTION = 0.1
 # A request of at most this fraction of a second's quota is small. It does not wait for
 # the refill after a long prompt, which may overdraw the bucket by a second's quota.
 SMALL_REQUEST_FRACTION = 0.01
@@ -55,6 +57,21 @@
             account
         )
 
+    def compute_refill_rate(self, account: Account) -> float:
+        """Return the bucket's refill rate in units per second.
+
+        Together with the capacity, a window's refill stays within the quota and a part
+        of its tolerance.
+
+        Examples
+        --------
+        >>> account = Account("a", (), counts_tokens=True, per_s=10.0, burst=20.0)
+        >>> QuotaPolicy(8.0, 0.1, 6.0).compute_refill_rate(account)
+        10.2
+        """
+        tolerated = REFILL_TOLERANCE_FRACTION * self.compute_tolerance(account)
+        return account.per_s + tolerated / self.window_s
+
     def compute_tolerance(self, account: Account) -> float:
         """Return the units by which the account may exceed its quota in a window."""
         tolerated = self.overrun * (account.per_s * self.window_s + account.burst)
@@ -123,13 +140,14 @@
         """
         capacity = self._policy.compute_capacity(account)
         seconds = int(self._policy.window_s)
-        window_units = capacity + account.per_s * seconds
+        refill_rate = self._policy.compute_refill_rate(account)
+        window_units = capacity + refill_rate * seconds
         past_grants = self._sum_past_grants(account, window_units / seconds)
         level = capacity
         for seconds_ago in range(seconds + 1):
             # The latest second is incomplete, so the window includes one second more.
             past_units = sum(past_grants[: seconds_ago + 1])
-            future_units = account.per_s * (seconds - seconds_ago)
+            future_units = refill_rate * (seconds - seconds_ago)
             level = min(level, window_units - past_units - future_units)
         return max(0.0, level)
 
@@ -168,7 +186,8 @@
             return QuotaReply(quota_request.sequence, True)
         bucket = self._get_bucket(account, now)
         capacity = self._policy.compute_capacity(account)
-        wait_s = bucket.take(quota_request.units, account.per_s, capacity, now)
+        refill_rate = self._policy.compute_refill_rate(account)
+        wait_s = bucket.take(quota_request.units, refill_rate, capacity, now)
         if wait_s > 0 and self._take_small(account, quota_request.units, now):
             bucket.level -= quota_request.units
             wait_s = 0.0
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -14,6 +14,7 @@
     compute_needed_endpoints,
     count_after_zone_loss,
     count_by_kind,
+    estimate_initial_need,
     plan_fleet,
 )
 from tarragonway.coordinator.gateways import GatewayReports
@@ -30,7 +31,8 @@
 # An ordered endpoint appears in the platform's list after its cold start and the list's
 # own delay. This is the longest delay of the list.
 MAX_LIST_DELAY_S = 3.0
-# Time for which a zone counts as unavailable after a refused order or a reclaim.
+# Time for which a kind of endpoints counts as unavailable after a refused order or a
+# reclaim.
 UNAVAILABLE_ZONE_BACKOFF_S = 2.0
 # A smaller need must last this long before endpoints are removed.
 SCALE_DOWN_DELAY_S = 10.0
@@ -94,7 +96,7 @@
         self._counters = counters
         self._policy = FleetPolicy()
         self._orders: dict[tuple[ServiceName, EndpointKind], _Order] = {}
-        self._unavailable: dict[tuple[ServiceName, ZoneName], float] = {}
+        self._unavailable: dict[tuple[ServiceName, EndpointKind], float] = {}
         self._need_history: dict[ServiceName, list[tuple[float, int]]] = {}
         self._services_with_load: set[ServiceName] = set()
         self._reclaimed_keys: set[str] = set()
@@ -131,8 +133,13 @@
         self._handle_reclaims(service.name, rows, now)
         needed = self._compute_recent_need(service.name, counts, now)
         expected = self._estimate_expected(service.name, traits, counts, now)
-        unavailable = self._list_unavailable(service.name, now)
-        state = FleetState(counts, expected, unavailable, self._is_idle(service.name))
+        state = FleetState(
+            counts,
+            expected,
+            self._list_unavailable(service.name, True, now),
+            self._is_idle(service.name),
+            self._list_unavailable(service.name, False, now),
+        )
         plan = plan_fleet(traits, self._zones, needed, state)
         # Reclaimable endpoints are ordered first, so that on-demand ones are removed
         # only when their replacements serve.
@@ -147,13 +154,16 @@
         """Return the most endpoints needed within the last :data:`SCALE_DOWN_DELAY_S`.
 
         Until a load has been reported, the operator's own estimate of the need is
-        inferred from the endpoints: the number of those found at first that would
-        remain after the loss of a zone, or the number of on-demand ones if it is
-        larger.
+        inferred from the endpoints that the deployment was created with. A later leader
+        takes those found at first that would remain after the loss of a zone, or the
+        number of on-demand ones if it is larger.
         """
+        is_idle = self._is_idle(service)
         on_demand = sum(n for kind, n in counts.items() if not kind.reclaimable)
         history = self._need_history.get(service)
-        if history is None:
+        if history is None and is_idle:
+            history = [(now, estimate_initial_need(counts))]
+        elif history is None:
             history = [(now, count_after_zone_loss(counts))]
         offered_load = self._gateway_reports.sum_offered_load(service, now)
         if offered_load:
@@ -161,7 +171,7 @@
         if service in self._services_with_load:
             history.append((now, compute_needed_endpoints(offered_load, self._policy)))
         else:
-            history.append((now, max(history[-1][1], on_demand)))
+            history.append((now, max(history[-1][1], 0 if is_idle else on_demand)))
         self._need_history[service] = [
             (at, n) for at, n in history if now - at < SCALE_DOWN_DELAY_S
         ]
@@ -189,8 +199,9 @@
         for row in rows:
             reclaimed = row.reclaimable and row.leaving and row.leaves_s >= 0
             if reclaimed and row.key not in self._reclaimed_keys:
-                self._orders.pop((service, EndpointKind(row.zone, True)), None)
-                self._unavailable[service, row.zone] = now + UNAVAILABLE_ZONE_BACKOFF_S
+                kind = EndpointKind(row.zone, True)
+                self._orders.pop((service, kind), None)
+                self._unavailable[service, kind] = now + UNAVAILABLE_ZONE_BACKOFF_S
                 self._reclaimed_keys.add(row.key)
         self._reclaimed_keys &= set(self._view.rows)
 
@@ -212,12 +223,13 @@
         return expected
 
     def _list_unavailable(
-        self, service: ServiceName, now: float
+        self, service: ServiceName, reclaimable: bool, now: float
     ) -> frozenset[ZoneName]:
+        """Return the zones that have no endpoints of a price model to order."""
         return frozenset(
-            zone
-            for (name, zone), until in self._unavailable.items()
-            if name == service and until > now
+            kind.zone
+            for (name, kind), until in self._unavailable.items()
+            if name == service and kind.reclaimable is reclaimable and until > now
         )
 
     def _is_order_due(
@@ -229,7 +241,7 @@
         now: float,
     ) -> bool:
         """Return whether the count is new, or the last order was not met in time."""
-        if kind.reclaimable and kind.zone in self._list_unavailable(service, now):
+        if self._unavailable.get((service, kind), float("-inf")) > now:
             return False
         last = self._orders.get((service, kind))
         if last is None:
@@ -278,4 +290,4 @@
         if status == STATUS_OK:
             self._orders[service, kind] = _Order(count, now)
         elif status == STATUS_UNAVAILABLE:
-            self._unavailable[service, kind.zone] = now + UNAVAILABLE_ZONE_BACKOFF_S
+            self._unavailable[service, kind] = now + UNAVAILABLE_ZONE_BACKOFF_S
--- a/tarragonway/coordinator/tests/test_gateways.py
+++ b/tarragonway/coordinator/tests/test_gateways.py
@@ -1,9 +1,12 @@
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from tarragonway.coordinator.gateways import GATEWAY_TIMEOUT_S, GatewayReports
+from tarragonway.coordinator.suspects import CRASH_RETENTION_S
 from tarragonway.core.clock import WallClock
+from tarragonway.exchange import EngineSpeed
 from tarragonway.links.messages import CrashReport, GatewayReport, WindowCounts
 
 
@@ -62,23 +65,53 @@
 
 def test_content_is_quarantined_after_three_endpoints(reports):
     for endpoint in ("e1", "e2", "e2"):
-        reports.record_crash(CrashReport("f", endpoint))
-    assert not reports.quarantined
+        reports.suspects.record_crash(CrashReport("f", endpoint), 0.0)
+    assert not reports.suspects.quarantined
     reports.handle_report(
         make_gateway_report(reports, "g1", crashes=(CrashReport("f", "e3"),)),
         0,
         0.0,
         0.0,
     )
-    assert list(reports.quarantined) == ["f"]
+    assert list(reports.suspects.quarantined) == ["f"]
 
 
 def test_crash_record_is_removed_when_content_runs_to_its_end(reports):
     for endpoint in ("e1", "e2"):
-        reports.record_crash(CrashReport("f", endpoint))
+        reports.suspects.record_crash(CrashReport("f", endpoint), 0.0)
     assert reports.handle_report(
         make_gateway_report(reports, "g1"), 0, 0.0, 0.0
     ).suspects == ("f",)
-    reports.clear_suspect("f")
-    reports.record_crash(CrashReport("f", "e3"))
-    assert not reports.quarantined
+    reports.suspects.clear_suspect("f")
+    reports.suspects.record_crash(CrashReport("f", "e3"), 0.0)
+    assert not reports.suspects.quarantined
+
+
+def test_quarantine_ends_after_the_last_crash_and_reports_again_do_not_extend_it(
+    reports,
+):
+    crashes = tuple(CrashReport("f", endpoint) for endpoint in ("e1", "e2", "e3"))
+    report = make_gateway_report(reports, "g1", crashes=crashes)
+    for now in (0.0, CRASH_RETENTION_S - 1):
+        reply = reports.handle_report(report, 0, 0.0, now)
+        assert reply.quarantined == ("f",)
+    silent = make_gateway_report(reports, "g1")
+    reply = reports.handle_report(silent, 0, 0.0, CRASH_RETENTION_S + 1)
+    assert reply.quarantined == ()
+
+
+def test_speeds_are_combined_and_a_gateway_with_a_wrong_fit_has_no_effect(reports):
+    for name, token_ms in (("g1", 0.02), ("g2", 0.021), ("g3", 0.9)):
+        speed = EngineSpeed(token_ms, 3.0, 0.1, 4.0, 0.5)
+        report = msgspec.structs.replace(
+            make_gateway_report(reports, name), speeds={"llm": speed}
+        )
+        reply = reports.handle_report(report, 0, 0.0, 5.0 * len(name))
+    report = msgspec.structs.replace(make_gateway_report(reports, "g4"), speeds={})
+    reply = reports.handle_report(report, 0, 0.0, 11.5)
+    assert reply.speeds["llm"].prompt_token_ms == 0.021
+
+
+def test_reports_without_speeds_get_none_back(reports):
+    reply = reports.handle_report(make_gateway_report(reports, "g"), 0, 0.0, 0.0)
+    assert reply.speeds is None
--- a/tarragonway/coordinator/tests/test_quotas.py
+++ b/tarragonway/coordinator/tests/test_quotas.py
@@ -6,6 +6,7 @@
 
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
 from tarragonway.gateway.quota import LeaderlessBucket
+from tarragonway.limits.overdraft import OverdraftBucket
 from tarragonway.links.messages import GrantHistory, QuotaRequest
 from tarragonway.routes import Account
 
@@ -149,3 +150,25 @@
         ).granted:
             granted += 200.0
     assert granted <= (36_000.0 * (WINDOW_S + 1)) * (1 + OVERRUN) + SLACK
+
+
+def test_lasting_excess_gets_more_of_the_tolerance_than_from_a_burst_alone():
+    """The pattern is an account whose quota has fallen below what it goes on to send.
+
+    The predecessor added half of the tolerance to the burst and none to the refill.
+    """
+    account = Account("a", (), counts_tokens=True, per_s=25_000.0, burst=25_000.0)
+    policy = QuotaPolicy(WINDOW_S, OVERRUN, SLACK)
+    buckets = QuotaBuckets(policy)
+    buckets.handle_request(QuotaRequest(0, "a", 0.0), {"a": account}, -60.0)
+    predecessor = OverdraftBucket(0.0, -60.0)
+    capacity = account.burst + 0.5 * policy.compute_tolerance(account)
+    granted = plain = 0.0
+    for step in range(int(5 * WINDOW_S / STEP_S)):
+        now = step * STEP_S
+        request = QuotaRequest(0, "a", 2400.0)
+        if buckets.handle_request(request, {"a": account}, now).granted:
+            granted += 2400.0
+        if predecessor.take(2400.0, account.per_s, capacity, now) == 0.0:
+            plain += 2400.0
+    assert granted > 1.05 * plain
--- /dev/null
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -0,0 +1,104 @@
+"""Orders of endpoints that the platform refuses."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from tarragonway.capacity.fleet import EndpointKind
+from tarragonway.coordinator.scaling import FleetReconciler
+from tarragonway.core.counters import Counters
+from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
+from tarragonway.http1.call import CallResponse
+from tarragonway.routes import Configuration, ConnectionLimits, Service
+from tarragonway.routes.model import ScalingTraits
+
+TRAITS = ScalingTraits(1, 4, 4.0, 0.2, {"a": 1.0, "b": 1.0})
+SERVICE = Service("llm", "/", 9, scaling=TRAITS)
+
+
+class StubPlatform:
+    """Stub that refuses orders for some kinds of endpoints."""
+
+    def __init__(self) -> None:
+        self.refused = set()
+        self.orders = []
+
+    async def call(self, order, timeout_s, may_send):
+        zone, _count, reclaimable = order
+        self.orders.append(order)
+        return CallResponse(409 if (zone, reclaimable) in self.refused else 200, b"")
+
+
+class StubLease:
+    async def confirm(self):
+        return SimpleNamespace(number=1, is_valid=lambda: True)
+
+
+@pytest.fixture
+def platform():
+    return StubPlatform()
+
+
+@pytest.fixture
+def fleet(platform):
+    view = EndpointView()
+    view.apply_full_list(
+        [ListedEndpoint("e1", "e1", "llm", "127.0.0.1:1", "a", 4, False)]
+    )
+    return FleetReconciler(
+        "c1",
+        ["a", "b"],
+        SimpleNamespace(replica=SimpleNamespace(is_first_ready_leader=False)),
+        StubLease(),
+        SimpleNamespace(sum_offered_load=lambda service, now: 3.0),
+        view,
+        lambda: Configuration(1, (), (SERVICE,), ConnectionLimits()),
+        platform,
+        lambda holder, fence, service, zone, count, kind: (zone, count, kind),
+        Counters(),
+    )
+
+
+async def test_refused_on_demand_order_does_not_stop_reclaimable_ones(fleet, platform):
+    """An on-demand bound that is reached says nothing about reclaimable endpoints."""
+    platform.refused = {("a", False)}
+    now = asyncio.get_running_loop().time()
+    kind = EndpointKind("a", False)
+    await fleet._send_order("llm", kind, 4, 1, 4)
+    assert fleet._is_order_due("llm", EndpointKind("a", True), 4, 0, now)
+    assert not fleet._is_order_due("llm", kind, 4, 1, now)
+
+
+async def test_refused_on_demand_endpoints_are_ordered_in_another_zone(fleet, platform):
+    platform.refused = {("a", False), ("a", True), ("b", True)}
+    for _ in range(4):
+        await fleet._reconcile(SERVICE, TRAITS)
+    on_demand = [order for order in platform.orders if not order[2]]
+    assert on_demand == [("a", 4, False), ("b", 3, False)]
+
+
+async def test_refused_orders_of_either_kind_are_not_repeated_at_once(fleet, platform):
+    platform.refused = {("a", False), ("b", False), ("a", True), ("b", True)}
+    for _ in range(4):
+        await fleet._reconcile(SERVICE, TRAITS)
+    assert len(platform.orders) == len(set(platform.orders)) == 4
+
+
+async def test_new_deployment_orders_no_more_than_it_was_created_with(fleet, platform):
+    """The endpoints that an operator starts with already include spare ones."""
+    zones = ("a", "b", "c", "d")
+    fleet._zones = list(zones)
+    fleet._driver.replica.is_first_ready_leader = True
+    fleet._gateway_reports.sum_offered_load = lambda service, now: 0.0
+    fleet._view.apply_full_list(
+        [
+            ListedEndpoint(f"{zone}{n}", "e", "llm", f"{zone}:{n}", zone, 4, False)
+            for zone, count in zip(zones, (5, 5, 4, 4), strict=True)
+            for n in range(count)
+        ]
+    )
+    traits = ScalingTraits(1, 10, 4.0, 0.2, dict.fromkeys(zones, 1.0))
+    await fleet._reconcile(SERVICE, traits)
+    ordered = sum(count for _, count, reclaimable in platform.orders if reclaimable)
+    assert 8 <= ordered <= 18
--- a/tarragonway/exchange/__init__.py
+++ b/tarragonway/exchange/__init__.py
@@ -1,5 +1,10 @@
 """Requests and answers in types that are independent of the platform."""
 
+from tarragonway.exchange.engine_speed import (
+    PRIOR_SPEED,
+    EngineSpeed,
+    combine_speeds,
+)
 from tarragonway.exchange.model import (
     CallerRequest,
     ForwardContext,
@@ -10,10 +15,13 @@
 )
 
 __all__ = [
+    "PRIOR_SPEED",
     "CallerRequest",
+    "EngineSpeed",
     "ForwardContext",
     "Load",
     "Prompt",
     "PromptPart",
     "ResponseInfo",
+    "combine_speeds",
 ]
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -21,7 +21,8 @@
     ``last_event_id`` is the id of the last event that was relayed to the caller.
     ``choice`` is the endpoint to which the request was last sent, at ``sent_at``; it is
     None before the first send and once that endpoint has begun to answer. ``endpoint``
-    and ``estimated_ms`` are the instance and the estimated delay of the latest send.
+    and ``estimated_ms`` are the instance and the estimated delay of the latest send,
+    ``load_at_send`` is the number of other requests that its endpoint ran then.
     """
 
     request: Request
@@ -40,6 +41,7 @@
     sent_at: float = 0.0
     endpoint: str = ""
     estimated_ms: float = 0.0
+    load_at_send: float = 0.0
 
 
 class Unsent(msgspec.Struct, frozen=True):
@@ -64,9 +66,13 @@
 
 
 class Streamed(msgspec.Struct, frozen=True):
-    """The endpoint's event stream ended properly and was relayed to the caller."""
+    """The endpoint's event stream ended properly and was relayed to the caller.
+
+    ``pauses_ms`` are the times between its first events in milliseconds.
+    """
 
     events: int
+    pauses_ms: tuple[float, ...] = ()
 
 
 class Broken(msgspec.Struct, frozen=True):
@@ -76,7 +82,13 @@
 
 
 class Expired(msgspec.Struct, frozen=True):
-    """The deadline passed before the answer was complete."""
+    """The deadline passed before the answer was complete.
+
+    ``in_body`` means that an answer that is no stream had begun. Endpoints make such
+    an answer before they send it, so this one may never end.
+    """
+
+    in_body: bool = False
 
 
 class Overloaded(msgspec.Struct, frozen=True):
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -8,45 +8,38 @@
 from tarragonway.core.hashes import rank_by_hash
 from tarragonway.core.ids import EndpointId, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
-from tarragonway.exchange import Load, Prompt
+from tarragonway.exchange import EngineSpeed, Load, Prompt
+from tarragonway.routing.engine_speed import EngineSpeeds
 from tarragonway.routing.loads import LoadTracker
 
 # Shortest and longest time for which an unreachable endpoint counts as unhealthy.
 MIN_UNHEALTHY_S = 0.5
 MAX_UNHEALTHY_S = 4.0
+# Bounds the exponent of a long series of failures.
+MAX_DOUBLINGS = 16
 # Number of endpoints that all gateways prefer for the same shared prompt parts.
 AFFINITY_ENDPOINTS = 2
 # Half-life of a measured delay; endpoints work off their backlog within about a second.
 DELAY_HALF_LIFE_S = 0.7
 # Endpoints whose estimated delays differ by at most this are chosen among at random.
 TIE_TOLERANCE_MS = 0.5
-
-
-class CostModel(msgspec.Struct, frozen=True):
-    """Coefficients of the estimated delay of a request at an endpoint.
-
-    All are in milliseconds. ``prompt_token_ms`` is the time to process one prompt token
-    that is not cached, ``running_request_ms`` the delay that each running request adds.
-    Both follow from the engines' published speed. ``excess_request_ms`` is added for
-    each request beyond the endpoint's slots, the new one included, and
-    ``cold_start_ms`` during the endpoint's cold start.
-    """
-
-    prompt_token_ms: float = 1 / 55
-    running_request_ms: float = 4.0
-    excess_request_ms: float = 100.0
-    cold_start_ms: float = 200.0
+# Estimated delay for each request beyond the endpoint's slots, the new one included.
+EXCESS_REQUEST_MS = 100.0
+# Estimated additional delay during an endpoint's cold start.
+COLD_START_MS = 200.0
 
 
 class Choice(msgspec.Struct, frozen=True):
     """A chosen endpoint and the estimated delay until its first event.
 
-    ``work_ms`` is the part of ``delay_ms`` that the request itself causes.
+    ``work_ms`` is the part of ``delay_ms`` that the request itself causes;
+    ``prompt_tokens`` is the number of its prompt tokens that are probably not cached.
     """
 
     endpoint: ListedEndpoint
     delay_ms: float
     work_ms: float
+    prompt_tokens: int = 0
 
 
 class _Health(msgspec.Struct):
@@ -71,16 +64,20 @@
     ----------
     load_tracker : LoadTracker
         Expected load by endpoint.
+    speeds : EngineSpeeds
+        Speed of each service's engines.
     source : random.Random
         Chooses among endpoints with nearly the same estimated delay.
     """
 
-    def __init__(self, load_tracker: LoadTracker, source: random.Random) -> None:
+    def __init__(
+        self, load_tracker: LoadTracker, speeds: EngineSpeeds, source: random.Random
+    ) -> None:
         self._load_tracker = load_tracker
+        self._speeds = speeds
         self._random = source
         self._health: dict[str, _Health] = {}
         self._backlogs: dict[str, _Backlog] = {}
-        self._model = CostModel()
 
     def choose(
         self,
@@ -118,7 +115,10 @@
         if not pool:
             return None
         warm = self._select_warm(pool, prompt)
-        choices = [self._estimate(row, prompt, row.key in warm, now) for row in pool]
+        speed = self._speeds.get(service)
+        choices = [
+            self._estimate(row, prompt, row.key in warm, speed, now) for row in pool
+        ]
         min_delay_ms = min(choice.delay_ms for choice in choices)
         return self._random.choice(
             [
@@ -168,9 +168,14 @@
         """
         health = self._health.setdefault(key, _Health())
         health.failures += 1
-        unhealthy_s = min(MAX_UNHEALTHY_S, MIN_UNHEALTHY_S * 2 ** (health.failures - 1))
+        doublings = min(health.failures - 1, MAX_DOUBLINGS)
+        unhealthy_s = min(MAX_UNHEALTHY_S, MIN_UNHEALTHY_S * 2**doublings)
         health.unhealthy_until = now + unhealthy_s
 
+    def get_load(self, key: str) -> float:
+        """Return the expected number of requests on an endpoint."""
+        return self._load_tracker.get_expected(EndpointId(key))
+
     def record_load(self, key: str, load: Load) -> None:
         """Record the load that an endpoint reported."""
         self._load_tracker.record_report(EndpointId(key), load.running + load.waiting)
@@ -197,23 +202,28 @@
         return frozenset(ranked[:AFFINITY_ENDPOINTS])
 
     def _estimate(
-        self, row: ListedEndpoint, prompt: Prompt | None, warm: bool, now: float
+        self,
+        row: ListedEndpoint,
+        prompt: Prompt | None,
+        warm: bool,
+        speed: EngineSpeed,
+        now: float,
     ) -> Choice:
-        model = self._model
-        work_ms = 0.0
+        tokens = 0
         if prompt is not None:
-            tokens = prompt.input_tokens - (prompt.shared_tokens if warm else 0)
-            work_ms = max(0, tokens) * model.prompt_token_ms
+            cached_tokens = prompt.shared_tokens if warm else 0
+            tokens = max(0, prompt.input_tokens - cached_tokens)
+        work_ms = tokens * speed.prompt_token_ms
         load = self._load_tracker.get_expected(EndpointId(row.key))
-        delay_ms = work_ms + load * model.running_request_ms
+        delay_ms = work_ms + load * speed.running_request_ms
         if row.slots and load >= row.slots:
-            delay_ms += (load - row.slots + 1) * model.excess_request_ms
+            delay_ms += (load - row.slots + 1) * EXCESS_REQUEST_MS
         if row.cold_s > 0:
-            delay_ms += model.cold_start_ms
+            delay_ms += COLD_START_MS
         backlog = self._backlogs.get(row.key)
         if backlog is not None:
             delay_ms += max(backlog.pending_ms, self._decay_delay(backlog, now))
-        return Choice(row, delay_ms, work_ms)
+        return Choice(row, delay_ms, work_ms, tokens)
 
     def _decay_delay(self, backlog: _Backlog, now: float) -> float:
         age = (now - backlog.measured_at) / DELAY_HALF_LIFE_S
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import collections
-import zlib
 from collections.abc import Callable, Iterable
 
 import structlog
 
+from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import Fingerprint, ProcessName
 from tarragonway.gateway.offered_load import OfferedLoadMeter
@@ -29,10 +29,17 @@
     Status,
     SuspectCleared,
 )
-from tarragonway.routes.model import Configuration, ConfigurationError
+from tarragonway.routes.model import (
+    MAX_CONFIGURATION_BYTES,
+    Configuration,
+    ConfigurationError,
+)
 from tarragonway.routes.table import RouteTable
+from tarragonway.routing.engine_speed import EngineSpeeds
 
 REPORT_INTERVAL_S = 0.25
+# Every this many reports, the gateway reports the speeds that it has fitted.
+REPORTS_PER_SPEED_REPORT = 8
 # A request for the configuration may be repeated after this time without an answer.
 FETCH_TIMEOUT_S = 0.3
 # Number of the latest crash reports that are sent again to a new leader.
@@ -56,6 +63,8 @@
         State that this link updates.
     usage, offered_load : UsageCounter, OfferedLoadMeter
         Measurements that are reported to the leader.
+    speeds : EngineSpeeds
+        Speeds that are reported to the leader and combined by it.
     decode : callable
         Decodes the text of a configuration; raises ConfigurationError.
     counters : Counters
@@ -69,6 +78,7 @@
         gateway_state: GatewayState,
         usage: UsageCounter,
         offered_load: OfferedLoadMeter,
+        speeds: EngineSpeeds,
         decode: Callable[[bytes], Configuration],
         counters: Counters,
     ) -> None:
@@ -77,6 +87,7 @@
         self._state = gateway_state
         self._quota = QuotaClient(self.send_to_leader, counters)
         self._offered_load = offered_load
+        self._speeds = speeds
         self._usage = usage
         self._decode = decode
         self._counters = counters
@@ -186,9 +197,10 @@
     def _update_coordinators(self, status: Status) -> None:
         """Connect to the members that the leader lists.
 
-        Without a leader, connect to the members that any coordinator lists.
+        Without a leader, connect to the members that any coordinator lists. The members
+        that a former leader lists may have been replaced since.
         """
-        if status.is_leader:
+        if status.is_leader and status.term >= self._term:
             self._coordinators = set(status.coordinators)
         elif not self._leader:
             self._coordinators |= set(status.coordinators)
@@ -207,8 +219,9 @@
         if revision <= self._state.revision:
             return
         try:
-            configuration = self._decode(zlib.decompress(data))
-        except (ConfigurationError, zlib.error) as error:
+            text = decompress(data, MAX_CONFIGURATION_BYTES)
+            configuration = self._decode(text)
+        except (ConfigurationError, DecompressionError) as error:
             _log.error("configuration rejected", revision=revision, reason=str(error))
             return
         before = self._state.revision
@@ -269,6 +282,7 @@
         clock_s = self._state.clock.now()
         windows = self._usage.list_windows()
         usage = windows if self._full_report else windows[-2:]
+        has_speeds = self._sequence % REPORTS_PER_SPEED_REPORT == 0
         report = GatewayReport(
             self._name,
             self._sequence,
@@ -278,6 +292,7 @@
             tuple(self._crashes) if self._full_report else (),
             self._offered_load.measure(now),
             self._quota.make_history() if self._full_report else None,
+            self._speeds.list_fitted() if has_speeds or self._full_report else None,
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -294,6 +309,8 @@
             gateway_state.gateways = self._quota.gateways = reply.gateways
         gateway_state.quarantined = frozenset(reply.quarantined)
         gateway_state.suspects = frozenset(reply.suspects)
+        if reply.speeds is not None:
+            self._speeds.set_shared(reply.speeds)
         if abs(reply.clock_correction_s) > MIN_CLOCK_CORRECTION_S:
             _log.info("wall clock corrected", seconds=reply.clock_correction_s)
             gateway_state.clock.correct(reply.clock_correction_s)
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -25,6 +25,7 @@
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import ConnectionLimits
+from tarragonway.routing.engine_speed import EngineSpeeds
 from tarragonway.routing.loads import LoadTracker
 
 # Longest age of the leader's endpoint list, as a fraction of the drain time
@@ -64,8 +65,9 @@
         self._counters = Counters()
         self._state = GatewayState()
         self._usage = UsageCounter(settings.bounds.report_window_s)
-        self._chooser = EndpointChooser(LoadTracker(), random.Random())
-        self._offered_load = OfferedLoadMeter()
+        speeds = EngineSpeeds()
+        self._chooser = EndpointChooser(LoadTracker(), speeds, random.Random())
+        self._offered_load = OfferedLoadMeter(speeds)
         # Usage counts are cumulative and start at zero in each process, so each one
         # reports under a unique name.
         name = ProcessName(f"{settings.name}#{secrets.token_hex(3)}")
@@ -75,6 +77,7 @@
             self._state,
             self._usage,
             self._offered_load,
+            speeds,
             configuration.decode_configuration,
             self._counters,
         )
@@ -83,6 +86,7 @@
             Admission(self._state, self._link.quota, self._counters),
             self._usage,
             self._offered_load,
+            speeds,
             self._chooser,
             self._make_budget,
             self._link,
--- a/tarragonway/gateway/events.py
+++ b/tarragonway/gateway/events.py
@@ -1,4 +1,8 @@
-"""Splitting of server-sent event streams into complete events."""
+"""Splitting of server-sent event streams into complete events, and their pauses."""
+
+# Number of pauses that are measured in each stream.
+MAX_PAUSES = 32
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class EventSplitter:
@@ -27,8 +31,10 @@
 
     def feed(self, data: bytes) -> bytes:
         """Append received bytes; return the bytes of all events completed by them."""
+        # A blank line of up to four bytes may have begun in the buffered bytes.
+        searched = max(0, len(self._buffer) - 3)
         self._buffer += data
-        end = _find_end(self._buffer)
+        end = _find_end(self._buffer, searched)
         if not end:
             return b""
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
@@ -42,8 +48,36 @@
                 self.events += 1
 
 
-def _find_end(data: bytes) -> int:
-    """Return the offset after the last blank line, or 0 if there is none."""
-    lf_end = data.rfind(b"\n\n")
-    crlf_end = data.rfind(b"\r\n\r\n")
+class PauseMeter:
+    """Measures the pauses between the first events of a stream.
+
+    Events that arrive together share the pause before them equally.
+
+    Examples
+    --------
+    >>> meter = PauseMeter()
+    >>> for events, now in ((1, 0.0), (2, 0.01), (4, 0.03)):
+    ...     meter.record(events, now)
+    >>> [round(pause_ms) for pause_ms in meter.pauses_ms]
+    [10, 10, 10]
+    """
+
+    def __init__(self) -> None:
+        self.pauses_ms: list[float] = []
+        self._events = 0
+        self._at = 0.0
+
+    def record(self, events: int, now: float) -> None:
+        """Record the number of events that have arrived until ``now``, in seconds."""
+        arrived = events - self._events
+        if self._events and arrived and len(self.pauses_ms) < MAX_PAUSES:
+            pause_ms = (now - self._at) * 1000 / arrived
+            self.pauses_ms += [pause_ms] * min(arrived, MAX_PAUSES)
+        self._events, self._at = events, now
+
+
+def _find_end(data: bytes, start: int) -> int:
+    """Return the offset after the last blank line from ``start`` on, or 0."""
+    lf_end = data.rfind(b"\n\n", start)
+    crlf_end = data.rfind(b"\r\n\r\n", start)
     return max(lf_end + 2 if lf_end >= 0 else 0, crlf_end + 4 if crlf_end >= 0 else 0)
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -36,7 +36,8 @@
 from tarragonway.http1 import ConnectionPool, Request, ResponseWriter
 from tarragonway.links.messages import CrashReport
 from tarragonway.retries.budget import RetryBudget
-from tarragonway.routes.model import Repeatability
+from tarragonway.routes.model import EngineTraits, Repeatability
+from tarragonway.routing.engine_speed import EngineSpeeds
 
 # Number of endpoints to which a request may fail to connect before it is given up.
 MAX_FAILED_CONNECTS = 3
@@ -79,6 +80,8 @@
         Counts the requests that began to run.
     offered_load : OfferedLoadMeter
         Measures the work that is sent to services.
+    speeds : EngineSpeeds
+        Learns the speed of the services' engines from their answers.
     chooser : EndpointChooser
         Chooses endpoints.
     make_budget : callable
@@ -97,6 +100,7 @@
         admission: Admission,
         usage: UsageCounter,
         offered_load: OfferedLoadMeter,
+        speeds: EngineSpeeds,
         chooser: EndpointChooser,
         make_budget: Callable[[], RetryBudget],
         crash_reporter: CrashReporter,
@@ -107,6 +111,7 @@
         self._admission = admission
         self._usage = usage
         self._offered_load = offered_load
+        self._speeds = speeds
         self._chooser = chooser
         self._make_budget = make_budget
         self._crash_reporter = crash_reporter
@@ -144,6 +149,10 @@
             now = asyncio.get_running_loop().time()
             taken_ms = (now - attempt.sent_at) * 1000
             self._chooser.record_first_event(attempt.choice, taken_ms, now)
+            if attempt.facts.prompt is not None:
+                self._speeds.get_fit(attempt.service).record_first_event(
+                    attempt.choice.prompt_tokens, attempt.load_at_send, taken_ms
+                )
             attempt.choice = None
         if attempt.usage_counted:
             return
@@ -159,7 +168,10 @@
         started = loop.time()
         budget = self._get_budget(attempt.service)
         budget.deposit()
-        self._offered_load.add(attempt.service, attempt.facts.prompt)
+        engine = self._find_engine(attempt.service)
+        self._offered_load.add(
+            attempt.service, attempt.facts.prompt, engine.slots if engine else 1
+        )
         outcome: SendOutcome | None = None
         while True:
             choice = self._choose(attempt)
@@ -214,20 +226,23 @@
         endpoint = choice.endpoint
         self._chooser.record_send(choice)
         attempt.choice, attempt.sent_at = choice, loop.time()
+        attempt.load_at_send = self._chooser.get_load(endpoint.key) - 1
         attempt.endpoint, attempt.estimated_ms = endpoint.platform_id, choice.delay_ms
         failed = False
         try:
             outcome = await self._sender.send(
                 attempt, endpoint, self._get_priority(attempt)
             )
-            failed = isinstance(outcome, Unsent | Broken)
+            misdirected = (
+                isinstance(outcome, Refused) and outcome.status == STATUS_MISDIRECTED
+            )
+            failed = misdirected or _is_endpoint_failure(outcome)
         finally:
             began = attempt.choice is None
             self._chooser.record_completion(choice, began, failed, loop.time())
         self._report_content(attempt, outcome, endpoint)
-        misdirected = (
-            isinstance(outcome, Refused) and outcome.status == STATUS_MISDIRECTED
-        )
+        if isinstance(outcome, Streamed):
+            self._record_stream(attempt, outcome)
         if misdirected or isinstance(outcome, Unsent):
             self._chooser.record_unreachable(endpoint.key, loop.time())
         if not isinstance(outcome, Answered | Streamed):
@@ -257,6 +272,23 @@
                 if fingerprint in self._state.suspects:
                     self._crash_reporter.report_cleared(fingerprint)
 
+    def _record_stream(self, attempt: Attempt, outcome: Streamed) -> None:
+        engine, prompt = self._find_engine(attempt.service), attempt.facts.prompt
+        is_whole = attempt.sends == 1 and attempt.facts.last_event_id is None
+        if engine is not None and prompt is not None and is_whole:
+            self._speeds.get_fit(attempt.service).record_stream(
+                attempt.load_at_send + 1,
+                outcome.events * engine.tokens_per_event,
+                prompt.output_tokens,
+                outcome.pauses_ms,
+                engine.tokens_per_event,
+            )
+
+    def _find_engine(self, service: ServiceName) -> EngineTraits | None:
+        table = self._state.table
+        known = table.services.get(service) if table else None
+        return known.engine if known is not None else None
+
     def _may_retry(
         self, attempt: Attempt, outcome: SendOutcome, budget: RetryBudget
     ) -> bool:
@@ -354,3 +386,13 @@
             list_age_s=round(self._compute_list_age(), 2),
             revision=self._state.revision,
         )
+
+
+def _is_endpoint_failure(outcome: SendOutcome) -> bool:
+    match outcome:
+        case Unsent() | Broken():
+            return True
+        case Expired(in_body):
+            return in_body
+        case _:
+            return False
--- a/tarragonway/gateway/offered_load.py
+++ b/tarragonway/gateway/offered_load.py
@@ -2,42 +2,56 @@
 
 from tarragonway.core.ids import ServiceName
 from tarragonway.exchange import Prompt
+from tarragonway.routing.engine_speed import EngineSpeeds
 
 SMOOTHING_WINDOW_S = 5.0
 # Shortest time over which rates are averaged after the start, so that a burst of
 # reconnecting callers is not mistaken for the lasting load.
 MIN_SMOOTHING_WINDOW_S = 2.0
-# Published speed of the engines: prompt tokens that one engine processes per second,
-# and the time that each further output token takes an engine with a full batch.
-PROMPT_TOKENS_PER_S = 55_000.0
-OUTPUT_TOKEN_S = 0.00025
 
 
 class OfferedLoadMeter:
     """Smoothed rate of the work sent to each service, in seconds of work per second.
 
+    Parameters
+    ----------
+    speeds : EngineSpeeds
+        Speed of each service's engines.
+
     Examples
     --------
-    >>> meter = OfferedLoadMeter()
+    >>> meter = OfferedLoadMeter(EngineSpeeds())
     >>> _ = meter.measure(0.0)
-    >>> meter.add("llm", Prompt(5500, 0))
+    >>> meter.add("llm", Prompt(5500, 0), slots=8)
     >>> meter.measure(1.0)
     {'llm': 0.05}
     >>> meter.measure(2.0)
     {'llm': 0.025}
     """
 
-    def __init__(self) -> None:
+    def __init__(self, speeds: EngineSpeeds) -> None:
+        self._speeds = speeds
         self._sums: dict[ServiceName, float] = {}
         self._rates: dict[ServiceName, float] = {}
         self._at: float | None = None
         self._started: float | None = None
 
-    def add(self, service: ServiceName, prompt: Prompt | None) -> None:
-        """Add the estimated work of one request, which is none without a prompt."""
+    def add(self, service: ServiceName, prompt: Prompt | None, slots: int) -> None:
+        """Add the estimated work of one request, which is none without a prompt.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service that the request is sent to.
+        prompt : Prompt or None
+            Size of the request, if known.
+        slots : int
+            Requests that one of the service's engines runs at once.
+        """
         if prompt is not None:
-            work_s = prompt.input_tokens / PROMPT_TOKENS_PER_S
-            work_s += prompt.output_tokens * OUTPUT_TOKEN_S
+            work_s = self._speeds.get(service).compute_work_s(
+                prompt.input_tokens, prompt.output_tokens, max(1, slots)
+            )
             self._sums[service] = self._sums.get(service, 0.0) + work_s
 
     def measure(self, now: float) -> dict[str, float]:
--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -39,6 +39,8 @@
 LEADERLESS_RETENTION_S = 2.0
 # A window of 8 s and the current second, which is not over yet.
 GRANT_HISTORY_S = 9
+# Number of the latest requests without an answer whose late grants are returned.
+MAX_UNANSWERED = 256
 
 _log = structlog.get_logger()
 
@@ -107,6 +109,7 @@
         self._counters = counters
         self._leaderless: dict[AccountId, LeaderlessBucket] = {}
         self._pending: dict[int, asyncio.Future[QuotaReply]] = {}
+        self._unanswered: dict[int, QuotaReturn] = {}
         self._sequence = itertools.count(1)
         self._started = asyncio.get_running_loop().time()
         self.gateways = DEFAULT_GATEWAYS
@@ -121,10 +124,10 @@
         """
         if account.per_s <= 0:
             return 0.0
-        reply = await self._request_units(account.id, units)
+        sequence, reply = await self._request_units(account.id, units)
         if reply is not None and not reply.granted and reply.wait_s <= max_wait_s:
             await asyncio.sleep(reply.wait_s)
-            reply = await self._request_units(account.id, units)
+            sequence, reply = await self._request_units(account.id, units)
         if reply is not None:
             if reply.granted:
                 now = asyncio.get_running_loop().time()
@@ -136,6 +139,8 @@
         wait_s = leaderless.take(units, account.per_s, self.gateways, now)
         if wait_s <= 0:
             leaderless.record_grant(units, now)
+            # A late grant then counts what was admitted, so it is not returned.
+            self._unanswered.pop(sequence, None)
         return wait_s
 
     def refund(self, account: Account, units: float) -> None:
@@ -153,31 +158,44 @@
         return GrantHistory(units, now - self._started, self.gateways)
 
     def handle_reply(self, reply: QuotaReply) -> None:
-        """Pass the leader's reply to the request that waits for it."""
+        """Pass the leader's reply to the request that waits for it.
+
+        Units that are granted too late, once nothing waits for them, are returned.
+        """
         future = self._pending.get(reply.sequence)
         if future is not None and not future.done():
             future.set_result(reply)
+            return
+        unused = self._unanswered.pop(reply.sequence, None)
+        if unused is not None and reply.granted:
+            self._counters.increment("quota.late_grants")
+            self._send(unused)
 
     async def _request_units(
         self, account: AccountId, units: float
-    ) -> QuotaReply | None:
+    ) -> tuple[int, QuotaReply | None]:
+        """Return the request's sequence number and the leader's reply, if any."""
         sequence = next(self._sequence)
         if not self._send(QuotaRequest(sequence, account, units)):
-            return None
+            return sequence, None
         future: asyncio.Future[QuotaReply] = asyncio.get_running_loop().create_future()
         self._pending[sequence] = future
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await future
+                return sequence, await future
         except TimeoutError:
             _log.info(
                 "no quota answer from the leader; quota limited locally",
                 account=account,
                 sequence=sequence,
             )
-            return None
+            return sequence, None
         finally:
             del self._pending[sequence]
+            if future.cancelled():
+                self._unanswered[sequence] = QuotaReturn(account, units)
+                while len(self._unanswered) > MAX_UNANSWERED:
+                    del self._unanswered[next(iter(self._unanswered))]
 
     def _get_leaderless(self, account: AccountId) -> LeaderlessBucket:
         return self._leaderless.setdefault(account, LeaderlessBucket())
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -1,6 +1,7 @@
 """Sending of an attempt to one endpoint, and relaying of its answer."""
 
 import asyncio
+import contextlib
 from typing import Protocol
 
 import structlog
@@ -17,7 +18,7 @@
     Streamed,
     Unsent,
 )
-from tarragonway.gateway.events import EventSplitter
+from tarragonway.gateway.events import MAX_EVENT_BYTES, EventSplitter, PauseMeter
 from tarragonway.http1 import (
     ConnectFailed,
     ConnectionEnded,
@@ -34,6 +35,12 @@
 # connection.
 MAX_IDLE_UNREPEATABLE_S = 0.0
 EVENT_STREAM = b"text/event-stream"
+# Longest answer that is not a stream. Such an answer is relayed only when complete.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# The body of a refusal is not relayed. It is only read so that the connection can be
+# reused, which is not worth more bytes or time.
+MAX_REFUSAL_BYTES = 64 * 1024
+REFUSAL_BODY_TIMEOUT_S = 0.1
 
 _log = structlog.get_logger()
 
@@ -102,16 +109,19 @@
         runs_once = not attempt.route.is_repeatable
         idle_s = MAX_IDLE_UNREPEATABLE_S if runs_once else MAX_IDLE_REPEATABLE_S
         try:
-            connection = await self._pool.acquire(
-                endpoint.key, endpoint.address, idle_s
-            )
+            async with asyncio.timeout_at(attempt.deadline):
+                connection = await self._pool.acquire(
+                    endpoint.key, endpoint.address, idle_s
+                )
         except ConnectFailed as error:
             return Unsent(str(error))
+        except TimeoutError:
+            return Expired()
         try:
             async with asyncio.timeout_at(attempt.deadline):
                 return await self._exchange(attempt, endpoint, priority, connection)
         except TimeoutError:
-            return Expired()
+            return Expired(in_body=connection.in_body)
         except ConnectionEnded as error:
             return Broken(str(error))
         finally:
@@ -145,14 +155,14 @@
             connection.idle_limit_s = 0.0
         if info.refused:
             attempt.may_have_run = may_have_run_before
-            await _read_body(connection)
+            await _discard_refusal(connection)
             return Refused(head.status, info.retry_after_s)
         if head.status < 300 and _is_event_stream(head):
             if not info.signed:
                 return Broken("successful answer without a server signature")
             return await self._relay(attempt, head, connection)
         self._observer.handle_running(attempt)
-        body = await _read_body(connection)
+        body = await connection.read_body(MAX_ANSWER_BYTES)
         if head.status < 300 and not info.signed:
             return Broken("successful answer without a server signature")
         return Answered(head, info, body)
@@ -163,17 +173,26 @@
         """Relay complete events as they arrive; the head is sent with the first one.
 
         Until then, another endpoint can still answer with a different head.
+
+        Raises
+        ------
+        ConnectionEnded
+            If the stream breaks off or contains an event that is too long.
         """
         splitter = EventSplitter()
+        pauses = PauseMeter()
         while (data := await connection.read_data()) is not None:
             complete = splitter.feed(data)
+            if len(splitter.incomplete) > MAX_EVENT_BYTES:
+                raise ConnectionEnded(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             if complete:
+                pauses.record(splitter.events, asyncio.get_running_loop().time())
                 await self._relay_data(attempt, head, complete)
                 attempt.last_event_id = splitter.last_id or attempt.last_event_id
         if splitter.incomplete or not attempt.writer.started:
             await self._relay_data(attempt, head, splitter.incomplete)
         attempt.writer.finish()
-        return Streamed(splitter.events)
+        return Streamed(splitter.events, tuple(pauses.pauses_ms))
 
     async def _relay_data(
         self, attempt: Attempt, head: ResponseHead, data: bytes
@@ -213,8 +232,8 @@
     return (head.get(b"content-type") or b"").startswith(EVENT_STREAM)
 
 
-async def _read_body(connection: EndpointConnection) -> bytes:
-    parts = []
-    while (data := await connection.read_data()) is not None:
-        parts.append(data)
-    return b"".join(parts)
+async def _discard_refusal(connection: EndpointConnection) -> None:
+    """Read the body of a refusal; if it takes long, the connection isn't reusable."""
+    with contextlib.suppress(ConnectionEnded, TimeoutError):
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            await connection.read_body(MAX_REFUSAL_BYTES)
--- /dev/null
+++ b/tarragonway/gateway/tests/harness.py
@@ -0,0 +1,192 @@
+"""Forwarder with stub endpoints, for tests of the gateway."""
+
+import asyncio
+import contextlib
+import random
+
+from tarragonway.core.counters import Counters
+from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.gateway.admission import Admission
+from tarragonway.gateway.choice import EndpointChooser
+from tarragonway.gateway.forward import Forwarder
+from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.state import GatewayState
+from tarragonway.gateway.usage import UsageCounter
+from tarragonway.http1 import HttpServer
+from tarragonway.platform import names, requests
+from tarragonway.retries.budget import RetryBudget
+from tarragonway.routes import (
+    Account,
+    Configuration,
+    ConnectionLimits,
+    Repeatability,
+    Route,
+    RouteTable,
+    Service,
+    WeightedService,
+)
+from tarragonway.routing.engine_speed import EngineSpeeds
+from tarragonway.routing.loads import LoadTracker
+
+SIGNED = f"{names.SIGNATURE.decode()}: s\r\n"
+NOT_RUN = f"{names.NOT_RUN.decode()}: 1\r\n"
+
+
+def make_answer(status=200, body="ok", extra=SIGNED):
+    head = f"HTTP/1.1 {status} X\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+    return [(head + body).encode()]
+
+
+def make_events(*ids, end=True, cut=b""):
+    """Return a chunked event stream; without ``end`` it breaks off after ``cut``."""
+    head = f"HTTP/1.1 200 OK\r\n{SIGNED}Content-Type: text/event-stream\r\n"
+    parts = [(head + "Transfer-Encoding: chunked\r\n\r\n").encode()]
+    for number in ids:
+        parts.append(chunk(f"id: {number}\ndata: x\n\n".encode()))
+    if cut:
+        parts.append(chunk(cut))
+    if end:
+        parts.append(b"0\r\n\r\n")
+    return parts
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+class StubEndpoint:
+    """Stub that sends one prepared answer per connection and records request heads.
+
+    It pauses for ``pause_s`` seconds after each part of an answer.
+    """
+
+    def __init__(self) -> None:
+        self.answers: list[list[bytes]] = []
+        self.heads: list[bytes] = []
+        self.disconnected = asyncio.Event()
+        self.hang = False
+        self.pause_s = 0.01
+        self.choose = lambda head: self.answers.pop(0) if self.answers else []
+
+    async def serve(self, reader, writer):
+        self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+        if self.hang:
+            with contextlib.suppress(ConnectionResetError):
+                await reader.read()
+            self.disconnected.set()
+        with contextlib.suppress(ConnectionError):
+            for part in self.choose(self.heads[-1]):
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+            writer.close()
+            return
+        self.disconnected.set()
+
+
+class UnlimitedQuota:
+    def __init__(self) -> None:
+        self.returned = 0.0
+
+    async def admit(self, account, units, max_wait_s):
+        return 0.0
+
+    def refund(self, account, units):
+        self.returned += units
+
+
+def make_route(name, kind, *, attempts=1, resumable=False, timeout_s=2.0):
+    share = (WeightedService("s", 1.0),)
+    return Route(
+        name, "h", f"/{name}/", kind, timeout_s, 0.5, 1, attempts, share, False, False,
+        resumable,
+    )  # fmt: skip
+
+
+ROUTES = (
+    make_route("once", Repeatability.UNSAFE, attempts=2),
+    make_route("single", Repeatability.UNSAFE),
+    make_route("read", Repeatability.SAFE, attempts=2),
+    make_route("resume", Repeatability.STREAM, attempts=2, resumable=True),
+    make_route("stream", Repeatability.STREAM, attempts=2),
+    make_route("short", Repeatability.SAFE, timeout_s=0.2),
+)
+
+
+class GatewayHarness:
+    """Forwarder of a gateway with stub endpoints, quota and crash reports."""
+
+    def __init__(self) -> None:
+        self.state = GatewayState()
+        self.crashes = []
+        self.cleared = []
+        configuration = Configuration(
+            1, ROUTES, (Service("s", "/", 9),), ConnectionLimits(),
+            (Account("acct", ("key",), per_s=5.0, burst=5.0),),
+        )  # fmt: skip
+        self.state.table = RouteTable(configuration)
+        self.quota = UnlimitedQuota()
+        self.usage = UsageCounter(5.0)
+        speeds = EngineSpeeds()
+        self.forwarder = Forwarder(
+            self.state,
+            Admission(self.state, self.quota, Counters()),
+            self.usage,
+            OfferedLoadMeter(speeds),
+            speeds,
+            EndpointChooser(LoadTracker(), speeds, random.Random(1)),
+            lambda: RetryBudget(0.5, 5.0, 5.0),
+            self,
+            requests,
+            Counters(),
+        )
+        self.server = HttpServer(self.forwarder.handle, ConnectionLimits)
+        self.endpoints: list[StubEndpoint] = []
+
+    def report_crash(self, crash):
+        self.crashes.append(crash)
+
+    def report_cleared(self, fingerprint):
+        self.cleared.append(fingerprint)
+
+    async def add(self, port, *, listens=True) -> StubEndpoint:
+        endpoint = StubEndpoint()
+        if listens:
+            await asyncio.start_server(endpoint.serve, "127.0.0.1", port)
+        self.endpoints.append(endpoint)
+        name = f"e{len(self.endpoints)}"
+        row = ListedEndpoint(name, name, "s", f"127.0.0.1:{port}", "a", 4, False)
+        self.state.endpoints.apply_delta([row], [])
+        return endpoint
+
+    async def ask(self, path, *headers, key="key", wait_s=1.5) -> bytes:
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = [
+            f"POST {path} HTTP/1.1",
+            "Host: h",
+            "Content-Length: 0",
+            f"Authorization: Bearer {key}",
+            *headers,
+        ]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        received = b""
+        try:
+            async with asyncio.timeout(wait_s):
+                while b"0\r\n\r\n" not in received:
+                    data = await reader.read(65536)
+                    received += data
+                    if not data or _is_complete(received):
+                        break
+        except (TimeoutError, ConnectionResetError):
+            received += b"<reset>" if received else b""
+        writer.close()
+        return received
+
+
+def _is_complete(received):
+    head, split, body = received.partition(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        if split and line.startswith(b"content-length:"):
+            return len(body) >= int(line.split(b":")[1])
+    return False
--- a/tarragonway/gateway/tests/test_control_link.py
+++ b/tarragonway/gateway/tests/test_control_link.py
@@ -4,7 +4,8 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
-from tarragonway.gateway.control_link import ControlLink
+from tarragonway.exchange import EngineSpeed
+from tarragonway.gateway.control_link import REPORTS_PER_SPEED_REPORT, ControlLink
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
@@ -15,6 +16,8 @@
     Status,
 )
 from tarragonway.routes import Configuration, ConnectionLimits
+from tarragonway.routes.model import MAX_CONFIGURATION_BYTES
+from tarragonway.routing.engine_speed import EngineSpeeds
 
 
 class FakeLink:
@@ -47,12 +50,14 @@
 
 @pytest.fixture
 async def link():
+    speeds = EngineSpeeds()
     link = ControlLink(
         "g",
         ["s1:1"],
         GatewayState(),
         UsageCounter(5.0),
-        OfferedLoadMeter(),
+        OfferedLoadMeter(speeds),
+        speeds,
         decode,
         Counters(),
     )
@@ -114,3 +119,30 @@
     assert (report.list_term, report.list_version) == (1, 7)
     deliver(link, "c2:1", GatewayReportReply(2, report.sequence, 0.0, 1, 7, 0.1))
     assert link._state.list_current_at == -100.0
+
+
+async def test_status_of_a_former_leader_does_not_replace_the_members(link):
+    deliver(link, "c2:1", status(5, "c2:1", True, members=("c2:1", "c3:1")))
+    deliver(link, "s1:1", status(4, "s1:1", True, members=("s1:1", "gone:1")))
+    assert link._link_pool.wanted == {"s1:1", "c2:1", "c3:1"}
+
+
+async def test_configuration_that_decompresses_to_too_much_is_rejected(link):
+    bomb = zlib.compress(b"0" * (MAX_CONFIGURATION_BYTES + 1))
+    deliver(link, "s1:1", ConfigurationText(7, bomb))
+    assert link._state.revision == -1
+
+
+async def test_fitted_speeds_are_reported_and_the_leaders_are_used(link):
+    deliver(link, "c2:1", status(2, "c2:1", True))
+    for _ in range(REPORTS_PER_SPEED_REPORT + 1):
+        link._send_report()
+    reports = [message for _, message in link._link_pool.sent]
+    assert [n for n, report in enumerate(reports) if report.speeds is not None] == [
+        0,
+        REPORTS_PER_SPEED_REPORT - 1,
+    ]
+    speed = EngineSpeed(0.01, 2.0, 0.1, 3.0, 0.5)
+    reply = GatewayReportReply(2, 1, 0.0, 3, 0, 0.0, speeds={"llm": speed})
+    deliver(link, "c2:1", reply)
+    assert link._speeds.get("llm") == speed
--- a/tarragonway/gateway/tests/test_forward.py
+++ b/tarragonway/gateway/tests/test_forward.py
@@ -1,195 +1,7 @@
 import asyncio
-import contextlib
-import random
-
-import pytest
-
-from tarragonway.core.counters import Counters
-from tarragonway.endpoints.endpoint_list import ListedEndpoint
-from tarragonway.gateway.admission import Admission
-from tarragonway.gateway.choice import EndpointChooser
-from tarragonway.gateway.forward import Forwarder
-from tarragonway.gateway.offered_load import OfferedLoadMeter
-from tarragonway.gateway.state import GatewayState
-from tarragonway.gateway.usage import UsageCounter
-from tarragonway.http1 import HttpServer
-from tarragonway.platform import names, requests
-from tarragonway.retries.budget import RetryBudget
-from tarragonway.routes import (
-    Account,
-    Configuration,
-    ConnectionLimits,
-    Repeatability,
-    Route,
-    RouteTable,
-    Service,
-    WeightedService,
-)
-from tarragonway.routing.loads import LoadTracker
-
-SIGNED = f"{names.SIGNATURE.decode()}: s\r\n"
-NOT_RUN = f"{names.NOT_RUN.decode()}: 1\r\n"
-
-
-def make_answer(status=200, body="ok", extra=SIGNED):
-    head = f"HTTP/1.1 {status} X\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
-    return [(head + body).encode()]
-
-
-def make_events(*ids, end=True, cut=b""):
-    """Return a chunked event stream; without ``end`` it breaks off after ``cut``."""
-    head = f"HTTP/1.1 200 OK\r\n{SIGNED}Content-Type: text/event-stream\r\n"
-    parts = [(head + "Transfer-Encoding: chunked\r\n\r\n").encode()]
-    for number in ids:
-        parts.append(chunk(f"id: {number}\ndata: x\n\n".encode()))
-    if cut:
-        parts.append(chunk(cut))
-    if end:
-        parts.append(b"0\r\n\r\n")
-    return parts
-
-
-def chunk(data):
-    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
-
-
-class StubEndpoint:
-    """Stub that sends one prepared answer per connection and records request heads."""
-
-    def __init__(self) -> None:
-        self.answers: list[list[bytes]] = []
-        self.heads: list[bytes] = []
-        self.disconnected = asyncio.Event()
-        self.hang = False
-        self.choose = lambda head: self.answers.pop(0) if self.answers else []
-
-    async def serve(self, reader, writer):
-        self.heads.append(await reader.readuntil(b"\r\n\r\n"))
-        if self.hang:
-            with contextlib.suppress(ConnectionResetError):
-                await reader.read()
-            self.disconnected.set()
-        for part in self.choose(self.heads[-1]):
-            writer.write(part)
-            await writer.drain()
-            await asyncio.sleep(0.01)
-        writer.close()
-
-
-class UnlimitedQuota:
-    def __init__(self) -> None:
-        self.returned = 0.0
-
-    async def admit(self, account, units, max_wait_s):
-        return 0.0
-
-    def refund(self, account, units):
-        self.returned += units
-
-
-def make_route(name, kind, *, attempts=1, resumable=False, timeout_s=2.0):
-    share = (WeightedService("s", 1.0),)
-    return Route(
-        name, "h", f"/{name}/", kind, timeout_s, 0.5, 1, attempts, share, False, False,
-        resumable,
-    )  # fmt: skip
-
-
-ROUTES = (
-    make_route("once", Repeatability.UNSAFE, attempts=2),
-    make_route("single", Repeatability.UNSAFE),
-    make_route("read", Repeatability.SAFE, attempts=2),
-    make_route("resume", Repeatability.STREAM, attempts=2, resumable=True),
-    make_route("stream", Repeatability.STREAM, attempts=2),
-    make_route("short", Repeatability.SAFE, timeout_s=0.2),
-)
-
-
-class GatewayHarness:
-    """Forwarder of a gateway with stub endpoints, quota and crash reports."""
-
-    def __init__(self) -> None:
-        self.state = GatewayState()
-        self.crashes = []
-        self.cleared = []
-        configuration = Configuration(
-            1, ROUTES, (Service("s", "/", 9),), ConnectionLimits(),
-            (Account("acct", ("key",), per_s=5.0, burst=5.0),),
-        )  # fmt: skip
-        self.state.table = RouteTable(configuration)
-        self.quota = UnlimitedQuota()
-        self.usage = UsageCounter(5.0)
-        self.forwarder = Forwarder(
-            self.state,
-            Admission(self.state, self.quota, Counters()),
-            self.usage,
-            OfferedLoadMeter(),
-            EndpointChooser(LoadTracker(), random.Random(1)),
-            lambda: RetryBudget(0.5, 5.0, 5.0),
-            self,
-            requests,
-            Counters(),
-        )
-        self.server = HttpServer(self.forwarder.handle, ConnectionLimits)
-        self.endpoints: list[StubEndpoint] = []
-
-    def report_crash(self, crash):
-        self.crashes.append(crash)
-
-    def report_cleared(self, fingerprint):
-        self.cleared.append(fingerprint)
-
-    async def add(self, port, *, listens=True) -> StubEndpoint:
-        endpoint = StubEndpoint()
-        if listens:
-            await asyncio.start_server(endpoint.serve, "127.0.0.1", port)
-        self.endpoints.append(endpoint)
-        name = f"e{len(self.endpoints)}"
-        row = ListedEndpoint(name, name, "s", f"127.0.0.1:{port}", "a", 4, False)
-        self.state.endpoints.apply_delta([row], [])
-        return endpoint
-
-    async def ask(self, path, *headers, key="key", wait_s=1.5) -> bytes:
-        host, port = self.address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        lines = [
-            f"POST {path} HTTP/1.1",
-            "Host: h",
-            "Content-Length: 0",
-            f"Authorization: Bearer {key}",
-            *headers,
-        ]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        received = b""
-        try:
-            async with asyncio.timeout(wait_s):
-                while b"0\r\n\r\n" not in received:
-                    data = await reader.read(65536)
-                    received += data
-                    if not data or _is_complete(received):
-                        break
-        except (TimeoutError, ConnectionResetError):
-            received += b"<reset>" if received else b""
-        writer.close()
-        return received
-
-
-def _is_complete(received):
-    head, split, body = received.partition(b"\r\n\r\n")
-    for line in head.lower().split(b"\r\n"):
-        if split and line.startswith(b"content-length:"):
-            return len(body) >= int(line.split(b":")[1])
-    return False
-
-
-@pytest.fixture
-async def harness(unused_tcp_port_factory):
-    harness = GatewayHarness()
-    harness.address = f"127.0.0.1:{unused_tcp_port_factory()}"
-    harness.ports = unused_tcp_port_factory
-    await harness.server.listen(harness.address)
-    yield harness
-    harness.server.close()
+
+from tarragonway.gateway.tests.harness import NOT_RUN, make_answer, make_events
+from tarragonway.platform import names
 
 
 async def test_unrepeatable_request_that_may_have_run_is_not_sent_again(harness):
@@ -338,3 +150,34 @@
     assert (await harness.ask("/read/", key="odd")).startswith(b"HTTP/1.1 401")
     harness.state.table = None
     assert (await harness.ask("/read/")).startswith(b"HTTP/1.1 503")
+
+
+async def test_unhealthy_time_grows_while_an_address_belongs_to_another_endpoint(
+    harness,
+):
+    endpoint = await harness.add(harness.ports())
+    unhealthy_s = []
+    loop = asyncio.get_running_loop()
+    chooser = harness.forwarder._chooser
+    for _ in range(3):
+        endpoint.answers = [make_answer(421, "")]
+        assert (await harness.ask("/single/")).startswith(b"HTTP/1.1 503")
+        unhealthy_s.append(chooser._health["e1"].unhealthy_until - loop.time())
+    assert unhealthy_s[0] < unhealthy_s[1] < unhealthy_s[2]
+
+
+async def test_connecting_counts_against_the_deadline(harness, monkeypatch):
+    endpoint = await harness.add(harness.ports())
+    endpoint.answers = [make_answer()]
+
+    async def connect_late(key, address, max_idle_s):
+        await asyncio.sleep(0.4)
+
+    monkeypatch.setattr(harness.forwarder.pool, "acquire", connect_late)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    received = await harness.ask("/short/")
+    assert loop.time() - started < 0.3
+    # Nothing was sent, so the promise that it did not run is true.
+    assert received.startswith(b"HTTP/1.1 503")
+    assert not endpoint.heads
--- a/tarragonway/gateway/tests/test_quota.py
+++ b/tarragonway/gateway/tests/test_quota.py
@@ -4,7 +4,7 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.gateway.quota import QuotaClient
-from tarragonway.links.messages import QuotaReply, QuotaRequest
+from tarragonway.links.messages import QuotaReply, QuotaRequest, QuotaReturn
 from tarragonway.routes import Account
 
 ACCOUNT = Account("a", (), counts_tokens=True, per_s=160.0, burst=160.0)
@@ -64,3 +64,51 @@
     leader = StubLeader()
     assert await leader.client.admit(Account("b", ()), 50.0) == 0.0
     assert not leader.asks
+
+
+class SlowLeader:
+    """Stub that collects messages and answers nothing."""
+
+    def __init__(self) -> None:
+        self.messages = []
+        self.client = QuotaClient(self.send, Counters())
+
+    def send(self, message):
+        self.messages.append(message)
+        return True
+
+
+async def test_late_grant_of_a_refused_request_is_returned_once(monkeypatch):
+    monkeypatch.setattr("tarragonway.gateway.quota.ANSWER_TIMEOUT_S", 0.01)
+    leader = SlowLeader()
+    assert await leader.client.admit(ACCOUNT, 1000.0) > 0
+    (request,) = leader.messages
+    for _ in range(2):
+        leader.client.handle_reply(QuotaReply(request.sequence, True))
+    assert leader.messages[1:] == [QuotaReturn("a", 1000.0)]
+
+
+async def test_late_grant_of_a_request_that_was_admitted_locally_is_used(monkeypatch):
+    monkeypatch.setattr("tarragonway.gateway.quota.ANSWER_TIMEOUT_S", 0.01)
+    leader = SlowLeader()
+    assert await leader.client.admit(ACCOUNT, 0.5) == 0
+    leader.client.handle_reply(QuotaReply(leader.messages[0].sequence, True))
+    assert len(leader.messages) == 1
+
+
+async def test_grant_for_a_caller_that_has_left_is_returned():
+    leader = SlowLeader()
+    asking = asyncio.create_task(leader.client.admit(ACCOUNT, 7.0))
+    await asyncio.sleep(0.01)
+    asking.cancel()
+    await asyncio.wait([asking])
+    leader.client.handle_reply(QuotaReply(leader.messages[0].sequence, True))
+    assert leader.messages[1:] == [QuotaReturn("a", 7.0)]
+
+
+async def test_late_refusal_returns_nothing(monkeypatch):
+    monkeypatch.setattr("tarragonway.gateway.quota.ANSWER_TIMEOUT_S", 0.01)
+    leader = SlowLeader()
+    await leader.client.admit(ACCOUNT, 1000.0)
+    leader.client.handle_reply(QuotaReply(leader.messages[0].sequence, False, 1.0))
+    assert len(leader.messages) == 1
--- a/tarragonway/http1/call.py
+++ b/tarragonway/http1/call.py
@@ -9,6 +9,7 @@
 from tarragonway.http1.pool import ConnectFailed, ConnectionPool
 
 MAX_IDLE_S = 3.0
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class Call(msgspec.Struct, frozen=True):
@@ -78,13 +79,11 @@
             async with asyncio.timeout(timeout_s):
                 connection.send(call.method, call.target, headers, call.body)
                 head = await connection.read_head(lambda head: True)
-                parts = []
-                while (data := await connection.read_data()) is not None:
-                    parts.append(data)
+                body = await connection.read_body(MAX_RESPONSE_BYTES)
         except TimeoutError:
             return CallFailed(f"no complete response within {timeout_s:.3g} s", True)
         except ConnectionEnded as error:
             return CallFailed(str(error), True)
         finally:
             self._pool.release("", connection)
-        return CallResponse(head.status, b"".join(parts))
+        return CallResponse(head.status, body)
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -14,6 +14,13 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
+# Reading pauses while more received bytes are not parsed yet, since their reader waits.
+MAX_UNPARSED_BYTES = 256 * 1024
+# Largest response to another request that is skipped before the expected one.
+MAX_SKIPPED_BYTES = 1024 * 1024
+MAX_INFORMATIONAL_RESPONSES = 16
+# Other tasks run after this many parsed parts, which may be as short as one byte.
+MAX_PARTS_PER_TURN = 64
 
 
 class ConnectionEnded(Exception):  # noqa: N818
@@ -47,6 +54,9 @@
         self._reset = False
         self._idle = True
         self._unusable = False
+        self._unparsed_bytes = 0
+        self._parts_in_turn = 0
+        self.in_body = False
         self._sent: list[h11.Event] = []
         self.idle_since = 0.0
         self.idle_limit_s = float("inf")
@@ -70,6 +80,9 @@
             return
         if self._http.their_state is not h11.ERROR:
             self._http.receive_data(data)
+        self._unparsed_bytes += len(data)
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES and self._transport is not None:
+            self._transport.pause_reading()
         self._wake.set()
 
     def eof_received(self) -> bool:
@@ -143,11 +156,17 @@
         Raises
         ------
         ConnectionEnded
-            If the connection ends before such a response.
+            If the connection ends before such a response, or sends too many others.
         """
+        informational = 0
         while True:
             event = await self._read_event()
             if isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL_RESPONSES:
+                    raise ConnectionEnded(
+                        f"over {MAX_INFORMATIONAL_RESPONSES} informational responses"
+                    )
                 continue
             if not isinstance(event, h11.Response):
                 raise ConnectionEnded("closed before the head of a response")
@@ -171,6 +190,26 @@
             return None
         raise ConnectionEnded("closed before the end of the response body")
 
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Return the whole body; ``in_body`` is true until then.
+
+        Raises
+        ------
+        ConnectionEnded
+            If the connection ends before the body is complete, or the body is longer
+            than ``max_bytes``.
+        """
+        self.in_body = True
+        parts = []
+        size = 0
+        while (data := await self.read_data()) is not None:
+            size += len(data)
+            if size > max_bytes:
+                raise ConnectionEnded(f"the body is longer than {max_bytes} bytes")
+            parts.append(data)
+        self.in_body = False
+        return b"".join(parts)
+
     def abort(self) -> None:
         """Reset the connection.
 
@@ -191,6 +230,10 @@
         self.idle_since = now
 
     async def _read_event(self) -> object:
+        self._parts_in_turn += 1
+        if self._parts_in_turn >= MAX_PARTS_PER_TURN:
+            self._parts_in_turn = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 event = self._http.next_event()
@@ -204,13 +247,16 @@
                     if self._reset
                     else "the connection was closed"
                 )
+            self._unparsed_bytes = 0
+            self._parts_in_turn = 0
+            if self._transport is not None:
+                self._transport.resume_reading()
             self._wake.clear()
             await self._wake.wait()
 
     async def _skip_response(self) -> None:
         """Discard a response to another request and reset the parser for this one."""
-        while await self.read_data() is not None:
-            pass
+        await self.read_body(MAX_SKIPPED_BYTES)
         rest = self._http.trailing_data[0]
         if self._http.their_state is not h11.DONE:
             raise ConnectionEnded("closed after a response to another request")
--- a/tarragonway/links/link.py
+++ b/tarragonway/links/link.py
@@ -15,6 +15,7 @@
 import msgspec
 import structlog
 
+from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.links.messages import LinkMessage
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -140,8 +141,10 @@
 
     def _deliver(self, body: bytes, compressed: bool) -> bool:
         try:
-            message = _decoder.decode(zlib.decompress(body) if compressed else body)
-        except (msgspec.MsgspecError, zlib.error) as error:
+            if compressed:
+                body = decompress(body, MAX_FRAME_BYTES)
+            message = _decoder.decode(body)
+        except (msgspec.MsgspecError, DecompressionError) as error:
             _log.error("link aborted", peer=self.peer, reason=str(error))
             self.abort()
             return False
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -3,8 +3,9 @@
 import msgspec
 
 from tarragonway.consensus import Member, Packet
-from tarragonway.core.ids import AccountId, Fingerprint, ProcessName
+from tarragonway.core.ids import AccountId, Fingerprint, ProcessName, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.exchange import EngineSpeed
 
 
 class Join(msgspec.Struct, frozen=True, tag=True):
@@ -115,7 +116,8 @@
     endpoint list. ``usage`` counts are cumulative, so a repeated report changes
     nothing. ``offered_load`` is the work that the gateway sends to each service, in
     seconds of work per second. ``crashes`` and ``history`` are sent with the first
-    report to a new leader.
+    report to a new leader. ``speeds``, which the gateway has fitted to the answers of
+    services, are sent with every few reports and None otherwise.
     """
 
     name: ProcessName
@@ -127,6 +129,7 @@
     crashes: tuple[CrashReport, ...]
     offered_load: dict[str, float] = msgspec.field(name="pressure", default={})
     history: GrantHistory | None = None
+    speeds: dict[ServiceName, EngineSpeed] | None = None
 
 
 class GatewayReportReply(msgspec.Struct, frozen=True, tag="BeatReply"):
@@ -136,6 +139,7 @@
     all clocks; ``gateways`` is the number of gateways that report, 0 if not known yet;
     ``list_version`` is the leader's list version and ``list_age_s`` the age of that
     list in seconds. ``quarantined`` and ``suspects`` are fingerprints of contents.
+    ``speeds`` are those that all gateways use, sent in reply to reports with speeds.
     """
 
     term: int
@@ -146,6 +150,7 @@
     list_age_s: float = msgspec.field(name="listing_age_s")
     quarantined: tuple[Fingerprint, ...] = ()
     suspects: tuple[Fingerprint, ...] = ()
+    speeds: dict[ServiceName, EngineSpeed] | None = None
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
--- a/tarragonway/links/tests/test_link.py
+++ b/tarragonway/links/tests/test_link.py
@@ -1,5 +1,14 @@
+import struct
+import zlib
+
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
-from tarragonway.links.link import MIN_COMPRESSION_BYTES, Link, encode_message
+from tarragonway.links.link import (
+    COMPRESSED_BIT,
+    MAX_FRAME_BYTES,
+    MIN_COMPRESSION_BYTES,
+    Link,
+    encode_message,
+)
 from tarragonway.links.messages import EndpointUpdate, FetchConfiguration
 
 
@@ -24,3 +33,11 @@
 
 async def test_short_messages_are_sent_as_they_are():
     assert len(encode_message(make_update(1))) < MIN_COMPRESSION_BYTES / 10
+
+
+async def test_message_that_decompresses_to_too_much_aborts_the_link():
+    received = []
+    link = Link(lambda link, message: received.append(message), lambda link: None)
+    body = zlib.compress(bytes(MAX_FRAME_BYTES + 1))
+    link.data_received(struct.pack(">I", len(body) | COMPRESSED_BIT) + body)
+    assert not received
--- a/tarragonway/platform/configuration.py
+++ b/tarragonway/platform/configuration.py
@@ -1,11 +1,11 @@
 """Decoder of the platform's configuration format."""
 
-import zlib
-
 import msgspec
 
+from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.ids import AccountId, ServiceName, ZoneName
 from tarragonway.routes.model import (
+    MAX_CONFIGURATION_BYTES,
     Account,
     Configuration,
     ConfigurationError,
@@ -54,6 +54,8 @@
 class _Engine(msgspec.Struct):
     slots: int
     kv_capacity_tokens: int = 0
+    # Output tokens in each event of a stream.
+    stride: int = 1
 
 
 class _Scaling(msgspec.Struct):
@@ -167,7 +169,11 @@
 def _convert_service(service: _Service) -> Service:
     engine = scaling = None
     if service.engine is not None:
-        engine = EngineTraits(service.engine.slots, service.engine.kv_capacity_tokens)
+        engine = EngineTraits(
+            service.engine.slots,
+            service.engine.kv_capacity_tokens,
+            max(1, service.engine.stride),
+        )
     if service.scaling is not None:
         prices = service.scaling.zone_prices.items()
         scaling = ScalingTraits(
@@ -194,5 +200,14 @@
 
 
 def decode_compressed(data: bytes) -> Configuration:
-    """Return the configuration from the compressed text that the log stores."""
-    return decode_configuration(zlib.decompress(data))
+    """Return the configuration from the compressed text that the log stores.
+
+    Raises
+    ------
+    ConfigurationError
+        If the text can't be decompressed or decoded, or is inconsistent.
+    """
+    try:
+        return decode_configuration(decompress(data, MAX_CONFIGURATION_BYTES))
+    except DecompressionError as error:
+        raise ConfigurationError(f"cannot be decompressed: {error}") from error
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -1,5 +1,7 @@
 """Decoding and encoding of the platform's headers in requests and answers."""
 
+import math
+
 from tarragonway.core.ids import AttemptId
 from tarragonway.exchange import (
     CallerRequest,
@@ -83,9 +85,10 @@
     if value is None:
         return None
     try:
-        return float(value)
+        number = float(value)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def _parse_api_key(value: bytes | None) -> str | None:
--- a/tarragonway/platform/tests/test_requests.py
+++ b/tarragonway/platform/tests/test_requests.py
@@ -1,3 +1,5 @@
+import pytest
+
 from tarragonway.core.ids import AccountId
 from tarragonway.exchange import ForwardContext, Load
 from tarragonway.http1 import Request, ResponseHead
@@ -89,3 +91,9 @@
     assert facts.load == Load(3, 1, 8)
     assert facts.keep_alive_s == 7
     assert facts.closes_connection
+
+
+@pytest.mark.parametrize("value", [b"nan", b"inf", b"-inf", b"1e999", b"x"])
+def test_deadline_that_is_no_finite_number_counts_as_absent(value):
+    request = make_request((b"tarragonway-deadline-ms", value))
+    assert requests.decode_request(request).timeout_s is None
--- a/tarragonway/routes/model.py
+++ b/tarragonway/routes/model.py
@@ -7,6 +7,9 @@
 from tarragonway.core.errors import TarragonwayError
 from tarragonway.core.ids import AccountId, ServiceName, ZoneName
 
+# Longest text of a configuration.
+MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
+
 
 class ConfigurationError(TarragonwayError):
     """A configuration is invalid; the message states the first fault."""
@@ -60,10 +63,14 @@
 
 
 class EngineTraits(msgspec.Struct, frozen=True):
-    """Capacity of each model engine of a service: requests and cached tokens."""
+    """Capacity of each model engine of a service: requests and cached tokens.
+
+    Each event of a stream holds ``tokens_per_event`` output tokens.
+    """
 
     slots: int
     cache_tokens: int
+    tokens_per_event: int = 1
 
 
 class ScalingTraits(msgspec.Struct, frozen=True):
