--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -147,25 +147,6 @@
     return sum(counts.values()) - largest_loss
 
 
-def estimate_initial_need(counts: Mapping[EndpointKind, int]) -> int:
-    """Return the need for which a deployment was created, before it has any load.
-
-    The endpoints that it was created with are taken for a fleet with spare ones, as
-    :func:`plan_fleet` makes it, so the need is what remains after the worst loss.
-
-    Examples
-    --------
-    >>> counts = zip("abcd", (5, 5, 4, 4), strict=True)
-    >>> estimate_initial_need({EndpointKind(z, False): n for z, n in counts})
-    8
-    """
-    by_zone: dict[ZoneName, int] = {}
-    for kind, count in counts.items():
-        by_zone[kind.zone] = by_zone.get(kind.zone, 0) + count
-    remaining_zones = max(1, len(by_zone) - MAX_LOST_ZONES)
-    return max(MIN_ENDPOINTS, sum(sorted(by_zone.values())[:remaining_zones]))
-
-
 def _count_on_demand(
     needed: int,
     wanted: Mapping[ZoneName, int],
--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -14,14 +14,12 @@
 )
 from tarragonway.routes.model import Account
 
-# A new bucket starts with the quota of this time, so almost empty, since a former
-# leader may have granted the rest just before.
+# A bucket starts with the quota of this time when this process becomes the leader, so
+# almost empty, since a former leader may have granted the rest just before.
 INITIAL_FILL_S = 0.05
-# Fractions of the tolerated overrun that are added to the burst, and to what a window
-# refills. The rest covers requests that overdraw the bucket, and gateways that admit
-# requests without a leader.
+# Fraction of the tolerated overrun that is added to the burst. The rest covers requests
+# that overdraw the bucket, and gateways that admit requests without a leader.
 BURST_TOLERANCE_FRACTION = 0.5
-REFILL_TOLERANCE_FRACTION = 0.1
 # A request of at most this fraction of a second's quota is small. It does not wait for
 # the refill after a long prompt, which may overdraw the bucket by a second's quota.
 SMALL_REQUEST_FRACTION = 0.01
@@ -57,21 +55,6 @@
             account
         )
 
-    def compute_refill_rate(self, account: Account) -> float:
-        """Return the bucket's refill rate in units per second.
-
-        Together with the capacity, a window's refill stays within the quota and a part
-        of its tolerance.
-
-        Examples
-        --------
-        >>> account = Account("a", (), counts_tokens=True, per_s=10.0, burst=20.0)
-        >>> QuotaPolicy(8.0, 0.1, 6.0).compute_refill_rate(account)
-        10.2
-        """
-        tolerated = REFILL_TOLERANCE_FRACTION * self.compute_tolerance(account)
-        return account.per_s + tolerated / self.window_s
-
     def compute_tolerance(self, account: Account) -> float:
         """Return the units by which the account may exceed its quota in a window."""
         tolerated = self.overrun * (account.per_s * self.window_s + account.burst)
@@ -100,6 +83,7 @@
         self._policy = policy
         self._histories: dict[ProcessName, GrantHistory] = {}
         self._has_restored_levels = False
+        self._leader_since: float | None = None
         self._buckets: dict[AccountId, OverdraftBucket] = {}
         self._small_buckets: dict[AccountId, OverdraftBucket] = {}
 
@@ -109,6 +93,7 @@
         self._small_buckets.clear()
         self._histories.clear()
         self._has_restored_levels = False
+        self._leader_since = None
 
     def record_history(
         self,
@@ -123,6 +108,8 @@
         account may still use, so that a change of leader limits only accounts that are
         near their quota.
         """
+        if self._leader_since is None:
+            self._leader_since = now
         self._histories[gateway] = history
         expected = max(grants.gateways for grants in self._histories.values())
         if self._has_restored_levels or len(self._histories) < expected:
@@ -140,14 +127,13 @@
         """
         capacity = self._policy.compute_capacity(account)
         seconds = int(self._policy.window_s)
-        refill_rate = self._policy.compute_refill_rate(account)
-        window_units = capacity + refill_rate * seconds
+        window_units = capacity + account.per_s * seconds
         past_grants = self._sum_past_grants(account, window_units / seconds)
         level = capacity
         for seconds_ago in range(seconds + 1):
             # The latest second is incomplete, so the window includes one second more.
             past_units = sum(past_grants[: seconds_ago + 1])
-            future_units = refill_rate * (seconds - seconds_ago)
+            future_units = account.per_s * (seconds - seconds_ago)
             level = min(level, window_units - past_units - future_units)
         return max(0.0, level)
 
@@ -186,8 +172,7 @@
             return QuotaReply(quota_request.sequence, True)
         bucket = self._get_bucket(account, now)
         capacity = self._policy.compute_capacity(account)
-        refill_rate = self._policy.compute_refill_rate(account)
-        wait_s = bucket.take(quota_request.units, refill_rate, capacity, now)
+        wait_s = bucket.take(quota_request.units, account.per_s, capacity, now)
         if wait_s > 0 and self._take_small(account, quota_request.units, now):
             bucket.level -= quota_request.units
             wait_s = 0.0
@@ -209,7 +194,9 @@
     def _get_bucket(self, account: Account, now: float) -> OverdraftBucket:
         bucket = self._buckets.get(account.id)
         if bucket is None:
-            bucket = OverdraftBucket(account.per_s * INITIAL_FILL_S, now)
+            # The account has used nothing since this process became the leader.
+            since = now if self._leader_since is None else self._leader_since
+            bucket = OverdraftBucket(account.per_s * INITIAL_FILL_S, since)
             self._buckets[account.id] = bucket
         return bucket
 
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -14,7 +14,6 @@
     compute_needed_endpoints,
     count_after_zone_loss,
     count_by_kind,
-    estimate_initial_need,
     plan_fleet,
 )
 from tarragonway.coordinator.gateways import GatewayReports
@@ -154,16 +153,13 @@
         """Return the most endpoints needed within the last :data:`SCALE_DOWN_DELAY_S`.
 
         Until a load has been reported, the operator's own estimate of the need is
-        inferred from the endpoints that the deployment was created with. A later leader
-        takes those found at first that would remain after the loss of a zone, or the
-        number of on-demand ones if it is larger.
+        inferred from the endpoints: the number of those found at first that would
+        remain after the loss of a zone, or the number of on-demand ones if it is
+        larger.
         """
-        is_idle = self._is_idle(service)
         on_demand = sum(n for kind, n in counts.items() if not kind.reclaimable)
         history = self._need_history.get(service)
-        if history is None and is_idle:
-            history = [(now, estimate_initial_need(counts))]
-        elif history is None:
+        if history is None:
             history = [(now, count_after_zone_loss(counts))]
         offered_load = self._gateway_reports.sum_offered_load(service, now)
         if offered_load:
@@ -171,7 +167,7 @@
         if service in self._services_with_load:
             history.append((now, compute_needed_endpoints(offered_load, self._policy)))
         else:
-            history.append((now, max(history[-1][1], 0 if is_idle else on_demand)))
+            history.append((now, max(history[-1][1], on_demand)))
         self._need_history[service] = [
             (at, n) for at, n in history if now - at < SCALE_DOWN_DELAY_S
         ]
--- a/tarragonway/exchange/__init__.py
+++ b/tarragonway/exchange/__init__.py
@@ -4,6 +4,7 @@
     PRIOR_SPEED,
     EngineSpeed,
     combine_speeds,
+    limit_rise,
 )
 from tarragonway.exchange.model import (
     CallerRequest,
@@ -24,4 +25,5 @@
     "PromptPart",
     "ResponseInfo",
     "combine_speeds",
+    "limit_rise",
 ]
--- a/tarragonway/exchange/engine_speed.py
+++ b/tarragonway/exchange/engine_speed.py
@@ -48,9 +48,11 @@
         ) / 1000
 
 
-# Assumed until enough answers have been measured: slower than engines of current
-# accelerators, so that a new deployment starts with some spare capacity.
-PRIOR_SPEED = EngineSpeed(1 / 55, 0.0, 0.25, 4.0, 1.0)
+# Assumed until enough answers have been measured.
+PRIOR_SPEED = EngineSpeed(0.018, 3.0, 0.1, 4.0, 0.5)
+# Waiting inflates the measured times while engines are overloaded, so an estimate may
+# rise only by this factor per second. It may fall at once.
+MAX_RISE_PER_S = 1.03
 
 
 def combine_speeds(speeds: Iterable[EngineSpeed]) -> EngineSpeed:
@@ -64,3 +66,26 @@
     """
     columns = zip(*(msgspec.structs.astuple(speed) for speed in speeds), strict=True)
     return EngineSpeed(*(statistics.median(column) for column in columns))
+
+
+def limit_rise(
+    previous: EngineSpeed, current: EngineSpeed, elapsed_s: float
+) -> EngineSpeed:
+    """Return the current speed, with times that depend on waiting bounded.
+
+    Examples
+    --------
+    >>> before = EngineSpeed(0.01, 1.0, 0.1, 4.0, 0.5)
+    >>> after = EngineSpeed(0.03, 1.0, 0.1, 2.0, 0.5)
+    >>> limited = limit_rise(before, after, 1.0)
+    >>> limited.prompt_token_ms, limited.running_request_ms
+    (0.0103, 2.0)
+    """
+    factor = MAX_RISE_PER_S**elapsed_s
+    return msgspec.structs.replace(
+        current,
+        prompt_token_ms=min(current.prompt_token_ms, previous.prompt_token_ms * factor),
+        running_request_ms=min(
+            current.running_request_ms, previous.running_request_ms * factor
+        ),
+    )
--- a/tarragonway/gateway/offered_load.py
+++ b/tarragonway/gateway/offered_load.py
@@ -22,11 +22,11 @@
     --------
     >>> meter = OfferedLoadMeter(EngineSpeeds())
     >>> _ = meter.measure(0.0)
-    >>> meter.add("llm", Prompt(5500, 0), slots=8)
+    >>> meter.add("llm", Prompt(5500, 20), slots=8)
     >>> meter.measure(1.0)
-    {'llm': 0.05}
+    {'llm': 0.0519}
     >>> meter.measure(2.0)
-    {'llm': 0.025}
+    {'llm': 0.0259}
     """
 
     def __init__(self, speeds: EngineSpeeds) -> None:
--- a/tarragonway/routing/engine_speed.py
+++ b/tarragonway/routing/engine_speed.py
@@ -136,8 +136,8 @@
 class EngineSpeeds:
     """Speed of the engines of each service, as this gateway knows it.
 
-    The speed that the leader has sent goes before the gateway's own fit, so that all
-    gateways use the same one. Without either, it is :data:`PRIOR_SPEED`.
+    All gateways use the speeds that the leader has combined from their fits. Until the
+    first ones arrive, that is :data:`PRIOR_SPEED`.
 
     Examples
     --------
@@ -151,11 +151,7 @@
 
     def get(self, service: ServiceName) -> EngineSpeed:
         """Return the speed of the service's engines."""
-        shared = self._shared.get(service)
-        if shared is not None:
-            return shared
-        fit = self._fits.get(service)
-        return (fit.speed if fit is not None else None) or PRIOR_SPEED
+        return self._shared.get(service, PRIOR_SPEED)
 
     def get_fit(self, service: ServiceName) -> SpeedFit:
         """Return the fit of the service, which records measurements."""
