Disconnect callers that send a body without end

A body that exceeds its limit was answered 413, but the bytes that followed were parsed further: each of them was rejected again and started the timer of the close again, so the connection stayed for as long as the caller sent, and the body grew.

--- a/tarragonway/http1/server.py
+++ b/tarragonway/http1/server.py
@@ -153,6 +153,7 @@
         self._body = bytearray()
         self._pending_bytes = 0
         self._receiving = False
+        self._is_closing = False
 
     def _make_state(self) -> h11.Connection:
         return h11.Connection(
@@ -179,9 +180,10 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; while a request is answered, only buffer them.
 
-        Reading pauses when more than :data:`MAX_PIPELINED_BYTES` are buffered.
+        Reading pauses when more than :data:`MAX_PIPELINED_BYTES` are buffered. Bytes
+        that arrive after the last response are discarded.
         """
-        if not data or self._transport is None:
+        if not data or self._transport is None or self._is_closing:
             return
         if self._http.their_state is h11.ERROR:
             return
@@ -372,6 +374,8 @@
         """
         if self._transport is None or self._transport.is_closing():
             return
+        self._is_closing = True
+        self._body.clear()
         self._cancel_timer()
         if self._transport.can_write_eof():
             self._transport.write_eof()
