Keep learned speeds over changes of leader, and late grants with their leader

- The leader bounded the rise of combined speeds from the prior, so each change of leader brought slow engines back to the prior for most of a minute.
The gateways, which outlive a change, now bound what they report by the speeds in use, and the leader only takes the median.
- A late grant of a former leader was returned to the next one, which had never charged it, and could have raised a bucket beyond the quota.
Requests to a former leader are forgotten (the test failed before).
- Records of crashes were searched for expired ones at each report; now once a second.

--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -9,7 +9,7 @@
 from tarragonway.coordinator.suspects import SuspectedContents
 from tarragonway.core.clock import WallClock
 from tarragonway.core.ids import AccountId, ProcessName, ServiceName
-from tarragonway.exchange import PRIOR_SPEED, EngineSpeed, combine_speeds, limit_rise
+from tarragonway.exchange import EngineSpeed, combine_speeds
 from tarragonway.links.messages import GatewayReport, GatewayReportReply
 from tarragonway.replication import LogDriver
 
@@ -24,8 +24,6 @@
 MIN_CLOCK_STEP_S = 0.02
 # Time for which the combined speeds of engines are sent without being computed again.
 SPEEDS_INTERVAL_S = 1.0
-# Longest time since then during which the speeds may have risen.
-MAX_SPEEDS_AGE_S = 5.0
 
 _log = structlog.get_logger()
 
@@ -160,13 +158,7 @@
         for gateway in self._list_live(now).values():
             for service, speed in gateway.speeds.items():
                 fitted.setdefault(service, []).append(speed)
-        elapsed_s = min(now - self._speeds_combined_at, MAX_SPEEDS_AGE_S)
-        combined = {
-            name: limit_rise(
-                self._speeds.get(name, PRIOR_SPEED), combine_speeds(speeds), elapsed_s
-            )
-            for name, speeds in fitted.items()
-        }
+        combined = {name: combine_speeds(speeds) for name, speeds in fitted.items()}
         if combined != self._speeds:
             _log.info("speeds of engines combined", speeds=repr(combined))
         self._speeds, self._speeds_combined_at = combined, now
--- a/tarragonway/coordinator/suspects.py
+++ b/tarragonway/coordinator/suspects.py
@@ -13,6 +13,7 @@
 MAX_QUARANTINED = 64
 # Time after its last crash for which a content is suspected or quarantined.
 CRASH_RETENTION_S = 600.0
+EXPIRY_INTERVAL_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -39,6 +40,7 @@
 
     def __init__(self) -> None:
         self._suspects: dict[Fingerprint, _Suspect] = {}
+        self._expired_at = float("-inf")
 
     @property
     def quarantined(self) -> tuple[Fingerprint, ...]:
@@ -90,6 +92,9 @@
 
     def expire(self, now: float) -> None:
         """Remove the records of contents whose last crash is long ago."""
+        if now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
         for fingerprint in [
             fingerprint
             for fingerprint, suspect in self._suspects.items()
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -40,6 +40,7 @@
 REPORT_INTERVAL_S = 0.25
 # Every this many reports, the gateway reports the speeds that it has fitted.
 REPORTS_PER_SPEED_REPORT = 8
+SPEED_REPORT_INTERVAL_S = REPORTS_PER_SPEED_REPORT * REPORT_INTERVAL_S
 # A request for the configuration may be repeated after this time without an answer.
 FETCH_TIMEOUT_S = 0.3
 # Number of the latest crash reports that are sent again to a new leader.
@@ -185,6 +186,7 @@
             if link.peer != self._leader or status.term != self._term:
                 _log.info("leader is known", leader=link.peer, term=status.term)
                 self._full_report = True
+                self._quota.forget_unanswered()
             self._term = status.term
             self._leader = link.peer
         elif link.peer == self._leader and not status.is_leader:
@@ -292,7 +294,9 @@
             tuple(self._crashes) if self._full_report else (),
             self._offered_load.measure(now),
             self._quota.make_history() if self._full_report else None,
-            self._speeds.list_fitted() if has_speeds or self._full_report else None,
+            self._speeds.list_fitted(SPEED_REPORT_INTERVAL_S)
+            if has_speeds or self._full_report
+            else None,
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -171,6 +171,13 @@
             self._counters.increment("quota.late_grants")
             self._send(unused)
 
+    def forget_unanswered(self) -> None:
+        """Forget the requests to a former leader.
+
+        Its late grants must not be returned, as a new leader has not charged them.
+        """
+        self._unanswered.clear()
+
     async def _request_units(
         self, account: AccountId, units: float
     ) -> tuple[int, QuotaReply | None]:
--- a/tarragonway/gateway/tests/test_control_link.py
+++ b/tarragonway/gateway/tests/test_control_link.py
@@ -1,3 +1,4 @@
+import asyncio
 import zlib
 
 import pytest
@@ -13,9 +14,11 @@
     ConfigurationText,
     EndpointUpdate,
     GatewayReportReply,
+    QuotaReply,
+    QuotaReturn,
     Status,
 )
-from tarragonway.routes import Configuration, ConnectionLimits
+from tarragonway.routes import Account, Configuration, ConnectionLimits
 from tarragonway.routes.model import MAX_CONFIGURATION_BYTES
 from tarragonway.routing.engine_speed import EngineSpeeds
 
@@ -146,3 +149,17 @@
     reply = GatewayReportReply(2, 1, 0.0, 3, 0, 0.0, speeds={"llm": speed})
     deliver(link, "c2:1", reply)
     assert link._speeds.get("llm") == speed
+
+
+async def test_late_grant_of_a_former_leader_is_not_returned_to_the_next(link):
+    """The next leader has not charged the units, so a return would exceed the quota."""
+    deliver(link, "s1:1", status(1, "s1:1", True))
+    account = Account("a", (), counts_tokens=True, per_s=160.0, burst=160.0)
+    asking = asyncio.create_task(link.quota.admit(account, 1000.0))
+    await asyncio.sleep(0.01)
+    asking.cancel()
+    await asyncio.wait([asking])
+    deliver(link, "c2:1", status(2, "c2:1", True))
+    _, request = link._link_pool.sent[-1]
+    deliver(link, "s1:1", QuotaReply(request.sequence, True))
+    assert not any(isinstance(m, QuotaReturn) for _, m in link._link_pool.sent)
--- a/tarragonway/routing/engine_speed.py
+++ b/tarragonway/routing/engine_speed.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping, Sequence
 
 from tarragonway.core.ids import ServiceName
-from tarragonway.exchange import PRIOR_SPEED, EngineSpeed
+from tarragonway.exchange import PRIOR_SPEED, EngineSpeed, limit_rise
 
 # Number of latest measurements of each kind that a fit uses.
 RETAINED_SAMPLES = 200
@@ -157,10 +157,20 @@
         """Return the fit of the service, which records measurements."""
         return self._fits.setdefault(service, SpeedFit())
 
-    def list_fitted(self) -> dict[ServiceName, EngineSpeed]:
-        """Return the speeds that this gateway has fitted itself."""
+    def list_fitted(self, elapsed_s: float) -> dict[ServiceName, EngineSpeed]:
+        """Return the speeds that this gateway has fitted itself.
+
+        Parameters
+        ----------
+        elapsed_s : float
+            Seconds since the last call, which bound the rise beyond the speeds in use.
+        """
         speeds = {service: fit.speed for service, fit in self._fits.items()}
-        return {name: speed for name, speed in speeds.items() if speed is not None}
+        return {
+            name: limit_rise(self.get(name), speed, elapsed_s)
+            for name, speed in speeds.items()
+            if speed is not None
+        }
 
     def set_shared(self, speeds: Mapping[ServiceName, EngineSpeed]) -> None:
         """Replace the speeds that the leader has sent."""
--- a/tarragonway/routing/tests/test_engine_speed.py
+++ b/tarragonway/routing/tests/test_engine_speed.py
@@ -7,13 +7,19 @@
 import itertools
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bench.engine_model import EngineModel, EngineRequest, EngineTiming
 from tarragonway.exchange import PRIOR_SPEED, combine_speeds
-from tarragonway.routing.engine_speed import MIN_SAMPLES, SpeedFit, fit_line
+from tarragonway.routing.engine_speed import (
+    MIN_SAMPLES,
+    EngineSpeeds,
+    SpeedFit,
+    fit_line,
+)
 
 TOKENS_PER_EVENT = 5
 LONG_PROMPT_TOKENS = 12_000
@@ -115,6 +121,35 @@
     assert max(errors) <= MAX_ERROR_FACTOR
 
 
+def test_speeds_rise_slowly_while_engines_are_overloaded_and_fall_at_once():
+    """Waiting inflates what gateways measure during a burst.
+
+    The speeds in use outlive a change of leader, since each gateway has them.
+    """
+    speeds = EngineSpeeds()
+    in_use = PRIOR_SPEED
+
+    def report(prompt_token_ms, elapsed_s):
+        nonlocal in_use
+        fitted = msgspec.structs.replace(
+            PRIOR_SPEED, prompt_token_ms=prompt_token_ms, running_request_ms=2.0
+        )
+        speeds.get_fit("llm")._speed = fitted
+        in_use = speeds.list_fitted(elapsed_s)["llm"]
+        speeds.set_shared({"llm": in_use})
+        return in_use.prompt_token_ms
+
+    assert report(0.01, 2.0) == 0.01
+    assert report(0.05, 2.0) < 0.011
+    for _ in range(4):
+        report(0.05, 2.0)
+    assert in_use.prompt_token_ms < 0.014
+    for _ in range(30):
+        report(0.05, 2.0)
+    assert in_use.prompt_token_ms == 0.05
+    assert report(0.01, 2.0) == 0.01
+
+
 def test_few_answers_give_no_fit():
     played = play(EngineTiming(), 0.4, 1, requests=MIN_SAMPLES // 2)
     assert fit(played) is None
