Admit joining coordinators and find leaders that no seed or known member names

A follower now answers a join request with its status, and a process that is no voter yet connects to the members and the leader that a status names. The test of a joining process failed before.

By reading, beside it: a gateway whose known leader is removed for good hears nothing from it, and did not learn the members that followers of a later term list. The test failed before.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -63,6 +63,7 @@
 SNAPSHOT_INTERVAL_ENTRIES = 200
 RETAINED_ENTRIES = 50
 MIN_VOTERS = 3
+MAX_NAMED_MEMBERS = 32
 # Fraction of the grace period that stepping down may take. A member without which the
 # group has no majority keeps running for up to half of that time, and then transfers
 # leadership.
@@ -100,6 +101,7 @@
             self._handle_message, self._handle_link_opened, self._handle_link_closed
         )
         self._gateways: dict[Link, ProcessName] = {}
+        self._named_members: set[str] = set()
         self._clock = WallClock()
         self._view = EndpointView()
         self._configuration: Configuration | None = None
@@ -270,13 +272,18 @@
     async def _maintain_member_links(self) -> None:
         """Maintain links to all members and seeds.
 
-        Join requests are sent until this process is a voter.
+        Join requests are sent until this process is a voter. Only the leader can admit
+        it and may be no seed, so it also connects to the members that others name.
         """
         own = self._driver.own_member
         while True:
             membership = self._driver.replica.membership
             known = {member.name for member in membership.members}
-            self._link_pool.connect_to({*known, *self._seeds} - {self._address})
+            if own.id in membership.voter_ids:
+                self._named_members.clear()
+            self._link_pool.connect_to(
+                {*known, *self._seeds, *self._named_members} - {self._address}
+            )
             if own.id not in membership.voter_ids:
                 for link in self._link_pool.links.values():
                     link.send(Join(own))
@@ -309,11 +316,19 @@
         self._publisher.remove_link(link)
 
     def _handle_message(self, link: Link, message: LinkMessage) -> None:
+        """Handle a message of another coordinator or of a gateway."""
         match message:
             case Packet():
                 self._handle_packet(message)
             case Join(member):
-                self._driver.record_join_request(member)
+                self._handle_join(link, member)
+            case Status():
+                self._record_named_members(message)
+            case _:
+                self._handle_gateway_message(link, message)
+
+    def _handle_gateway_message(self, link: Link, message: LinkMessage) -> None:
+        match message:
             case Hello(name):
                 link.peer = name
                 self._gateways[link] = name
@@ -335,6 +350,17 @@
             case _:
                 self._counters.increment("links.unexpected")
 
+    def _handle_join(self, link: Link, member: Member) -> None:
+        """Record the request, and name the leader to the sender if it is another."""
+        self._driver.record_join_request(member)
+        if not self._driver.is_leader:
+            link.send(self._make_status())
+
+    def _record_named_members(self, status: Status) -> None:
+        if self._driver.own_member.id not in self._driver.replica.membership.voter_ids:
+            named = {*status.coordinators, status.leader} - {""}
+            self._named_members = set(sorted(named)[:MAX_NAMED_MEMBERS])
+
     def _handle_report(self, link: Link, gateway_report: GatewayReport) -> None:
         if not self._driver.is_leader:
             link.send(self._make_status())
--- a/tarragonway/coordinator/tests/test_daemon.py
+++ b/tarragonway/coordinator/tests/test_daemon.py
@@ -1,8 +1,12 @@
+import asyncio
+import functools
 from types import SimpleNamespace
 
+from tarragonway.consensus import Member, Membership
 from tarragonway.coordinator.daemon import CoordinatorProcess
 from tarragonway.coordinator.tests.test_list_publisher import FakeLink, count_full_lists
-from tarragonway.links.messages import GatewayReport
+from tarragonway.core.ids import MemberId, ProcessName
+from tarragonway.links.messages import GatewayReport, Join, Status
 
 
 async def test_full_list_is_not_resent_with_each_report(publisher):
@@ -21,3 +25,67 @@
         CoordinatorProcess._handle_report(process, link, gateway_report)
     assert link.sent.count("reply") == 5
     assert 1 <= count_full_lists(link) <= 2
+
+
+def make_member_process(own, voters, leader):
+    """Return a stand-in of a process with the attributes that membership uses."""
+    members = [Member(MemberId(f"{name}#1"), ProcessName(name)) for name in voters]
+    membership = Membership(tuple(members))
+    process = SimpleNamespace(
+        _address=own,
+        _seeds=["a:1", "b:1"],
+        _named_members=set(),
+        _link_pool=FakeLinkPool(),
+        _machine=SimpleNamespace(revision=7),
+        _driver=SimpleNamespace(
+            is_leader=own == leader,
+            own_member=Member(MemberId(f"{own}#1"), ProcessName(own)),
+            record_join_request=lambda member: None,
+            replica=SimpleNamespace(
+                term=4, leader=f"{leader}#1" if leader else None, membership=membership
+            ),
+        ),
+    )
+    for name in ("_make_status", "_handle_join", "_record_named_members"):
+        method = getattr(CoordinatorProcess, name)
+        setattr(process, name, functools.partial(method, process))
+    return process
+
+
+class FakeLinkPool:
+    def __init__(self):
+        self.wanted = set()
+        self.links = {}
+
+    def connect_to(self, addresses):
+        self.wanted = set(addresses)
+
+
+async def maintain_links(process):
+    task = asyncio.create_task(CoordinatorProcess._maintain_member_links(process))
+    await asyncio.sleep(0.01)
+    task.cancel()
+    await asyncio.wait([task])
+
+
+async def test_joining_process_finds_a_leader_that_is_no_seed():
+    """All seeds but one are removed, and the leader has replaced one of them.
+
+    The remaining seed, which is a follower, cannot admit the process.
+    """
+    joining = make_member_process("new:1", [], "")
+    follower = make_member_process("a:1", ["a:1", "x:1", "y:1"], "x:1")
+    link = FakeLink()
+    CoordinatorProcess._handle_message(follower, link, Join(joining._driver.own_member))
+    for message in link.sent:
+        CoordinatorProcess._handle_message(joining, FakeLink(), message)
+    await maintain_links(joining)
+    assert joining._link_pool.wanted == {"a:1", "b:1", "x:1", "y:1"}
+
+
+async def test_voter_connects_to_its_own_members_only():
+    voter = make_member_process("a:1", ["a:1", "x:1", "y:1"], "x:1")
+    status = Status(3, "old:1", True, ("old:1", "older:1"), 5)
+    CoordinatorProcess._handle_message(voter, FakeLink(), status)
+    await maintain_links(voter)
+    assert voter._link_pool.wanted == {"b:1", "x:1", "y:1"}
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -199,12 +199,13 @@
     def _update_coordinators(self, status: Status) -> None:
         """Connect to the members that the leader lists.
 
-        Without a leader, connect to the members that any coordinator lists. The members
-        that a former leader lists may have been replaced since.
+        Without a leader, connect to the members that any coordinator lists, and so too
+        if a later term has begun: the known leader may have been removed for good. The
+        members that a former leader lists may have been replaced since.
         """
         if status.is_leader and status.term >= self._term:
             self._coordinators = set(status.coordinators)
-        elif not self._leader:
+        elif not self._leader or status.term > self._term:
             self._coordinators |= set(status.coordinators)
         self._link_pool.connect_to({*self._seeds, *self._coordinators})
 
--- a/tarragonway/gateway/tests/test_control_link.py
+++ b/tarragonway/gateway/tests/test_control_link.py
@@ -163,3 +163,11 @@
     _, request = link._link_pool.sent[-1]
     deliver(link, "s1:1", QuotaReply(request.sequence, True))
     assert not any(isinstance(m, QuotaReturn) for _, m in link._link_pool.sent)
+
+
+async def test_leader_that_has_replaced_a_removed_one_is_found_through_followers(link):
+    """The removed leader says nothing more, so its link gives no notice of the loss."""
+    deliver(link, "c2:1", status(2, "c2:1", True, members=("s1:1", "c2:1", "c3:1")))
+    members = ("s1:1", "c3:1", "c9:1")
+    deliver(link, "c3:1", status(3, "c9:1", False, members=members))
+    assert "c9:1" in link._link_pool.wanted
