--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -43,7 +43,8 @@
 
     After :meth:`send` and a full read, :attr:`is_reusable` is true if another request
     may use the connection: the response was complete, no bytes follow it and neither
-    side asked to close.
+    side asked to close. ``in_body`` is true while :meth:`read_body` has not reached the
+    end of the body.
     """
 
     def __init__(self) -> None:
@@ -191,7 +192,7 @@
         raise ConnectionEnded("closed before the end of the response body")
 
     async def read_body(self, max_bytes: int) -> bytes:
-        """Return the whole body; ``in_body`` is true until then.
+        """Return the whole body.
 
         Raises
         ------
--- a/tarragonway/routing/engine_speed.py
+++ b/tarragonway/routing/engine_speed.py
@@ -93,9 +93,11 @@
             self._steps.append((max(1.0, running), pause_ms / tokens_per_event))
             self._unfitted += 1
 
-    @property
-    def speed(self) -> EngineSpeed | None:
-        """The fitted speed, None while there are too few measurements."""
+    def compute_speed(self) -> EngineSpeed | None:
+        """Return the fitted speed, None while there are too few measurements.
+
+        The fit is computed again after :data:`REFIT_INTERVAL_SAMPLES` new ones.
+        """
         if self._unfitted >= REFIT_INTERVAL_SAMPLES:
             self._unfitted = 0
             self._speed = self._fit()
@@ -165,7 +167,7 @@
         elapsed_s : float
             Seconds since the last call, which bound the rise beyond the speeds in use.
         """
-        speeds = {service: fit.speed for service, fit in self._fits.items()}
+        speeds = {service: fit.compute_speed() for service, fit in self._fits.items()}
         return {
             name: limit_rise(self.get(name), speed, elapsed_s)
             for name, speed in speeds.items()
--- a/tarragonway/routing/tests/test_engine_speed.py
+++ b/tarragonway/routing/tests/test_engine_speed.py
@@ -74,7 +74,7 @@
             pauses,
             TOKENS_PER_EVENT,
         )
-    return result.speed
+    return result.compute_speed()
 
 
 def compute_errors(speed, timing):
