Log the parts and the beginning of broken requests, and crash reports

Now send failed has began and parts, the leader logs crash of an endpoint reported and counts crashes.reported. No logic changes.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -340,9 +340,7 @@
             case QuotaRequest():
                 self._handle_quota_request(link, message)
             case CrashReport():
-                self._gateway_reports.suspects.record_crash(
-                    message, asyncio.get_running_loop().time()
-                )
+                self._handle_crash_report(link, message)
             case SuspectCleared(fingerprint):
                 self._gateway_reports.suspects.clear_suspect(fingerprint)
             case QuotaReturn():
@@ -350,6 +348,18 @@
             case _:
                 self._counters.increment("links.unexpected")
 
+    def _handle_crash_report(self, link: Link, crash: CrashReport) -> None:
+        self._counters.increment("crashes.reported")
+        _log.info(
+            "crash of an endpoint reported",
+            gateway=link.peer,
+            endpoint=crash.endpoint,
+            fingerprint=crash.fingerprint,
+        )
+        self._gateway_reports.suspects.record_crash(
+            crash, asyncio.get_running_loop().time()
+        )
+
     def _handle_join(self, link: Link, member: Member) -> None:
         """Record the request, and name the leader to the sender if it is another."""
         self._driver.record_join_request(member)
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -252,6 +252,8 @@
                 endpoint=endpoint.platform_id,
                 address=endpoint.address,
                 outcome=repr(outcome),
+                began=began,
+                parts=_list_shared_parts(attempt),
                 sends=attempt.sends,
                 list_age_s=round(self._compute_list_age(), 2),
             )
@@ -388,6 +390,12 @@
         )
 
 
+def _list_shared_parts(attempt: Attempt) -> list[str]:
+    """Return the ids of the prompt's parts except the last, which is not shared."""
+    prompt = attempt.facts.prompt
+    return [part.id for part in prompt.parts[:-1]] if prompt is not None else []
+
+
 def _is_endpoint_failure(outcome: SendOutcome) -> bool:
     match outcome:
         case Unsent() | Broken():
