--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -82,9 +82,17 @@
         First of ten ports that are free on every loopback address in use.
     seed : int
         Seed of the endpoints' failures.
+    endpoint_counts : dict of str to int, optional
+        Number of endpoints of each service.
     """
 
-    def __init__(self, folder: pathlib.Path, base_port: int, seed: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        base_port: int,
+        seed: int,
+        endpoint_counts: dict[str, int] | None = None,
+    ) -> None:
         self.folder = folder
         self._base_port = base_port
         self.observations = Observations()
@@ -111,7 +119,9 @@
                 self.observations,
                 seed * 100 + 10 * kind + n,
             )
-            for kind, (service, count) in enumerate(ENDPOINT_COUNTS.items(), 1)
+            for kind, (service, count) in enumerate(
+                (endpoint_counts or ENDPOINT_COUNTS).items(), 1
+            )
             for n in range(1, count + 1)
         ]
         self.platform.endpoints = list(self.endpoints)
--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -13,6 +14,8 @@
 EVENT_INTERVAL_S = 0.02
 EVENTS_PER_STREAM = 12
 SERVICE_TIME_S = 0.02
+# Time for which a crashed endpoint refuses connections.
+CRASH_DURATION_S = 1.0
 
 
 class Execution(msgspec.Struct):
@@ -64,6 +67,12 @@
     failure_probability : float
         Probability that a request fails during its execution; a third of it is the
         probability that the request is refused before.
+    harmful_part : str
+        Id of a prompt part; the endpoint crashes when it begins to answer it.
+    on_harmful : callable
+        Called for each arriving request with that part.
+    crashed_at : list of float
+        Loop times at which the endpoint has crashed.
     """
 
     def __init__(
@@ -79,6 +88,10 @@
         self.address = address
         self.draining = False
         self.failure_probability = 0.0
+        self.harmful_part = ""
+        self.on_harmful: Callable[[], None] = lambda: None
+        self.crashed_at: list[float] = []
+        self._restart: asyncio.Task | None = None
         self._observations = observations
         self._random = random.Random(seed)
         self._server = HttpServer(self._handle, ConnectionLimits)
@@ -101,7 +114,7 @@
             "slots": 16,
             "state": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
-            "born": 1,
+            "born": 1 + len(self.crashed_at),
         }
 
     async def _handle(self, request: Request, writer: ResponseWriter) -> None:
@@ -127,6 +140,12 @@
         first = int(request.get(names.LAST_EVENT_ID) or b"0") + 1
         content_type = (b"content-type", b"text/event-stream")
         await writer.start(200, [*echo, SIGNATURE_HEADER, content_type])
+        prompt_parts = (request.get(names.PROMPT_PARTS) or b"").decode()
+        if self.harmful_part and f"{self.harmful_part}:" in prompt_parts:
+            self.on_harmful()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            self._crash()
+            return
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
             event = f"id: {number}\ndata: {number}\n\n".encode()
@@ -137,6 +156,16 @@
             await writer.write(event)
         writer.finish()
 
+    def _crash(self) -> None:
+        """Reset all connections and start as a new incarnation after a while."""
+        self.crashed_at.append(asyncio.get_running_loop().time())
+        self._server.close()
+        self._restart = asyncio.create_task(self._start_again())
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(CRASH_DURATION_S)
+        await self._server.listen(self.address)
+
 
 class StubPlatform:
     """The platform's interface: endpoint list, usage reports and orders.
