--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -20,6 +20,7 @@
 from tarragonway.coordinator.list_publisher import ListPublisher
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.coordinator.operators import OperatorInterface
+from tarragonway.coordinator.part_holds import PartHolds
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
 from tarragonway.coordinator.scaling import FleetReconciler
 from tarragonway.coordinator.usage import UsageReporter
@@ -40,6 +41,9 @@
     Hello,
     Join,
     LinkMessage,
+    PartsBegan,
+    ProbeEnded,
+    ProbeRequest,
     QuotaRequest,
     QuotaReturn,
     Status,
@@ -111,6 +115,13 @@
         )
         self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
         self._gateway_reports = GatewayReports(self._driver, self._lease, self._clock)
+        self._part_holds = PartHolds(
+            self._gateway_reports.parts,
+            self._driver,
+            self._machine,
+            lambda: list(self._gateways),
+            self._counters,
+        )
         address = settings.platform.address
         reader = ListReader(
             CallClient(address),
@@ -178,6 +189,7 @@
         self._start_permanent_task(self._driver.run())
         self._start_permanent_task(self._maintain_member_links())
         self._start_permanent_task(self._publish_status_periodically())
+        self._start_permanent_task(self._part_holds.run())
         self._start_permanent_task(self._publisher.run())
         if "usage" in self._settings.platform.duties:
             self._start_permanent_task(self._usage.run())
@@ -228,6 +240,7 @@
             "revision": self._machine.revision,
             "windows": sorted(self._machine.usage)[-4:],
             "gateways": list(self._gateways.values()),
+            "held_parts": self._machine.held,
             "counters": self._counters.snapshot(),
         }
 
@@ -333,6 +346,7 @@
                 link.peer = name
                 self._gateways[link] = name
                 link.send(self._make_status())
+                self._part_holds.send_held(link)
             case FetchConfiguration():
                 link.send(ConfigurationText(self._machine.revision, self._machine.data))
             case GatewayReport():
@@ -343,6 +357,8 @@
                 self._handle_crash_report(link, message)
             case SuspectCleared(fingerprint):
                 self._gateway_reports.suspects.clear_suspect(fingerprint)
+            case ProbeRequest() | ProbeEnded() | PartsBegan():
+                self._handle_probe_message(link, message)
             case QuotaReturn():
                 self._quotas.return_units(message)
             case _:
@@ -356,8 +372,21 @@
             endpoint=crash.endpoint,
             fingerprint=crash.fingerprint,
         )
-        self._gateway_reports.suspects.record_crash(
-            crash, asyncio.get_running_loop().time()
+        self._part_holds.restore()
+        self._gateway_reports.record_crash(
+            self._gateways.get(link, ProcessName("")),
+            crash,
+            asyncio.get_running_loop().time(),
+        )
+
+    def _handle_probe_message(
+        self, link: Link, message: ProbeRequest | ProbeEnded | PartsBegan
+    ) -> None:
+        if not self._driver.is_leader:
+            link.send(self._make_status())
+            return
+        self._part_holds.handle(
+            link, self._gateways.get(link, ProcessName("")), message
         )
 
     def _handle_join(self, link: Link, member: Member) -> None:
@@ -376,6 +405,7 @@
             link.send(self._make_status())
             return
         now = asyncio.get_running_loop().time()
+        self._part_holds.restore()
         self._publisher.refresh_gateway(
             link, (gateway_report.list_term, gateway_report.list_version), now
         )
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -1,6 +1,7 @@
 """Reports of the gateways to the leader: clocks, usage, load, speeds and crashes."""
 
 import statistics
+from collections.abc import Mapping
 
 import msgspec
 import structlog
@@ -8,9 +9,10 @@
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.coordinator.suspects import SuspectedContents
 from tarragonway.core.clock import WallClock
-from tarragonway.core.ids import AccountId, ProcessName, ServiceName
+from tarragonway.core.ids import AccountId, PartId, ProcessName, ServiceName
 from tarragonway.exchange import EngineSpeed, combine_speeds
-from tarragonway.links.messages import GatewayReport, GatewayReportReply
+from tarragonway.links.messages import CrashReport, GatewayReport, GatewayReportReply
+from tarragonway.quarantine import PartQuarantine, ProbeId
 from tarragonway.replication import LogDriver
 
 # Time after its last report for which a gateway counts as live.
@@ -40,7 +42,8 @@
 class GatewayReports:
     """The latest report of each gateway.
 
-    ``suspects`` are the contents on which endpoints have failed.
+    ``suspects`` are the contents on which endpoints have failed, ``parts`` the prompt
+    parts.
 
     Parameters
     ----------
@@ -60,6 +63,7 @@
         self._speeds: dict[ServiceName, EngineSpeed] = {}
         self._speeds_combined_at = float("-inf")
         self.suspects = SuspectedContents()
+        self.parts = PartQuarantine()
 
     def clear(self) -> None:
         """Remove all reports; called while this process is not the leader.
@@ -101,8 +105,34 @@
             self.suspects.quarantined,
             self.suspects.suspects,
             None if gateway_report.speeds is None else self._combine_speeds(now),
+            self.parts.watch_version,
+            self._list_watched(gateway_report),
         )
 
+    def record_crash(
+        self, gateway: ProcessName, crash: CrashReport, now: float
+    ) -> None:
+        """Record that an endpoint failed while it ran a gateway's request."""
+        self.suspects.record_crash(crash, now)
+        if crash.parts:
+            probe = ProbeId(gateway, crash.probe) if crash.probe else None
+            self.parts.record_crash(
+                crash.endpoint, crash.parts, now - crash.age_s, now, probe
+            )
+
+    def record_began(self, ages_s: Mapping[PartId, float], now: float) -> None:
+        """Record that answers on prompt parts have begun.
+
+        Parameters
+        ----------
+        ages_s : mapping of PartId to float
+            Time since the last such beginning, in seconds.
+        now : float
+            The event loop's time in seconds.
+        """
+        for part, age_s in ages_s.items():
+            self.parts.record_began(part, now - age_s)
+
     def sum_window(self, window: int) -> dict[AccountId, int]:
         """Return how many requests began in a usage window, by client account."""
         total: dict[AccountId, int] = {}
@@ -140,7 +170,8 @@
         while len(gateway.windows) > 32:
             del gateway.windows[min(gateway.windows)]
         for crash in gateway_report.crashes:
-            self.suspects.record_crash(crash, now)
+            self.record_crash(gateway_report.name, crash, now)
+        self.record_began(gateway_report.began_ages_s, now)
         self.suspects.expire(now)
         for name in [
             n
@@ -150,6 +181,10 @@
             del self._gateways[name]
         return gateway
 
+    def _list_watched(self, gateway_report: GatewayReport) -> tuple[PartId, ...] | None:
+        is_current = gateway_report.watch_version == self.parts.watch_version
+        return None if is_current else self.parts.watched
+
     def _combine_speeds(self, now: float) -> dict[ServiceName, EngineSpeed]:
         """Return the median of the live gateways' speeds for each service."""
         if now - self._speeds_combined_at < SPEEDS_INTERVAL_S:
--- a/tarragonway/coordinator/machine.py
+++ b/tarragonway/coordinator/machine.py
@@ -1,11 +1,12 @@
-"""Replicated state machine of the coordinators: configuration and usage reports."""
+"""Replicated state of the coordinators: configuration, usage reports, held parts."""
 
 import zlib
 from typing import Any
 
 import msgspec
 
-from tarragonway.core.ids import AccountId
+from tarragonway.core.ids import AccountId, PartId
+from tarragonway.quarantine import HeldPart
 
 RETAINED_WINDOWS = 64
 
@@ -43,7 +44,13 @@
     window: int
 
 
-Command = PutConfiguration | DecideUsage | MarkReported
+class PutHeldParts(msgspec.Struct, frozen=True, tag=True):
+    """Replaces the prompt parts that must not be sent to endpoints."""
+
+    held: dict[PartId, HeldPart]
+
+
+Command = PutConfiguration | DecideUsage | MarkReported | PutHeldParts
 Result = ConfigurationStored | UsageDecided | None
 
 
@@ -52,6 +59,8 @@
     data: bytes = b""
     usage: dict[int, dict[AccountId, int]] = {}
     reported: dict[int, bool] = {}
+    held: dict[PartId, HeldPart] = {}
+    held_revision: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -91,6 +100,16 @@
         """Decided counts by window."""
         return self._content.usage
 
+    @property
+    def held(self) -> dict[PartId, HeldPart]:
+        """Prompt parts that must not be sent to endpoints."""
+        return self._content.held
+
+    @property
+    def held_revision(self) -> int:
+        """Number of changes of the held parts."""
+        return self._content.held_revision
+
     @property
     def last_window(self) -> int:
         """The newest window with decided counts, or -1."""
@@ -132,6 +151,10 @@
                     del content.usage[oldest]
                     content.reported.pop(oldest, None)
                 return UsageDecided(window, decided)
+            case PutHeldParts(held):
+                content.held = held
+                content.held_revision += 1
+                return None
             case MarkReported(window):
                 if window in content.usage:
                     content.reported[window] = True
--- /dev/null
+++ b/tarragonway/coordinator/part_holds.py
@@ -0,0 +1,127 @@
+"""Held prompt parts: the leader decides, the log keeps, all coordinators publish."""
+
+import asyncio
+import math
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from tarragonway.coordinator.machine import CoordinatorMachine, PutHeldParts
+from tarragonway.core.counters import Counters
+from tarragonway.core.ids import ProcessName
+from tarragonway.links import Link
+from tarragonway.links.link import encode_message
+from tarragonway.links.messages import (
+    HeldParts,
+    PartsBegan,
+    ProbeEnded,
+    ProbeReply,
+    ProbeRequest,
+)
+from tarragonway.quarantine import PartQuarantine, ProbeId
+from tarragonway.replication import LogDriver
+
+CHECK_INTERVAL_S = 0.05
+
+_log = structlog.get_logger()
+
+
+class PartHolds:
+    """Connects the decisions on prompt parts to the log and to the gateways.
+
+    Parameters
+    ----------
+    quarantine : PartQuarantine
+        The leader's decisions.
+    driver : LogDriver
+        The replicated log.
+    machine : CoordinatorMachine
+        State machine with the held parts that are committed.
+    list_gateways : callable
+        Returns the links of the gateways.
+    counters : Counters
+        Receives ``quarantine.*`` counters.
+    """
+
+    def __init__(
+        self,
+        quarantine: PartQuarantine,
+        driver: LogDriver,
+        machine: CoordinatorMachine,
+        list_gateways: Callable[[], Iterable[Link]],
+        counters: Counters,
+    ) -> None:
+        self._quarantine = quarantine
+        self._driver = driver
+        self._machine = machine
+        self._list_gateways = list_gateways
+        self._counters = counters
+        self._restored_term = -1
+        self._published_revision = -1
+
+    async def run(self) -> None:
+        """Decide as the leader, and publish committed changes, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._publish_changes()
+            if not self._driver.is_leader:
+                continue
+            self.restore()
+            self._quarantine.update(loop.time())
+            held = self._quarantine.held
+            if held != self._machine.held:
+                self._counters.increment("quarantine.changes")
+                await self._driver.propose(PutHeldParts(held))
+
+    def restore(self) -> None:
+        """As the leader, take over the held parts of former leaders, once a term."""
+        term = self._driver.replica.term
+        if self._driver.is_leader and self._restored_term != term:
+            self._restored_term = term
+            now = asyncio.get_running_loop().time()
+            self._quarantine.restore(self._machine.held, now)
+
+    def send_held(self, link: Link) -> None:
+        """Send the held parts to a gateway.
+
+        A process without a configuration has applied nothing yet and knows of none.
+        """
+        if self._machine.revision >= 0:
+            link.send(self._make_message())
+
+    def handle(
+        self,
+        link: Link,
+        gateway: ProcessName,
+        message: ProbeRequest | ProbeEnded | PartsBegan,
+    ) -> None:
+        """Handle a gateway's message as the leader."""
+        now = asyncio.get_running_loop().time()
+        self.restore()
+        match message:
+            case ProbeRequest(sequence, parts):
+                probe = ProbeId(gateway, sequence)
+                wait_s = self._quarantine.request_probe(parts, probe, now)
+                self._counters.increment(
+                    "quarantine.probes_denied" if wait_s else "quarantine.probes"
+                )
+                reply = ProbeReply(sequence, wait_s if math.isfinite(wait_s) else None)
+                link.send(reply)
+            case ProbeEnded(sequence):
+                self._quarantine.end_probe(ProbeId(gateway, sequence))
+            case PartsBegan(ages_s):
+                for part, age_s in ages_s.items():
+                    self._quarantine.record_began(part, now - age_s)
+
+    def _publish_changes(self) -> None:
+        revision = self._machine.held_revision
+        if self._machine.revision < 0 or revision == self._published_revision:
+            return
+        self._published_revision = revision
+        frame = encode_message(self._make_message())
+        for link in list(self._list_gateways()):
+            link.send_encoded(frame)
+
+    def _make_message(self) -> HeldParts:
+        return HeldParts(self._machine.held_revision, tuple(self._machine.held))
--- a/tarragonway/coordinator/tests/test_daemon.py
+++ b/tarragonway/coordinator/tests/test_daemon.py
@@ -18,6 +18,7 @@
     process = SimpleNamespace(
         _driver=SimpleNamespace(is_leader=True),
         _publisher=publisher,
+        _part_holds=SimpleNamespace(restore=lambda: None),
         _gateway_reports=SimpleNamespace(handle_report=lambda *arguments: "reply"),
     )
     for sequence in range(5):
--- /dev/null
+++ b/tarragonway/coordinator/tests/test_part_holds.py
@@ -0,0 +1,108 @@
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from tarragonway.coordinator.machine import (
+    CoordinatorMachine,
+    PutConfiguration,
+    PutHeldParts,
+)
+from tarragonway.coordinator.part_holds import PartHolds
+from tarragonway.core.counters import Counters
+from tarragonway.links.link import encode_message
+from tarragonway.links.messages import HeldParts, PartsBegan, ProbeReply, ProbeRequest
+from tarragonway.quarantine import HeldPart, PartQuarantine
+
+
+class FakeLink:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def send_encoded(self, frame):
+        self.sent.append(frame)
+
+
+class FakeDriver:
+    """Applies each proposal at once."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.is_leader = True
+        self.replica = SimpleNamespace(term=1)
+
+    async def propose(self, command):
+        return self.machine.apply(command)
+
+
+@pytest.fixture
+def coordinator():
+    machine = CoordinatorMachine()
+    machine.apply(PutConfiguration(1, b""))
+    quarantine, driver, link = PartQuarantine(), FakeDriver(machine), FakeLink()
+    holds = PartHolds(quarantine, driver, machine, lambda: [link], Counters())
+    return SimpleNamespace(
+        holds=holds, quarantine=quarantine, driver=driver, machine=machine, link=link
+    )
+
+
+async def run_shortly(holds):
+    task = asyncio.create_task(holds.run())
+    await asyncio.sleep(0.2)
+    task.cancel()
+    await asyncio.wait([task])
+
+
+async def test_leader_commits_and_publishes_held_parts(coordinator):
+    coordinator.holds.restore()
+    now = asyncio.get_running_loop().time()
+    for endpoint in ("e1", "e2"):
+        coordinator.quarantine.record_crash(endpoint, ["p"], now, now - 5.0)
+    await run_shortly(coordinator.holds)
+    assert coordinator.machine.held == {"p": HeldPart(2, 0)}
+    assert encode_message(HeldParts(1, ("p",))) in coordinator.link.sent
+
+
+# Guards against a quarantine that ends with its leader.
+async def test_new_leader_takes_over_the_held_parts(coordinator):
+    coordinator.machine.apply(PutHeldParts({"p": HeldPart(4, 1)}))
+    await run_shortly(coordinator.holds)
+    assert coordinator.machine.held == {"p": HeldPart(4, 1)}
+    coordinator.holds.handle(coordinator.link, "g", ProbeRequest(7, ("p",)))
+    reply = coordinator.link.sent[-1]
+    assert isinstance(reply, ProbeReply)
+    assert reply.wait_s > 0
+
+
+async def test_begun_answer_releases_a_part_everywhere(coordinator):
+    coordinator.machine.apply(PutHeldParts({"p": HeldPart(2, 0)}))
+    coordinator.holds.restore()
+    await asyncio.sleep(0.01)
+    coordinator.holds.handle(coordinator.link, "g", PartsBegan({"p": 0.0}))
+    await run_shortly(coordinator.holds)
+    assert coordinator.machine.held == {}
+    assert encode_message(HeldParts(2, ())) in coordinator.link.sent
+
+
+async def test_process_without_a_configuration_tells_no_held_parts(coordinator):
+    holds = PartHolds(
+        PartQuarantine(),
+        FakeDriver(CoordinatorMachine()),
+        CoordinatorMachine(),
+        lambda: [coordinator.link],
+        Counters(),
+    )
+    holds.send_held(coordinator.link)
+    await run_shortly(holds)
+    assert not coordinator.link.sent
+
+
+def test_held_parts_survive_a_snapshot():
+    machine, restored = CoordinatorMachine(), CoordinatorMachine()
+    machine.apply(PutHeldParts({"p": HeldPart(4, 1)}))
+    restored.restore(machine.encode())
+    assert restored.held == {"p": HeldPart(4, 1)}
+    assert restored.held_revision == 1
--- a/tarragonway/exchange/model.py
+++ b/tarragonway/exchange/model.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
-from tarragonway.core.ids import AccountId, AttemptId
+from tarragonway.core.ids import AccountId, AttemptId, PartId
 
 
 class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt; parts with equal ids have equal texts."""
 
-    id: str
+    id: PartId
     tokens: int
 
 
@@ -32,6 +32,11 @@
         """Id of the last shared part, or "" if no part is shared."""
         return self.parts[-2].id if len(self.parts) > 1 else ""
 
+    @property
+    def shared_parts(self) -> tuple[PartId, ...]:
+        """Ids of the parts that other requests may share."""
+        return tuple(part.id for part in self.parts[:-1])
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in the shared parts."""
--- a/tarragonway/gateway/admission.py
+++ b/tarragonway/gateway/admission.py
@@ -7,14 +7,15 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.core.hashes import compute_fingerprint
-from tarragonway.core.ids import AccountId, Fingerprint
+from tarragonway.core.ids import AccountId, Fingerprint, PartId
 from tarragonway.exchange import CallerRequest
-from tarragonway.gateway.attempt import Attempt
+from tarragonway.gateway.attempt import Attempt, list_compared_parts
 from tarragonway.gateway.error_responses import (
     DEFAULT_RETRY_AFTER_S,
     ErrorCause,
     send_error_response,
 )
+from tarragonway.gateway.part_guard import PartGuard, Probe, ProbeDenied
 from tarragonway.gateway.quota import QuotaClient
 from tarragonway.gateway.state import GatewayState
 from tarragonway.http1 import Request, ResponseWriter
@@ -43,13 +44,15 @@
     """Refusal of a request that the gateway answers without an endpoint.
 
     ``retry_after_s`` is sent to the caller unless it is None. ``account`` and ``units``
-    describe the quota that was exceeded.
+    describe the quota that was exceeded, ``held_parts`` are the prompt parts that must
+    not be sent.
     """
 
     cause: ErrorCause
     retry_after_s: float | None = None
     account: Account | None = None
     units: float = 0.0
+    held_parts: tuple[PartId, ...] = ()
 
 
 class Admission:
@@ -59,6 +62,8 @@
     ----------
     state : GatewayState
         Configuration in force, quarantined content and drain state.
+    guard : PartGuard
+        Keeps requests with held prompt parts from endpoints.
     quota : QuotaClient
         Admits requests within the quotas of client accounts.
     counters : Counters
@@ -66,9 +71,14 @@
     """
 
     def __init__(
-        self, state: GatewayState, quota: QuotaClient, counters: Counters
+        self,
+        state: GatewayState,
+        guard: PartGuard,
+        quota: QuotaClient,
+        counters: Counters,
     ) -> None:
         self._state = state
+        self._guard = guard
         self._quota = quota
         self._counters = counters
         self._random = random.Random()
@@ -85,9 +95,18 @@
         """Return the admitted attempt, or answer with a refusal and return None."""
         await self._state.wait_complete(START_TIMEOUT_S)
         decision = self._check_request(request, facts)
+        probe: Probe | None = None
+        if isinstance(decision, Admitted):
+            held = await self._check_parts(facts)
+            if isinstance(held, GatewayRefusal):
+                decision = held
+            else:
+                probe = held
         if isinstance(decision, Admitted):
             decision = await self._take_quota(decision, facts)
         if isinstance(decision, GatewayRefusal):
+            if probe is not None:
+                self._guard.end_probe(probe)
             await self._refuse(writer, facts, decision)
             return None
         timeout_s = facts.timeout_s or DEFAULT_TIMEOUT_S
@@ -95,7 +114,15 @@
         deadline = request.arrived_s + min(timeout_s, route.timeout_s)
         service = select_service(route, self._random)
         return Attempt(
-            request, facts, writer, route, decision.account, service, deadline, set()
+            request,
+            facts,
+            writer,
+            route,
+            decision.account,
+            service,
+            deadline,
+            set(),
+            probe=probe,
         )
 
     def _check_request(
@@ -117,6 +144,28 @@
             return GatewayRefusal(ErrorCause.QUARANTINED)
         return Admitted(route, account)
 
+    async def _check_parts(self, facts: CallerRequest) -> Probe | GatewayRefusal | None:
+        """Check the prompt against held parts.
+
+        Returns
+        -------
+        Probe, GatewayRefusal or None
+            The granted probe, or None if no part is held.
+        """
+        parts = list_compared_parts(facts)
+        if not parts:
+            return None
+        if not self._state.knows_held_parts:
+            return GatewayRefusal(ErrorCause.QUARANTINE_UNKNOWN, DEFAULT_RETRY_AFTER_S)
+        if not self._guard.has_held(parts):
+            return None
+        match await self._guard.request_probe(parts):
+            case ProbeDenied(wait_s):
+                held = tuple(sorted(self._guard.held.intersection(parts)))
+                return GatewayRefusal(ErrorCause.QUARANTINED, wait_s, held_parts=held)
+            case Probe() as probe:
+                return probe
+
     def _find_account(
         self, table: RouteTable, route: Route, facts: CallerRequest
     ) -> Account | None:
@@ -163,6 +212,7 @@
             account=refusal.account.id if refusal.account else "",
             quota_per_s=refusal.account.per_s if refusal.account else 0,
             units=refusal.units,
+            held_parts=refusal.held_parts,
             revision=self._state.revision,
         )
         await send_error_response(writer, cause, refusal.retry_after_s)
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -2,13 +2,18 @@
 
 import msgspec
 
-from tarragonway.core.ids import ServiceName
+from tarragonway.core.ids import PartId, ServiceName
 from tarragonway.exchange import CallerRequest, ResponseInfo
 from tarragonway.gateway.choice import Choice
+from tarragonway.gateway.part_guard import Probe
 from tarragonway.http1.client import ResponseHead
 from tarragonway.http1.server import Request, ResponseWriter
 from tarragonway.routes.model import Account, Route
 
+# Further parts of a prompt are not compared with the held ones. A report on a crash has
+# them all, so their number must be bounded.
+MAX_SHARED_PARTS = 128
+
 
 class Attempt(msgspec.Struct):
     """An admitted request and the progress of its sends.
@@ -23,6 +28,8 @@
     None before the first send and once that endpoint has begun to answer. ``endpoint``
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
     ``load_at_send`` is the number of other requests that its endpoint ran then.
+    ``probe`` is the right to send held prompt parts; it is None without such parts, and
+    once the leader knows the probe's outcome.
     """
 
     request: Request
@@ -42,6 +49,12 @@
     endpoint: str = ""
     estimated_ms: float = 0.0
     load_at_send: float = 0.0
+    probe: Probe | None = None
+
+    @property
+    def shared_parts(self) -> tuple[PartId, ...]:
+        """Ids of the prompt's parts that are compared with held ones."""
+        return list_compared_parts(self.facts)
 
 
 class Unsent(msgspec.Struct, frozen=True):
@@ -97,4 +110,10 @@
     delay_ms: float
 
 
+def list_compared_parts(facts: CallerRequest) -> tuple[PartId, ...]:
+    """Return the first parts of the prompt that other requests may share."""
+    prompt = facts.prompt
+    return prompt.shared_parts[:MAX_SHARED_PARTS] if prompt is not None else ()
+
+
 SendOutcome = Unsent | Refused | Answered | Streamed | Broken | Expired | Overloaded
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -4,12 +4,14 @@
 import collections
 from collections.abc import Callable, Iterable
 
+import msgspec
 import structlog
 
 from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import Fingerprint, ProcessName
 from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.quota import QuotaClient
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
@@ -21,8 +23,13 @@
     FetchConfiguration,
     GatewayReport,
     GatewayReportReply,
+    HeldParts,
     Hello,
     LinkMessage,
+    PartsBegan,
+    ProbeEnded,
+    ProbeReply,
+    ProbeRequest,
     QuotaReply,
     QuotaRequest,
     QuotaReturn,
@@ -87,6 +94,8 @@
         self._seeds = list(seeds)
         self._state = gateway_state
         self._quota = QuotaClient(self.send_to_leader, counters)
+        self._guard = PartGuard(self.send_to_leader, counters)
+        self._watch_version = -1
         self._offered_load = offered_load
         self._speeds = speeds
         self._usage = usage
@@ -102,7 +111,8 @@
         self._sent_at: dict[int, float] = {}
         self._list_version = (0, 0)
         self._fetching: tuple[str, float] = ("", float("-inf"))
-        self._crashes: collections.deque[CrashReport] = collections.deque(
+        # Crash reports and the loop's time at which each was made.
+        self._crashes: collections.deque[tuple[CrashReport, float]] = collections.deque(
             maxlen=MAX_CRASH_REPORTS
         )
         self._full_report = True
@@ -124,7 +134,7 @@
 
         The latest crash reports are sent again to each new leader.
         """
-        self._crashes.append(crash)
+        self._crashes.append((crash, asyncio.get_running_loop().time()))
         self.send_to_leader(crash)
 
     @property
@@ -132,16 +142,28 @@
         """Client that requests quota units from the leader."""
         return self._quota
 
+    @property
+    def guard(self) -> PartGuard:
+        """Held prompt parts, as the coordinators send them."""
+        return self._guard
+
     def report_cleared(self, fingerprint: Fingerprint) -> None:
         """Report to the leader that a suspected content was answered completely."""
         self._crashes = collections.deque(
-            (crash for crash in self._crashes if crash.fingerprint != fingerprint),
+            (row for row in self._crashes if row[0].fingerprint != fingerprint),
             MAX_CRASH_REPORTS,
         )
         self.send_to_leader(SuspectCleared(fingerprint))
 
     def send_to_leader(
-        self, message: QuotaRequest | QuotaReturn | CrashReport | SuspectCleared
+        self,
+        message: QuotaRequest
+        | QuotaReturn
+        | CrashReport
+        | SuspectCleared
+        | ProbeRequest
+        | ProbeEnded
+        | PartsBegan,
     ) -> bool:
         """Send a message; return False if no leader is known or its link is closed."""
         return bool(self._leader) and self._link_pool.send(self._leader, message)
@@ -159,12 +181,16 @@
             "term": self._term,
             "links": sorted(self._link_pool.links),
             "listing": self._list_version,
+            "held_parts": sorted(self._guard.held),
         }
 
     # Messages
 
     def _send_hello(self, link: Link) -> None:
         link.send(Hello(self._name))
+        if link.peer == self._leader:
+            # Reports may have been lost with the link before.
+            self._report_everything()
 
     def _handle_message(self, link: Link, message: LinkMessage) -> None:
         match message:
@@ -178,6 +204,12 @@
                 self._handle_report_reply(message)
             case QuotaReply():
                 self._quota.handle_reply(message)
+            case ProbeReply():
+                self._guard.handle_reply(message)
+            case HeldParts():
+                self._guard.set_held(message)
+                self._state.knows_held_parts = self._guard.is_informed
+                self._state.notify_if_complete()
             case _:
                 self._counters.increment("control.unexpected")
 
@@ -185,8 +217,8 @@
         if status.is_leader and status.term >= self._term:
             if link.peer != self._leader or status.term != self._term:
                 _log.info("leader is known", leader=link.peer, term=status.term)
-                self._full_report = True
                 self._quota.forget_unanswered()
+                self._report_everything()
             self._term = status.term
             self._leader = link.peer
         elif link.peer == self._leader and not status.is_leader:
@@ -196,6 +228,12 @@
         if status.revision > self._state.revision:
             self._fetch(link)
 
+    def _report_everything(self) -> None:
+        """Make the next report a full one, as a new leader or a lost link needs it."""
+        self._full_report = True
+        self._watch_version = -1
+        self._guard.begun.report_again()
+
     def _update_coordinators(self, status: Status) -> None:
         """Connect to the members that the leader lists.
 
@@ -292,12 +330,14 @@
             clock_s,
             *self._list_version,
             usage,
-            tuple(self._crashes) if self._full_report else (),
+            self._list_crashes(now) if self._full_report else (),
             self._offered_load.measure(now),
             self._quota.make_history() if self._full_report else None,
             self._speeds.list_fitted(SPEED_REPORT_INTERVAL_S)
             if has_speeds or self._full_report
             else None,
+            self._guard.begun.take_ages(now),
+            self._watch_version,
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -305,6 +345,12 @@
             while len(self._sent_at) > 32:
                 del self._sent_at[next(iter(self._sent_at))]
 
+    def _list_crashes(self, now: float) -> tuple[CrashReport, ...]:
+        return tuple(
+            msgspec.structs.replace(crash, age_s=now - reported_at)
+            for crash, reported_at in self._crashes
+        )
+
     def _handle_report_reply(self, reply: GatewayReportReply) -> None:
         sent_at = self._sent_at.pop(reply.sequence, None)
         if reply.term < self._term or sent_at is None:
@@ -316,6 +362,9 @@
         gateway_state.suspects = frozenset(reply.suspects)
         if reply.speeds is not None:
             self._speeds.set_shared(reply.speeds)
+        if reply.watched is not None:
+            self._guard.begun.watch(reply.watched)
+            self._watch_version = reply.watch_version
         if abs(reply.clock_correction_s) > MIN_CLOCK_CORRECTION_S:
             _log.info("wall clock corrected", seconds=reply.clock_correction_s)
             gateway_state.clock.correct(reply.clock_correction_s)
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -83,13 +83,14 @@
         )
         self._forwarder = Forwarder(
             self._state,
-            Admission(self._state, self._link.quota, self._counters),
+            Admission(self._state, self._link.guard, self._link.quota, self._counters),
             self._usage,
             self._offered_load,
             speeds,
             self._chooser,
             self._make_budget,
             self._link,
+            self._link.guard,
             requests,
             self._counters,
         )
--- a/tarragonway/gateway/error_responses.py
+++ b/tarragonway/gateway/error_responses.py
@@ -23,6 +23,7 @@
     OVERLOADED = (503, "overloaded")
     ENDPOINTS_FULL = (503, "endpoints_full")
     QUARANTINED = (503, "quarantined")
+    QUARANTINE_UNKNOWN = (503, "quarantine_unknown")
     DEADLINE_BEFORE_SEND = (503, "deadline_before_send")
     ENDPOINT_FAILED = (502, "endpoint_failed")
     DEADLINE = (504, "deadline")
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -30,6 +30,7 @@
     send_error_response,
 )
 from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.sender import Codec, Sender
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
@@ -88,6 +89,8 @@
         Returns a new retry budget; called once for each service.
     crash_reporter : CrashReporter
         Receives crash reports and cleared suspects.
+    guard : PartGuard
+        Keeps requests with held prompt parts from endpoints.
     codec : Codec
         Decodes and encodes requests and answers for the platform.
     counters : Counters
@@ -104,6 +107,7 @@
         chooser: EndpointChooser,
         make_budget: Callable[[], RetryBudget],
         crash_reporter: CrashReporter,
+        guard: PartGuard,
         codec: Codec,
         counters: Counters,
     ) -> None:
@@ -115,6 +119,7 @@
         self._chooser = chooser
         self._make_budget = make_budget
         self._crash_reporter = crash_reporter
+        self._guard = guard
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
@@ -133,6 +138,9 @@
         except asyncio.CancelledError:
             self._log_end(attempt, "caller_left", started)
             raise
+        finally:
+            if attempt.probe is not None:
+                self._guard.end_probe(attempt.probe)
 
     # Notifications from the sender
 
@@ -154,6 +162,8 @@
                     attempt.choice.prompt_tokens, attempt.load_at_send, taken_ms
                 )
             attempt.choice = None
+            attempt.probe = None
+            self._guard.record_began(attempt.shared_parts, now)
         if attempt.usage_counted:
             return
         attempt.usage_counted = True
@@ -240,7 +250,7 @@
         finally:
             began = attempt.choice is None
             self._chooser.record_completion(choice, began, failed, loop.time())
-        self._report_content(attempt, outcome, endpoint)
+        self._report_content(attempt, outcome, endpoint, began)
         if isinstance(outcome, Streamed):
             self._record_stream(attempt, outcome)
         if misdirected or isinstance(outcome, Unsent):
@@ -253,27 +263,46 @@
                 address=endpoint.address,
                 outcome=repr(outcome),
                 began=began,
-                parts=_list_shared_parts(attempt),
+                parts=attempt.shared_parts,
                 sends=attempt.sends,
                 list_age_s=round(self._compute_list_age(), 2),
             )
         return outcome
 
     def _report_content(
-        self, attempt: Attempt, outcome: SendOutcome, endpoint: ListedEndpoint
+        self,
+        attempt: Attempt,
+        outcome: SendOutcome,
+        endpoint: ListedEndpoint,
+        began: bool,
     ) -> None:
-        """Report content whose endpoint failed, or a suspect that was answered."""
+        """Report content whose endpoint failed, or a suspect that was answered.
+
+        The parts of a prompt are suspected only if no answer on them had begun, and
+        not if the platform had announced the end of the endpoint.
+        """
         match outcome:
             case Broken():
                 fingerprint = make_fingerprint(attempt.request, attempt.account)
+                is_suspect = not began and not self._is_leaving(endpoint.key)
+                probe, attempt.probe = attempt.probe, None
                 self._crash_reporter.report_crash(
-                    CrashReport(fingerprint, endpoint.key)
+                    CrashReport(
+                        fingerprint,
+                        endpoint.key,
+                        attempt.shared_parts if is_suspect else (),
+                        probe=probe.sequence if probe is not None else 0,
+                    )
                 )
             case Answered() | Streamed() if self._state.suspects:
                 fingerprint = make_fingerprint(attempt.request, attempt.account)
                 if fingerprint in self._state.suspects:
                     self._crash_reporter.report_cleared(fingerprint)
 
+    def _is_leaving(self, key: str) -> bool:
+        row = self._state.endpoints.rows.get(key)
+        return row is not None and row.leaving
+
     def _record_stream(self, attempt: Attempt, outcome: Streamed) -> None:
         engine, prompt = self._find_engine(attempt.service), attempt.facts.prompt
         is_whole = attempt.sends == 1 and attempt.facts.last_event_id is None
@@ -296,9 +325,12 @@
     ) -> bool:
         """Return whether the outcome, the route and the retry budget allow a resend.
 
-        A send that reached no endpoint is not charged to the retry budget.
+        A send that reached no endpoint is not charged to the retry budget. A request
+        whose prompt parts have been held meanwhile is not sent any more.
         """
         route = attempt.route
+        if attempt.probe is None and self._guard.has_held(attempt.shared_parts):
+            return False
         match outcome:
             case Unsent():
                 return len(attempt.tried) < MAX_FAILED_CONNECTS + attempt.sends
@@ -390,12 +422,6 @@
         )
 
 
-def _list_shared_parts(attempt: Attempt) -> list[str]:
-    """Return the ids of the prompt's parts except the last, which is not shared."""
-    prompt = attempt.facts.prompt
-    return [part.id for part in prompt.parts[:-1]] if prompt is not None else []
-
-
 def _is_endpoint_failure(outcome: SendOutcome) -> bool:
     match outcome:
         case Unsent() | Broken():
--- a/tarragonway/gateway/state.py
+++ b/tarragonway/gateway/state.py
@@ -17,6 +17,8 @@
 
     The control link writes it and requests read it. ``list_current_at`` is the time
     of the event loop's clock at which the endpoint list was last known to be current.
+    ``knows_held_parts`` is set once a coordinator has sent the prompt parts that must
+    not be sent to endpoints.
     ``intake_ends_at`` is the time from which arriving requests are refused, None unless
     the gateway drains.
     """
@@ -29,21 +31,23 @@
         self.gateways = DEFAULT_GATEWAYS
         self.quarantined: frozenset[str] = frozenset()
         self.suspects: frozenset[str] = frozenset()
+        self.knows_held_parts = False
         self.intake_ends_at: float | None = None
         self._complete = asyncio.Event()
 
     @property
     def is_complete(self) -> bool:
-        """Whether a configuration and at least one endpoint are known."""
-        return self.table is not None and bool(self.endpoints.rows)
+        """Whether a configuration, an endpoint and the held parts are known."""
+        has_lists = self.table is not None and bool(self.endpoints.rows)
+        return has_lists and self.knows_held_parts
 
     def notify_if_complete(self) -> None:
-        """Wake waiting requests once a configuration and endpoints are known."""
+        """Wake waiting requests once everything that they need is known."""
         if self.is_complete:
             self._complete.set()
 
     async def wait_complete(self, timeout_s: float) -> None:
-        """Wait for a configuration and endpoints, at most ``timeout_s`` seconds."""
+        """Wait until everything is known, at most ``timeout_s`` seconds."""
         if self.is_complete:
             return
         with contextlib.suppress(TimeoutError):
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -10,9 +10,11 @@
 from tarragonway.gateway.choice import EndpointChooser
 from tarragonway.gateway.forward import Forwarder
 from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import HttpServer
+from tarragonway.links.messages import HeldParts
 from tarragonway.platform import names, requests
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes import (
@@ -126,23 +128,32 @@
         )  # fmt: skip
         self.state.table = RouteTable(configuration)
         self.quota = UnlimitedQuota()
+        self.probe_messages = []
+        self.guard = PartGuard(self.send_to_leader, Counters())
+        self.guard.set_held(HeldParts(0, ()))
+        self.state.knows_held_parts = True
         self.usage = UsageCounter(5.0)
         speeds = EngineSpeeds()
         self.forwarder = Forwarder(
             self.state,
-            Admission(self.state, self.quota, Counters()),
+            Admission(self.state, self.guard, self.quota, Counters()),
             self.usage,
             OfferedLoadMeter(speeds),
             speeds,
             EndpointChooser(LoadTracker(), speeds, random.Random(1)),
             lambda: RetryBudget(0.5, 5.0, 5.0),
             self,
+            self.guard,
             requests,
             Counters(),
         )
         self.server = HttpServer(self.forwarder.handle, ConnectionLimits)
         self.endpoints: list[StubEndpoint] = []
 
+    def send_to_leader(self, message):
+        self.probe_messages.append(message)
+        return False
+
     def report_crash(self, crash):
         self.crashes.append(crash)
 
--- a/tarragonway/gateway/tests/test_control_link.py
+++ b/tarragonway/gateway/tests/test_control_link.py
@@ -12,8 +12,11 @@
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.links.messages import (
     ConfigurationText,
+    CrashReport,
     EndpointUpdate,
+    GatewayReport,
     GatewayReportReply,
+    HeldParts,
     QuotaReply,
     QuotaReturn,
     Status,
@@ -171,3 +174,39 @@
     members = ("s1:1", "c3:1", "c9:1")
     deliver(link, "c3:1", status(3, "c9:1", False, members=members))
     assert "c9:1" in link._link_pool.wanted
+
+
+# Guards against crash reports that are lost with a link and never sent again.
+async def test_crashes_are_reported_again_after_the_link_to_the_leader_was_lost(link):
+    deliver(link, "c2:1", status(2, "c2:1", True))
+    link.report_crash(CrashReport("f", "e1", ("p",)))
+    link._send_report()
+    link._send_report()
+    reports = [m for _, m in link._link_pool.sent if isinstance(m, GatewayReport)]
+    assert [len(report.crashes) for report in reports] == [1, 0]
+    link._send_hello(FakeLink("c2:1"))
+    link._send_report()
+    (crash,) = link._link_pool.sent[-1][1].crashes
+    assert crash.parts == ("p",)
+    assert crash.age_s >= 0
+
+
+# Guards against intake by a gateway that knows of no held part yet.
+async def test_state_is_complete_only_once_the_held_parts_are_known(link):
+    row = ListedEndpoint("e@1", "e", "s", "127.0.0.1:1", "a", 4, False)
+    deliver(link, "c", EndpointUpdate(1, 4, True, (row,), ()))
+    deliver(link, "s1:1", ConfigurationText(7, zlib.compress(b"7")))
+    assert not link._state.is_complete
+    deliver(link, "s1:1", HeldParts(0, ()))
+    assert link._state.is_complete
+
+
+async def test_watched_parts_are_reported_once_they_begin(link):
+    deliver(link, "c2:1", status(2, "c2:1", True))
+    link._send_report()
+    sequence = link._link_pool.sent[-1][1].sequence
+    reply = GatewayReportReply(2, sequence, 0.0, 1, 0, 0.0, watched=("p",))
+    deliver(link, "c2:1", reply)
+    link.guard.record_began(["p", "q"], asyncio.get_running_loop().time())
+    link._send_report()
+    assert list(link._link_pool.sent[-1][1].began_ages_s) == ["p"]
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from tarragonway.consensus import Member, Packet
-from tarragonway.core.ids import AccountId, Fingerprint, ProcessName, ServiceName
+from tarragonway.core.ids import (
+    AccountId,
+    Fingerprint,
+    PartId,
+    ProcessName,
+    ServiceName,
+)
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
 
@@ -82,11 +88,17 @@
 class CrashReport(msgspec.Struct, frozen=True, tag="Crash"):
     """Crash report: an endpoint failed while it ran this content.
 
-    It is sent at once, and repeated in the first report to a new leader.
+    It is sent at once, and repeated in the first report to a new leader. ``parts`` are
+    the shared parts of a prompt on which no answer had begun; ``age_s`` is the time
+    since the crash in seconds. ``probe`` is the gateway's sequence number of the probe
+    that the request was, 0 if it was none.
     """
 
     fingerprint: Fingerprint
     endpoint: str
+    parts: tuple[PartId, ...] = ()
+    age_s: float = 0.0
+    probe: int = 0
 
 
 class SuspectCleared(msgspec.Struct, frozen=True, tag="Cleared"):
@@ -95,6 +107,47 @@
     fingerprint: Fingerprint
 
 
+class HeldParts(msgspec.Struct, frozen=True, tag=True):
+    """Prompt parts that must not be sent to endpoints, except by a granted probe.
+
+    Every coordinator sends them to each gateway that connects, and on each change.
+    ``revision`` grows with each change.
+    """
+
+    revision: int
+    parts: tuple[PartId, ...]
+
+
+class ProbeRequest(msgspec.Struct, frozen=True, tag=True):
+    """Request to the leader to send one request with these held parts."""
+
+    sequence: int
+    parts: tuple[PartId, ...]
+
+
+class ProbeReply(msgspec.Struct, frozen=True, tag=True):
+    """The leader's reply to :class:`ProbeRequest`.
+
+    ``wait_s`` is 0 if the request may be sent. It is None if no request with these
+    parts will be sent while such requests keep coming.
+    """
+
+    sequence: int
+    wait_s: float | None
+
+
+class ProbeEnded(msgspec.Struct, frozen=True, tag=True):
+    """Report that a probe ended without a begun answer and without a crash."""
+
+    sequence: int
+
+
+class PartsBegan(msgspec.Struct, frozen=True, tag=True):
+    """Report on held parts: the seconds since an answer on them last began."""
+
+    ages_s: dict[PartId, float]
+
+
 class GrantHistory(msgspec.Struct, frozen=True, array_like=True):
     """Units that former leaders granted to a gateway, reported to each new leader.
 
@@ -117,7 +170,9 @@
     nothing. ``offered_load`` is the work that the gateway sends to each service, in
     seconds of work per second. ``crashes`` and ``history`` are sent with the first
     report to a new leader. ``speeds``, which the gateway has fitted to the answers of
-    services, are sent with every few reports and None otherwise.
+    services, are sent with every few reports and None otherwise. ``began_ages_s``
+    are the seconds since an answer last began on watched parts, as far as it is not
+    reported yet; ``watch_version`` is the version of the watched parts.
     """
 
     name: ProcessName
@@ -130,6 +185,8 @@
     offered_load: dict[str, float] = msgspec.field(name="pressure", default={})
     history: GrantHistory | None = None
     speeds: dict[ServiceName, EngineSpeed] | None = None
+    began_ages_s: dict[PartId, float] = {}
+    watch_version: int = -1
 
 
 class GatewayReportReply(msgspec.Struct, frozen=True, tag="BeatReply"):
@@ -140,6 +197,8 @@
     ``list_version`` is the leader's list version and ``list_age_s`` the age of that
     list in seconds. ``quarantined`` and ``suspects`` are fingerprints of contents.
     ``speeds`` are those that all gateways use, sent in reply to reports with speeds.
+    ``watched`` are the parts of which the leader wants to know begun answers; None if
+    the gateway has their ``watch_version``.
     """
 
     term: int
@@ -151,6 +210,8 @@
     quarantined: tuple[Fingerprint, ...] = ()
     suspects: tuple[Fingerprint, ...] = ()
     speeds: dict[ServiceName, EngineSpeed] | None = None
+    watch_version: int = -1
+    watched: tuple[PartId, ...] | None = None
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
@@ -181,5 +242,10 @@
     | CrashReport
     | SuspectCleared
     | GatewayReportReply
+    | HeldParts
+    | ProbeRequest
+    | ProbeReply
+    | ProbeEnded
+    | PartsBegan
     | EndpointUpdate
 )
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -2,7 +2,7 @@
 
 import math
 
-from tarragonway.core.ids import AttemptId
+from tarragonway.core.ids import AttemptId, PartId
 from tarragonway.exchange import (
     CallerRequest,
     ForwardContext,
@@ -114,7 +114,8 @@
     for item in text.split(","):
         part, _, tokens = item.strip().partition(":")
         if part:
-            parts.append(PromptPart(part, int(tokens)))
+            # Ids are hexadecimal numbers, so their case has no meaning.
+            parts.append(PromptPart(PartId(part.lower()), int(tokens)))
     return tuple(parts)
 
 
--- a/tarragonway/quarantine/__init__.py
+++ b/tarragonway/quarantine/__init__.py
@@ -1,5 +1,7 @@
-"""Quarantine of request contents that crash the endpoints that run them."""
+"""Quarantine of contents and prompt parts that crash the endpoints that run them."""
 
+from tarragonway.quarantine.begun_parts import BegunParts
+from tarragonway.quarantine.parts import HeldPart, PartQuarantine, ProbeId
 from tarragonway.quarantine.store import (
     CrashRecorded,
     EndProbation,
@@ -11,10 +13,14 @@
 )
 
 __all__ = [
+    "BegunParts",
     "CrashRecorded",
     "EndProbation",
+    "HeldPart",
+    "PartQuarantine",
     "ProbationAnswer",
     "ProbationEnded",
+    "ProbeId",
     "QuarantineStore",
     "ReportCrash",
     "TakeProbation",
--- /dev/null
+++ b/tarragonway/quarantine/tests/test_parts.py
@@ -0,0 +1,218 @@
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tarragonway.quarantine import BegunParts, HeldPart, PartQuarantine, ProbeId
+from tarragonway.quarantine.parts import (
+    HOLD_DELAY_S,
+    JOINT_PROBE_DELAY_S,
+    MAX_RECORDS,
+    PROBE_BACKOFF_S,
+    PROBE_TIMEOUT_S,
+    PROBE_WAIT_S,
+    RETENTION_S,
+)
+from tarragonway.quarantine.tests.fleet import Fleet, FleetSpec
+
+# The users' ``contact_ms`` of a small and of the large deployment.
+CONTACT_S = 3.0
+MAX_LATE_SENDS = 3
+
+
+def hold(quarantine, *parts, now=0.0):
+    for endpoint in ("e1", "e2"):
+        quarantine.record_crash(endpoint, parts, now, now)
+    quarantine.update(now + HOLD_DELAY_S)
+    return now + HOLD_DELAY_S
+
+
+def ask(quarantine, parts, now, number=1):
+    return quarantine.request_probe(parts, ProbeId("g", number), now)
+
+
+# Guards against a part that crashes engine after engine, in any fleet.
+@settings(max_examples=40, deadline=None)
+@given(
+    seed=st.integers(0, 10**6),
+    gateways=st.sampled_from([1, 3, 8, 40, 200]),
+    share=st.floats(0.01, 0.3),
+    position=st.integers(0, 2),
+    sessions=st.integers(1, 60),
+    innocent=st.sampled_from([0.0, 0.3, 1.0]),
+    delay_s=st.floats(0.002, 0.2),
+    loss=st.sampled_from([0.0, 0.05, 0.2]),
+)
+def test_harmful_part_is_contained_and_sound_requests_begin(
+    seed, gateways, share, position, sessions, innocent, delay_s, loss
+):
+    spec = FleetSpec(
+        seed,
+        gateways,
+        harmful_share=share,
+        harmful_position=position,
+        sessions=sessions,
+        innocent_crashes_per_s=innocent,
+        max_delay_s=delay_s,
+        loss=loss,
+    )
+    fleet = Fleet(spec).run()
+    assert fleet.count_late_arrivals(CONTACT_S) <= MAX_LATE_SENDS
+    bound_from = (fleet.harmful_crashes[:5] or [spec.harmful_from])[-1]
+    before = fleet.compute_served(0.0, spec.harmful_from)
+    after = fleet.compute_served(bound_from + 2 * CONTACT_S, spec.harmful_to)
+    assert math.isnan(after) or after >= before / 2
+
+
+# Guards against a quarantine that a new leader or a started gateway does not know.
+@settings(max_examples=20, deadline=None)
+@given(
+    seed=st.integers(0, 10**6),
+    gateways=st.sampled_from([1, 8, 200]),
+    leader_changes=st.lists(st.floats(4.5, 24.0), max_size=3),
+    restarts=st.lists(st.floats(4.5, 24.0), max_size=6),
+)
+def test_restarts_and_new_leaders_do_not_send_a_harmful_part_again(
+    seed, gateways, leader_changes, restarts
+):
+    fleet = Fleet(
+        FleetSpec(
+            seed,
+            gateways,
+            leader_changes=tuple(leader_changes),
+            gateway_restarts=tuple(restarts),
+        )
+    ).run()
+    unstable_until = max((*leader_changes, *restarts, 0.0)) + CONTACT_S
+    if len(fleet.harmful_crashes) >= 5:
+        limit = max(fleet.harmful_crashes[4] + CONTACT_S, unstable_until)
+        late = [at for at, _ in fleet.harmful_arrivals if at > limit]
+        assert len(late) <= MAX_LATE_SENDS
+
+
+# Guards against the quarantine of sound popular parts in a minute of many crashes.
+@settings(max_examples=20, deadline=None)
+@given(
+    seed=st.integers(0, 10**6),
+    gateways=st.sampled_from([1, 8, 200]),
+    crashes_per_s=st.floats(0.2, 2.0),
+    sessions=st.integers(1, 60),
+)
+def test_crashes_without_a_harmful_part_hold_nothing_for_long(
+    seed, gateways, crashes_per_s, sessions
+):
+    spec = FleetSpec(
+        seed,
+        gateways,
+        harmful_share=0.0,
+        sessions=sessions,
+        innocent_crashes_per_s=crashes_per_s,
+    )
+    fleet = Fleet(spec).run()
+    assert "first" not in fleet.leader.held
+    calm = Fleet(FleetSpec(seed, gateways, harmful_share=0.0, sessions=sessions)).run()
+    served = fleet.compute_served(5.0, 30.0)
+    assert served >= calm.compute_served(5.0, 30.0) / 2
+
+
+def test_part_beside_the_harmful_one_is_released_by_a_probe_of_it_alone():
+    quarantine = PartQuarantine()
+    now = hold(quarantine, "session", "harmful")
+    assert ask(quarantine, ["session", "harmful"], now) > 0
+    assert ask(quarantine, ["session"], now) == 0
+    quarantine.record_began("session", now + 0.2)
+    assert list(quarantine.held) == ["harmful"]
+
+
+def test_parts_that_only_come_together_get_a_joint_probe_later():
+    quarantine = PartQuarantine()
+    now = hold(quarantine, "a", "b")
+    assert ask(quarantine, ["a", "b"], now) == JOINT_PROBE_DELAY_S
+    assert ask(quarantine, ["a", "b"], now + JOINT_PROBE_DELAY_S) == 0
+
+
+def test_one_probe_at_a_time_and_a_lost_one_counts_as_failed():
+    quarantine = PartQuarantine()
+    now = hold(quarantine, "p")
+    assert ask(quarantine, ["p"], now, 1) == 0
+    assert ask(quarantine, ["p"], now, 2) == PROBE_WAIT_S
+    quarantine.end_probe(ProbeId("g", 1))
+    assert ask(quarantine, ["p"], now, 3) == 0
+    now += PROBE_TIMEOUT_S
+    assert ask(quarantine, ["p"], now, 4) == PROBE_BACKOFF_S
+    assert ask(quarantine, ["p"], now + PROBE_BACKOFF_S, 5) == 0
+
+
+def test_probes_end_after_a_number_of_crashes():
+    quarantine = PartQuarantine()
+    now = hold(quarantine, "p")
+    for number in range(3, 9):
+        probe = ProbeId("g", number)
+        assert quarantine.request_probe(["p"], probe, now) == 0
+        quarantine.record_crash(f"e{number}", ["p"], now, now, probe)
+        now += 5000.0 if number < 8 else 0.0
+        quarantine._records["p"].requested_at = now
+    assert ask(quarantine, ["p"], now + 100.0) == math.inf
+
+
+def test_hold_ends_once_nobody_asks_any_more():
+    quarantine = PartQuarantine()
+    now = hold(quarantine, "p")
+    quarantine.update(now + RETENTION_S - 1)
+    assert quarantine.held
+    ask(quarantine, ["p"], now + RETENTION_S - 1)
+    quarantine.update(now + RETENTION_S + 2)
+    assert quarantine.held
+    quarantine.update(now + 2 * RETENTION_S)
+    assert not quarantine.held
+
+
+def test_begun_answer_before_the_crash_is_no_excuse():
+    """A part may turn harmful later."""
+    quarantine = PartQuarantine()
+    for endpoint, at in (("e1", 10.0), ("e2", 11.0)):
+        quarantine.record_crash(endpoint, ["p"], at, at)
+        quarantine.record_began("p", 9.0)
+    quarantine.update(12.0)
+    assert list(quarantine.held) == ["p"]
+
+
+def test_answers_of_one_endpoint_to_many_requests_are_one_crash():
+    quarantine = PartQuarantine()
+    for _ in range(50):
+        quarantine.record_crash("e1", ["p"], 1.0, 1.0)
+    quarantine.update(10.0)
+    assert not quarantine.held
+
+
+# Guards against callers whose many parts push out the record of a harmful one.
+def test_many_distinct_parts_do_not_push_out_a_part_with_more_crashes():
+    quarantine = PartQuarantine()
+    quarantine.record_crash("e1", ["p"], 0.0, 0.0)
+    quarantine.record_crash("e2", ["p"], 0.1, 0.1)
+    for number in range(2 * MAX_RECORDS):
+        quarantine.record_crash("e3", [f"x{number}"], 0.2, 0.2)
+    assert len(quarantine._records) <= MAX_RECORDS
+    quarantine.update(2.0)
+    assert list(quarantine.held) == ["p"]
+
+
+def test_new_leader_keeps_holds_and_does_not_count_retold_crashes_twice():
+    quarantine = PartQuarantine()
+    quarantine.restore({"p": HeldPart(4, 1)}, 100.0)
+    quarantine.record_crash("e1", ["p"], 99.0, 100.1)
+    assert quarantine.held == {"p": HeldPart(4, 1)}
+    quarantine.record_began("p", 99.5)
+    assert quarantine.held
+    quarantine.record_began("p", 100.5)
+    assert not quarantine.held
+
+
+@pytest.mark.parametrize("count", [10, 5000])
+def test_gateway_reports_beginnings_from_before_a_part_was_watched(count):
+    begun = BegunParts()
+    begun.record(["p"], 1.0)
+    begun.record([f"x{n}" for n in range(count)], 2.0)
+    begun.watch(["p"])
+    assert begun.take_ages(3.0) == ({"p": 2.0} if count < 4096 else {})
