Treat streams that end inside an event, or unframed without one, as broken off

What callers saw: an engine that broke off in the middle of an event, on an answer without length or chunks, made a stream that looked complete to the caller, with a torn last event; one that ended before its first event made an empty success. Such breaks were not resumed and not counted as crashes.

Cause: the relay passed on what was left at the end of the connection, since the end of an unframed body is its proper end for HTTP.

Change: a stream that ends inside an event broke off, however it is framed; so did an unframed one without any event. Both are resumed where that is allowed.

--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -177,20 +177,28 @@
         Raises
         ------
         ConnectionEnded
-            If the stream breaks off or contains an event that is too long.
+            If the stream breaks off, ends inside an event, or contains an event that is
+            too long. A stream without length or chunks shows only by its events that it
+            did not break off at its start.
         """
         splitter = EventSplitter()
         pauses = PauseMeter()
+        has_events = False
         while (data := await connection.read_data()) is not None:
             complete = splitter.feed(data)
             if len(splitter.incomplete) > MAX_EVENT_BYTES:
                 raise ConnectionEnded(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             if complete:
+                has_events = True
                 pauses.record(splitter.events, asyncio.get_running_loop().time())
                 await self._relay_data(attempt, head, complete)
                 attempt.last_event_id = splitter.last_id or attempt.last_event_id
-        if splitter.incomplete or not attempt.writer.started:
-            await self._relay_data(attempt, head, splitter.incomplete)
+        if splitter.incomplete:
+            raise ConnectionEnded("the stream ended inside an event")
+        if not has_events and not head.is_framed:
+            raise ConnectionEnded("the stream ended without an event, length or chunks")
+        if not attempt.writer.started:
+            await self._relay_data(attempt, head, b"")
         attempt.writer.finish()
         return Streamed(splitter.events, tuple(pauses.pauses_ms))
 
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -37,6 +37,13 @@
         """Return the value of the first header with this lower-case name, or None."""
         return next((value for key, value in self.headers if key == name), None)
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body has a length or chunks, and not just a connection's end."""
+        return any(
+            key in (b"content-length", b"transfer-encoding") for key, _ in self.headers
+        )
+
 
 class EndpointConnection(asyncio.Protocol):
     """A connection to an endpoint.
