Do not report the end of a leaving endpoint as a crash

A wave of announced reclaims breaks a request at one endpoint after the other, and three such breaks quarantined its content for ten minutes. Shared parts were spared already; the record of whole contents was not.

A gateway reports no crash of an endpoint that its list shows as leaving. The probe of held parts that broke there ends without a verdict.

test_end_of_a_leaving_endpoint_is_no_crash failed before (one report) and passes.

--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -278,19 +278,18 @@
     ) -> None:
         """Report content whose endpoint failed, or a suspect that was answered.
 
-        The parts of a prompt are suspected only if no answer on them had begun, and
-        not if the platform had announced the end of the endpoint.
+        The parts of a prompt are suspected only if no answer on them had begun. An
+        endpoint whose end the platform had announced did not crash.
         """
         match outcome:
-            case Broken():
+            case Broken() if not self._is_leaving(endpoint.key):
                 fingerprint = make_fingerprint(attempt.request, attempt.account)
-                is_suspect = not began and not self._is_leaving(endpoint.key)
                 probe, attempt.probe = attempt.probe, None
                 self._crash_reporter.report_crash(
                     CrashReport(
                         fingerprint,
                         endpoint.key,
-                        attempt.shared_parts if is_suspect else (),
+                        () if began else attempt.shared_parts,
                         probe=probe.sequence if probe is not None else 0,
                     )
                 )
