--- a/tarragonway/exchange/model.py
+++ b/tarragonway/exchange/model.py
@@ -88,6 +88,8 @@
     that the request did not run at the endpoint and never will. ``keep_alive_s`` is the
     time in seconds for which the endpoint keeps an idle connection open.
     ``closes_connection`` means that it closes the connection after this answer.
+    ``limits`` are the texts, as they were sent, with which the endpoint states how many
+    requests a second it takes from all gateways together.
     """
 
     attempt: AttemptId | None
@@ -97,3 +99,4 @@
     keep_alive_s: float | None
     closes_connection: bool
     retry_after_s: float | None
+    limits: tuple[str, ...] = ()
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -123,6 +123,7 @@
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._stated_limits: dict[str, tuple[str, ...]] = {}
         self.pool = ConnectionPool()
         self._sender = Sender(self.pool, codec, self)
 
@@ -150,6 +151,17 @@
         """Record the load that an answer reports for its endpoint."""
         if info.load is not None:
             self._chooser.record_load(endpoint.key, info.load)
+        if info.limits != self._stated_limits.get(endpoint.key, ()):
+            _log.info(
+                "request limit of an endpoint changed",
+                endpoint=endpoint.platform_id,
+                limits=info.limits,
+                before=self._stated_limits.get(endpoint.key, ()),
+                expected_load=self._chooser.get_load(endpoint.key),
+            )
+            self._stated_limits[endpoint.key] = info.limits
+        if info.limits:
+            self._counters.increment("endpoint.limited_answers")
 
     def handle_running(self, attempt: Attempt) -> None:
         """Record that the endpoint began to answer, and count the request once."""
--- a/tarragonway/platform/names.py
+++ b/tarragonway/platform/names.py
@@ -15,6 +15,8 @@
 EXPECTED_INSTANCE = b"tarragonway-expected-instance"
 # Running and waiting requests, and slots: "running,waiting,slots".
 LOAD = b"tarragonway-server-load"
+# Requests a second that an endpoint takes from all gateways together.
+REQUEST_LIMIT = b"server-limit"
 NOT_RUN = b"tarragonway-not-executed"
 DUTY_HOLDER = b"tarragonway-duty-holder"
 FENCING_TOKEN = b"tarragonway-fencing-token"
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -69,6 +69,11 @@
         _parse_keep_alive_s(head.get(b"keep-alive")),
         b"close" in connection,
         _parse_number(head.get(b"retry-after")),
+        tuple(
+            value.decode("latin-1")
+            for key, value in head.headers
+            if key == names.REQUEST_LIMIT
+        ),
     )
 
 
