Reproduce endpoints that get more than their request limit, as a known failure

Real gateways and coordinators, five stub engines, 50 requests a second; four engines state a limit of 1 a second for 14 s. The users' bound is 11 requests in any 4 s from contact_ms on; each limited engine gets far more. The test also asks that nine tenths of the requests are served meanwhile and that the limit ends with the answers.

--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -71,6 +71,10 @@
         Id of a prompt part; the endpoint crashes when it begins to answer it.
     on_harmful : callable
         Called for each arriving request with that part.
+    request_limit : str
+        Requests a second that the endpoint states in its answers; empty for none.
+    arrived_at : list of float
+        Loop times at which requests have arrived.
     crashed_at : list of float
         Loop times at which the endpoint has crashed.
     """
@@ -90,6 +94,8 @@
         self.failure_probability = 0.0
         self.harmful_part = ""
         self.on_harmful: Callable[[], None] = lambda: None
+        self.request_limit = ""
+        self.arrived_at: list[float] = []
         self.crashed_at: list[float] = []
         self._restart: asyncio.Task | None = None
         self._observations = observations
@@ -120,6 +126,9 @@
     async def _handle(self, request: Request, writer: ResponseWriter) -> None:
         attempt = (request.get(names.ATTEMPT) or b"").decode()
         echo = [(names.ATTEMPT, attempt.encode())]
+        self.arrived_at.append(asyncio.get_running_loop().time())
+        if self.request_limit:
+            echo.append((names.REQUEST_LIMIT, self.request_limit.encode()))
         if self._random.random() < self.failure_probability / 3:
             await writer.send(503, [*echo, (names.NOT_RUN, b"1")])
             return
