Give the permits of limited endpoints to the requests with most work

A limit counts requests. With permits for whichever request came first, the four engines without a limit carried three quarters of the tokens, and requests there waited up to two seconds.

While endpoints without a limit remain, a gateway asks for a permit only for requests whose work is among the heaviest, as many as the permits are a part of all requests (1.5 requests a permit). Otherwise nothing changes; with no other endpoint left every request may ask.

--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -38,6 +38,7 @@
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import ConnectionPool, Request, ResponseWriter
 from tarragonway.limits.request_limits import Permit, PermitDenied
+from tarragonway.limits.request_weights import RequestWeights
 from tarragonway.links.messages import CrashReport
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import EngineTraits, Repeatability
@@ -49,6 +50,8 @@
 # latency objective by this factor.
 OVERLOAD_FACTOR = 1.5
 MAX_PRIORITY = 9
+# Requests that ask for a permit, for each permit that limited endpoints leave.
+PERMIT_DEMAND_FACTOR = 1.5
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
 # section 15.5.20).
 STATUS_MISDIRECTED = 421
@@ -130,6 +133,7 @@
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._weights: dict[ServiceName, RequestWeights] = {}
         self.pool = ConnectionPool()
         self._sender = Sender(self.pool, codec, self)
 
@@ -191,6 +195,7 @@
         self._offered_load.add(
             attempt.service, attempt.facts.prompt, engine.slots if engine else 1
         )
+        self._get_weights(attempt.service).record(self._compute_work(attempt))
         outcome: SendOutcome | None = None
         while True:
             choice = await self._choose(attempt)
@@ -230,6 +235,8 @@
         free = [row for row in rows if guard.find_limit(row.key) is None]
         limited = [row for row in rows if guard.find_limit(row.key) is not None]
         open_rows = [row for row in limited if guard.get_wait(row.key, now) <= 0]
+        if free and limited and not self._deserves_permit(attempt, limited):
+            open_rows = []
         choice = self._choose_among(attempt, free + open_rows)
         if choice is None and limited:
             return Limited(min(guard.get_wait(row.key, now) for row in limited))
@@ -244,6 +251,33 @@
             case PermitDenied(_, return_s):
                 return self._choose_among(attempt, free) or Limited(return_s)
 
+    def _deserves_permit(self, attempt: Attempt, limited: list[ListedEndpoint]) -> bool:
+        """Return whether the request has as much work as permits are few.
+
+        The permits of all limited endpoints are compared with the requests of all
+        gateways, taken as equal to this one's.
+        """
+        own_rate = self._offered_load.request_rates.get(attempt.service, 0.0)
+        requests_per_s = own_rate * self._state.gateways
+        if requests_per_s <= 0:
+            return True
+        limits = (self._limit_guard.find_limit(row.key) or 0.0 for row in limited)
+        fraction = PERMIT_DEMAND_FACTOR * sum(limits) / requests_per_s
+        weights = self._get_weights(attempt.service)
+        return weights.is_among_heaviest(self._compute_work(attempt), fraction)
+
+    def _compute_work(self, attempt: Attempt) -> float:
+        """Return the estimated work of a request on an idle engine, in seconds."""
+        prompt, engine = attempt.facts.prompt, self._find_engine(attempt.service)
+        if prompt is None or engine is None:
+            return 0.0
+        return self._speeds.get(attempt.service).compute_work_s(
+            prompt.input_tokens, prompt.output_tokens, max(1, engine.slots)
+        )
+
+    def _get_weights(self, service: ServiceName) -> RequestWeights:
+        return self._weights.setdefault(service, RequestWeights())
+
     def _list_usable(self, attempt: Attempt) -> list[ListedEndpoint]:
         """Return the service's endpoints that are not tried or short of connections."""
         limit = self._compute_connection_limit(attempt.service)
