--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import zlib
 
 import h11
 import msgspec
@@ -16,6 +17,9 @@
 API_KEY = "soak-key"
 ROUTE_KINDS = {"once": "unsafe", "read": "safe", "stream": "streaming"}
 MAX_OPERATOR_DELAY_S = 0.7
+# Shared prompt part of some streams, on which engines may crash.
+HARMFUL_PART = "dd"
+HARMFUL_PROBABILITY = 0.1
 
 
 class AttemptRecord(msgspec.Struct):
@@ -75,6 +79,7 @@
         self._number = number
         self._records = records
         self._random = random.Random(number)
+        self._part_random = random.Random(f"parts {number}")
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = (
             None
         )
@@ -108,6 +113,11 @@
             (b"authorization", f"Bearer {API_KEY}".encode()),
             (b"content-length", b"0"),
         ]
+        if record.kind == "stream":
+            headers += [
+                (names.PROMPT_TOKENS, b"800,20"),
+                (names.PROMPT_PARTS, self._make_parts(record).encode()),
+            ]
         target = f"/{record.kind}/{record.attempt}"
         request = h11.Request(method="POST", target=target, headers=headers)
         writer.write(state.send(request) or b"")
@@ -129,6 +139,14 @@
         if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
             self._abort_connection()
 
+    def _make_parts(self, record: AttemptRecord) -> str:
+        """Return two parts that others share, at times the harmful one, and an own."""
+        shared = ["aa:500", f"b{self._number % 3}:200"]
+        if self._part_random.random() < HARMFUL_PROBABILITY:
+            shared.append(f"{HARMFUL_PART}:90")
+        own = f"{zlib.crc32(record.attempt.encode()):x}:10"
+        return ",".join([*shared, own])
+
     def _abort_connection(self) -> None:
         if self._connection is not None:
             self._connection[1].transport.abort()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import random
 import signal
 
+from soak.clients import HARMFUL_PART
 from soak.deployment import Deployment, Process
 from soak.proxy import Mode
 
@@ -26,6 +27,10 @@
 FAULT_DURATION_S = (0.3, 2.5)
 RESTART_DELAY_S = (0.1, 1.0)
 FAILURE_PROBABILITY = 0.15
+# Engines state request limits, or crash on a prompt part, in a sequence of their own.
+ENGINE_FAULT_INTERVAL_S = (2.0, 5.0)
+ENGINE_FAULT_DURATION_S = (1.0, 4.0)
+REQUEST_LIMITS = ("0", "0.5", "2", "20", "nan")
 STOP_TIMEOUT_S = 9.0
 
 
@@ -46,6 +51,7 @@
     def __init__(self, target: Deployment, seed: int) -> None:
         self._deployment = target
         self._random = random.Random(seed)
+        self._engine_random = random.Random(f"engines {seed}")
         self._affected: set[str] = set()
         self._stopped: set[str] = set()
         self.history: list[str] = []
@@ -54,6 +60,7 @@
         """Inject faults at random intervals until cancelled."""
         await asyncio.sleep(FIRST_FAULT_DELAY_S)
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._disturb_engines())
             while True:
                 group.create_task(self._inject())
                 await asyncio.sleep(self._random.uniform(*FAULT_INTERVAL_S))
@@ -63,6 +70,7 @@
         self._deployment.platform.unavailable = False
         for endpoint in self._deployment.endpoints:
             endpoint.failure_probability, endpoint.draining = 0.0, False
+            endpoint.request_limit = endpoint.harmful_part = ""
         for proxy in self._deployment.peer_proxies:
             proxy.mode = Mode.PASS
             proxy.reset()
@@ -149,6 +157,27 @@
         # no longer read them; new connections replace them.
         proxy.reset()
 
+    async def _disturb_engines(self) -> None:
+        """Let engines state request limits or crash on a part, by turns."""
+        source = self._engine_random
+        engines = [e for e in self._deployment.endpoints if e.service == "model"]
+        while True:
+            await asyncio.sleep(source.uniform(*ENGINE_FAULT_INTERVAL_S))
+            duration_s = source.uniform(*ENGINE_FAULT_DURATION_S)
+            limit = source.choice(REQUEST_LIMITS)
+            if source.random() < 0.5:
+                affected = source.sample(engines, source.randint(1, len(engines)))
+                self.history.append(f"limit {limit} at {len(affected)} engines")
+                for engine in affected:
+                    engine.request_limit = limit
+            else:
+                self.history.append(f"harmful part {duration_s:.1f} s")
+                for engine in engines:
+                    engine.harmful_part = HARMFUL_PART
+            await asyncio.sleep(duration_s)
+            for engine in engines:
+                engine.request_limit = engine.harmful_part = ""
+
     async def _disturb_endpoint(self, kind: str, duration_s: float) -> None:
         endpoint = self._random.choice(self._deployment.endpoints)
         self.history.append(f"{kind} {endpoint.name} {duration_s:.1f} s")
--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -108,6 +108,8 @@
 
     def close(self) -> None:
         """Close the server and its connections."""
+        if self._restart is not None:
+            self._restart.cancel()
         self._server.close()
 
     def make_list_row(self) -> dict[str, object]:
@@ -167,6 +169,8 @@
 
     def _crash(self) -> None:
         """Reset all connections and start as a new incarnation after a while."""
+        if self._restart is not None and not self._restart.done():
+            return
         self.crashed_at.append(asyncio.get_running_loop().time())
         self._server.close()
         self._restart = asyncio.create_task(self._start_again())
