Hold chat messages that crash endpoints, on the project's own interface

The store records, for each quarantined content, its messages but the last. They make other contents suspects, which run on probation; a content that completes clears them. A message common to two quarantined contents is held for a minute, four times longer after each further crash. Holds that end are published with the next command, as expired entries of a view stayed listed before. The last message is never held.

--- a/tarragonway/entry/model_requests.py
+++ b/tarragonway/entry/model_requests.py
@@ -117,7 +117,7 @@
             return make_problem_response(Refusal(RefusalReason.BAD_REQUEST, detail))
         account = AccountId(caller.account.id)
         refusal = self._crash_reporter.check_quarantine(
-            compute_fingerprint(account, body)
+            compute_fingerprint(account, body), body
         )
         refusal = refusal or await self._shares.admit(account)
         if refusal is not None:
--- a/tarragonway/entry/runner.py
+++ b/tarragonway/entry/runner.py
@@ -138,12 +138,13 @@
         end: EngineRefused | EngineInterrupted,
     ) -> Refusal | None:
         """Handle a failed attempt; return a refusal unless it may be retried."""
-        fingerprint = live.record.fingerprint
+        record = live.record
+        quarantine = self._crash_reporter.check_quarantine(
+            record.fingerprint, record.body
+        )
         match end:
-            case EngineRefused(_, _, True) if self._crash_reporter.check_quarantine(
-                fingerprint
-            ):
-                return self._crash_reporter.check_quarantine(fingerprint)
+            case EngineRefused(_, _, True) if quarantine is not None:
+                return quarantine
             case EngineRefused(reason, _, True):
                 return Refusal(RefusalReason.BAD_REQUEST, reason)
             case EngineRefused(_, leaving, _):
@@ -161,7 +162,9 @@
             return await self._run_at(live, endpoint, kv, priority)
         if not await self._crash_reporter.request_probation(live, endpoint):
             self._dispatcher.release(endpoint.id)
-            refusal = self._crash_reporter.check_quarantine(live.record.fingerprint)
+            refusal = self._crash_reporter.check_quarantine(
+                live.record.fingerprint, live.record.body
+            )
             reason = (
                 refusal.detail if refusal else "another suspect runs on this endpoint"
             )
--- a/tarragonway/quarantine/tests/test_store.py
+++ b/tarragonway/quarantine/tests/test_store.py
@@ -15,8 +15,64 @@
     ReportCrash,
     TakeProbation,
 )
+from tarragonway.quarantine.store import MAX_MESSAGES, MESSAGE_HOLD_MS
 
 EXPECTED_CRASHES = 2
+# The users' bound: five crashes, and three more requests.
+MAX_SHARED_CRASHES = 8
+
+
+# Guards against distinct contents that crash endpoints with a message in common.
+def test_contents_with_a_harmful_message_in_common_crash_few_endpoints():
+    store, crashes = QuarantineStore(), 0
+    for number in range(20):
+        content, messages = f"c{number}", ("system", "harmful")
+        for endpoint in ("e1", "e2"):
+            if any(store.get_flags(key)[0] for key in (content, *messages)):
+                break
+            if any(store.get_flags(key)[1] for key in (content, *messages)):
+                store.handle_take_probation(TakeProbation(endpoint, content), number)
+            crashes += 1
+            store.handle_crash(ReportCrash(endpoint, content, messages), number)
+        sound = EndProbation("e3", f"sound{number}", True, ("system",))
+        store.handle_end_probation(sound, number)
+    assert crashes <= MAX_SHARED_CRASHES
+    assert store.held_messages == ["harmful"]
+
+
+def test_hold_of_a_message_expires_and_a_further_crash_lengthens_it():
+    store = QuarantineStore()
+    for number in range(2):
+        store.handle_take_probation(TakeProbation("e1", f"c{number}"), 0)
+        store.handle_crash(ReportCrash("e1", f"c{number}", ("m",)), 0)
+    assert store.get_flags("m") == (True, False)
+    assert store.expire_holds(MESSAGE_HOLD_MS - 1) == []
+    assert store.expire_holds(MESSAGE_HOLD_MS) == ["m"]
+    assert store.get_flags("m") == (False, True)
+    store.handle_take_probation(TakeProbation("e1", "c2"), MESSAGE_HOLD_MS)
+    store.handle_crash(ReportCrash("e1", "c2", ("m",)), MESSAGE_HOLD_MS)
+    assert store.expire_holds(3 * MESSAGE_HOLD_MS) == []
+
+
+def test_message_of_an_answered_content_is_no_suspect():
+    store = QuarantineStore()
+    store.handle_take_probation(TakeProbation("e1", "c"), 0)
+    store.handle_crash(ReportCrash("e1", "c", ("m",)), 0)
+    assert store.get_flags("m") == (False, True)
+    store.handle_end_probation(EndProbation("e2", "other", True, ("m",)), 1)
+    assert store.get_flags("m") == (False, False)
+
+
+def test_number_of_messages_is_bounded_and_held_ones_stay():
+    store = QuarantineStore()
+    for number in range(2):
+        store.handle_take_probation(TakeProbation("e1", f"c{number}"), 0)
+        store.handle_crash(ReportCrash("e1", f"c{number}", ("m",)), 0)
+    for number in range(MAX_MESSAGES + 5):
+        store.handle_take_probation(TakeProbation("e1", f"x{number}"), 1)
+        store.handle_crash(ReportCrash("e1", f"x{number}", (f"m{number}",)), 1)
+    assert len(store.messages) == MAX_MESSAGES
+    assert store.held_messages == ["m"]
 
 
 @settings(derandomize=True, deadline=None)
--- a/tarragonway/state/machine.py
+++ b/tarragonway/state/machine.py
@@ -147,6 +147,8 @@
         content = self.content
         content.now_ms = max(content.now_ms, stamp_ms)
         now_ms = content.now_ms
+        for message in content.quarantine.expire_holds(now_ms):
+            self._record_quarantine_change(message)
         match command:
             case ClaimCall():
                 return content.claims.claim(command, now_ms)
@@ -190,11 +192,10 @@
                 self._record_endpoint_changes(result)
             case ReportCrash():
                 result = content.quarantine.handle_crash(command, now_ms)
-                self._record_quarantine_change(command.fingerprint)
+                self._record_quarantine_changes(command)
             case EndProbation():
                 result = content.quarantine.handle_end_probation(command, now_ms)
-                if command.cleared:
-                    self._record_quarantine_change(command.fingerprint)
+                self._record_quarantine_changes(command)
             case AdoptRequest(request, epoch, owner):
                 result = content.adoptions.adopt(command, now_ms)
                 if isinstance(result, AdoptionGranted):
@@ -210,8 +211,14 @@
             content.lists.accounts_text,
             content.lists.plans_text,
             dict(content.endpoints.rows),
-            dict.fromkeys(content.quarantine.quarantined, True),
-            dict.fromkeys(content.quarantine.suspects, True),
+            dict.fromkeys(
+                [*content.quarantine.quarantined, *content.quarantine.held_messages],
+                True,
+            ),
+            dict.fromkeys(
+                [*content.quarantine.suspects, *content.quarantine.suspect_messages],
+                True,
+            ),
             {
                 key: (row.epoch, row.owner)
                 for key, row in content.adoptions.rows.items()
@@ -253,12 +260,15 @@
             else:
                 self._record_change(EndpointChange(row))
 
+    def _record_quarantine_changes(self, command: ReportCrash | EndProbation) -> None:
+        if isinstance(command, EndProbation) and not command.cleared:
+            return
+        for key in (command.fingerprint, *command.messages):
+            self._record_quarantine_change(key)
+
     def _record_quarantine_change(self, fingerprint: Fingerprint) -> None:
-        store = self.content.quarantine
-        change = QuarantineChange(
-            fingerprint, fingerprint in store.quarantined, fingerprint in store.suspects
-        )
-        self._record_change(change)
+        flags = self.content.quarantine.get_flags(fingerprint)
+        self._record_change(QuarantineChange(fingerprint, *flags))
 
     def _record_change(self, change: Change) -> None:
         self.content.version += 1
--- a/tarragonway/state/view.py
+++ b/tarragonway/state/view.py
@@ -35,7 +35,7 @@
 
 
 class QuarantineChange(msgspec.Struct, frozen=True, tag=True):
-    """A request content was quarantined, became a suspect, or was cleared."""
+    """A content or message was quarantined, became a suspect, or was cleared."""
 
     fingerprint: Fingerprint
     quarantined: bool
