--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -235,14 +235,15 @@
         free = [row for row in rows if guard.find_limit(row.key) is None]
         limited = [row for row in rows if guard.find_limit(row.key) is not None]
         open_rows = [row for row in limited if guard.get_wait(row.key, now) <= 0]
-        if free and limited and not self._deserves_permit(attempt, limited):
+        has_free = any(not self._chooser.is_unhealthy(row.key, now) for row in free)
+        if has_free and limited and not self._deserves_permit(attempt, limited):
             open_rows = []
         choice = self._choose_among(attempt, free + open_rows)
         if choice is None and limited:
             return Limited(min(guard.get_wait(row.key, now) for row in limited))
         if choice is None or guard.find_limit(choice.endpoint.key) is None:
             return choice
-        others = [] if free else [row for row in open_rows if row != choice.endpoint]
+        others = [row for row in open_rows if row != choice.endpoint and not has_free]
         match await guard.request_permit(
             [row.key for row in (choice.endpoint, *others)]
         ):
--- a/tarragonway/gateway/tests/test_limited_endpoints.py
+++ b/tarragonway/gateway/tests/test_limited_endpoints.py
@@ -146,3 +146,15 @@
     guard = harness.limit_guard
     guard.set_published(1, {"e2": 1.0}, 0.0)
     assert guard.list_statements(5.0) == (LimitStated("e2", 1.0),)
+
+
+# Guards against requests that fail at dead endpoints while limited ones have room.
+async def test_limited_endpoint_is_used_while_the_others_are_unreachable(harness):
+    limited = await harness.add(harness.ports())
+    await harness.add(harness.ports(), listens=False)
+    answer_with(limited, "50")
+    FakeLeader(harness)
+    for _ in range(3):
+        await harness.ask("/single/")
+        await asyncio.sleep(0.05)
+    assert (await harness.ask("/single/")).startswith(b"HTTP/1.1 200")
