Spare the parts beside a proved one, and let joint probes wait for each part

By reading: a new leader knew the number of crashes only as of the last commit, ignored crashes that were reported again, and could grant a probe while a former one was under way.

Change: once a probe with one held part has failed, a crash of that part is not counted for others at the same endpoint. A joint probe waits for each of its parts. The log has the endpoints instead of their number, so reports are matched exactly. A new leader waits for the time-out of a probe.

Evidence: the four new tests fail before and pass.

--- a/tarragonway/coordinator/tests/test_part_holds.py
+++ b/tarragonway/coordinator/tests/test_part_holds.py
@@ -62,15 +62,17 @@
     for endpoint in ("e1", "e2"):
         coordinator.quarantine.record_crash(endpoint, ["p"], now, now - 5.0)
     await run_shortly(coordinator.holds)
-    assert coordinator.machine.held == {"p": HeldPart(2, 0)}
+    assert coordinator.machine.held == {"p": HeldPart(("e1", "e2"), 0)}
     assert encode_message(HeldParts(1, ("p",))) in coordinator.link.sent
 
 
 # Guards against a quarantine that ends with its leader.
 async def test_new_leader_takes_over_the_held_parts(coordinator):
-    coordinator.machine.apply(PutHeldParts({"p": HeldPart(4, 1)}))
+    coordinator.machine.apply(
+        PutHeldParts({"p": HeldPart(("e1", "e2", "e3", "e4"), 1)})
+    )
     await run_shortly(coordinator.holds)
-    assert coordinator.machine.held == {"p": HeldPart(4, 1)}
+    assert coordinator.machine.held == {"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}
     coordinator.holds.handle(coordinator.link, "g", ProbeRequest(7, ("p",)))
     reply = coordinator.link.sent[-1]
     assert isinstance(reply, ProbeReply)
@@ -78,7 +80,7 @@
 
 
 async def test_begun_answer_releases_a_part_everywhere(coordinator):
-    coordinator.machine.apply(PutHeldParts({"p": HeldPart(2, 0)}))
+    coordinator.machine.apply(PutHeldParts({"p": HeldPart(("e1", "e2"), 0)}))
     coordinator.holds.restore()
     await asyncio.sleep(0.01)
     coordinator.holds.handle(coordinator.link, "g", PartsBegan({"p": 0.0}))
@@ -102,7 +104,7 @@
 
 def test_held_parts_survive_a_snapshot():
     machine, restored = CoordinatorMachine(), CoordinatorMachine()
-    machine.apply(PutHeldParts({"p": HeldPart(4, 1)}))
+    machine.apply(PutHeldParts({"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}))
     restored.restore(machine.encode())
-    assert restored.held == {"p": HeldPart(4, 1)}
+    assert restored.held == {"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}
     assert restored.held_revision == 1
--- a/tarragonway/quarantine/parts.py
+++ b/tarragonway/quarantine/parts.py
@@ -47,20 +47,18 @@
 class HeldPart(msgspec.Struct, frozen=True, array_like=True):
     """State of a held part that a new leader needs.
 
-    ``crashes`` is the number of endpoints that crashed on the part, ``failed_probes``
-    the number of failed probes whose only held part it was.
+    ``endpoints`` are the endpoints that crashed on the part, ``failed_probes`` is the
+    number of failed probes whose only held part it was.
     """
 
-    crashes: int
+    endpoints: tuple[str, ...]
     failed_probes: int
 
 
 class _Record(msgspec.Struct):
     crashed_at: dict[str, float] = {}
-    earlier_crashes: int = 0
     failed_probes: int = 0
     is_held: bool = False
-    restored_at: float = float("-inf")
     suspected_at: float = 0.0
     last_crash_at: float = float("-inf")
     requested_at: float = float("-inf")
@@ -71,7 +69,12 @@
 
     @property
     def crashes(self) -> int:
-        return self.earlier_crashes + len(self.crashed_at)
+        return len(self.crashed_at)
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether no request with the part may be a probe any more."""
+        return self.failed_probes >= MIN_PROBES_ALONE and self.crashes >= MAX_CRASHES
 
 
 class ProbeId(msgspec.Struct, frozen=True):
@@ -112,6 +115,7 @@
         self._records: dict[PartId, _Record] = {}
         self._probes: dict[ProbeId, _Probe] = {}
         self._failed_sets: list[_FailedSet] = []
+        self._explained: dict[str, float] = {}
         self._expired_at = float("-inf")
         self._watched: tuple[int, tuple[PartId, ...]] = (-1, ())
         self.watch_version = 0
@@ -120,7 +124,7 @@
     def held(self) -> dict[PartId, HeldPart]:
         """Held parts."""
         return {
-            part: HeldPart(record.crashes, record.failed_probes)
+            part: HeldPart(tuple(record.crashed_at), record.failed_probes)
             for part, record in self._records.items()
             if record.is_held
         }
@@ -134,18 +138,22 @@
         return self._watched[1]
 
     def restore(self, held: Mapping[PartId, HeldPart], now: float) -> None:
-        """Replace all records by the held parts of a former leader."""
+        """Replace all records by the held parts of a former leader.
+
+        A probe that the former leader has granted may be under way.
+        """
         self._probes.clear()
         self._failed_sets.clear()
+        self._explained.clear()
         self._records = {
             part: _Record(
-                earlier_crashes=row.crashes,
+                crashed_at=dict.fromkeys(row.endpoints, now),
                 failed_probes=row.failed_probes,
                 is_held=True,
-                restored_at=now,
                 last_crash_at=now,
                 requested_at=now,
-                probe_at=now + _compute_backoff_s(row.failed_probes),
+                probe_at=now
+                + max(PROBE_TIMEOUT_S, _compute_backoff_s(row.failed_probes)),
                 held_at=now,
             )
             for part, row in held.items()
@@ -177,21 +185,41 @@
         """
         if probe is not None:
             self._fail_probe(probe, parts, now)
-        for part in parts:
-            record = self._records.get(part)
-            if record is None:
-                record = self._records[part] = _Record()
-                self.watch_version += 1
-            is_known = endpoint in record.crashed_at
-            if is_known or crashed_at <= record.restored_at:
-                continue
-            record.crashed_at[endpoint] = crashed_at
-            record.last_crash_at = max(record.last_crash_at, crashed_at)
-            if len(record.crashed_at) == MIN_CRASHES:
-                record.suspected_at = now
+        harmful = [part for part in parts if self._is_proved(part)]
+        if harmful:
+            self._explain(endpoint, harmful, now)
+        for part in harmful or parts:
+            if harmful or endpoint not in self._explained:
+                self._add_crash(part, endpoint, crashed_at, now)
         if len(self._records) > MAX_RECORDS:
             self._evict()
 
+    def _add_crash(
+        self, part: PartId, endpoint: str, crashed_at: float, now: float
+    ) -> None:
+        record = self._records.get(part)
+        if record is None:
+            record = self._records[part] = _Record()
+            self.watch_version += 1
+        if endpoint in record.crashed_at:
+            return
+        record.crashed_at[endpoint] = crashed_at
+        record.last_crash_at = max(record.last_crash_at, crashed_at)
+        if record.crashes == MIN_CRASHES:
+            record.suspected_at = now
+
+    def _explain(self, endpoint: str, harmful: Collection[PartId], now: float) -> None:
+        """Remove an endpoint's crash from the parts that did not cause it."""
+        self._explained[endpoint] = now
+        for part, record in self._records.items():
+            if not record.is_held and part not in harmful:
+                record.crashed_at.pop(endpoint, None)
+
+    def _is_proved(self, part: PartId) -> bool:
+        """Return whether a probe with this part as the only held one has failed."""
+        record = self._records.get(part)
+        return record is not None and record.is_held and record.failed_probes > 0
+
     def record_began(self, part: PartId, began_at: float) -> None:
         """Record that an answer to a request with this part began at that time.
 
@@ -269,10 +297,7 @@
         if len(held) > 1:
             return self._compute_joint_wait(held, now)
         (record,) = (self._records[part] for part in held)
-        probes_are_spent = record.failed_probes >= MIN_PROBES_ALONE
-        if probes_are_spent and record.crashes >= MAX_CRASHES:
-            return float("inf")
-        return max(0.0, record.probe_at - now)
+        return float("inf") if record.is_spent else max(0.0, record.probe_at - now)
 
     def _compute_joint_wait(self, held: set[PartId], now: float) -> float:
         """Return the wait of a request with several held parts.
@@ -281,11 +306,14 @@
         comes with many others is not probed with each of them.
         """
         records = [self._records[part] for part in held]
+        if any(record.is_spent for record in records):
+            return float("inf")
         smaller_at = max(
             (r.fewest_held_at for r in records if r.fewest_held < len(held)),
             default=float("-inf"),
         )
         first_at = max(smaller_at, *(r.held_at for r in records)) + JOINT_PROBE_DELAY_S
+        first_at = max(first_at, *(r.probe_at for r in records))
         failed = [row for row in self._failed_sets if row.parts & held]
         if failed:
             suspects = {part for row in failed for part in row.parts & held}
@@ -334,6 +362,9 @@
         return record.is_held, record.crashes, record.last_crash_at
 
     def _remove_expired(self, now: float) -> None:
+        for endpoint, at in list(self._explained.items()):
+            if now - at > RETENTION_S:
+                del self._explained[endpoint]
         for part, record in list(self._records.items()):
             if now - max(record.last_crash_at, record.requested_at) > RETENTION_S:
                 if record.is_held:
--- a/tarragonway/quarantine/tests/test_parts.py
+++ b/tarragonway/quarantine/tests/test_parts.py
@@ -200,9 +200,9 @@
 
 def test_new_leader_keeps_holds_and_does_not_count_retold_crashes_twice():
     quarantine = PartQuarantine()
-    quarantine.restore({"p": HeldPart(4, 1)}, 100.0)
+    quarantine.restore({"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}, 100.0)
     quarantine.record_crash("e1", ["p"], 99.0, 100.1)
-    assert quarantine.held == {"p": HeldPart(4, 1)}
+    assert quarantine.held == {"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}
     quarantine.record_began("p", 99.5)
     assert quarantine.held
     quarantine.record_began("p", 100.5)
@@ -216,3 +216,48 @@
     begun.record([f"x{n}" for n in range(count)], 2.0)
     begun.watch(["p"])
     assert begun.take_ages(3.0) == ({"p": 2.0} if count < 4096 else {})
+
+
+def test_crash_that_a_new_leader_has_not_committed_is_counted():
+    quarantine = PartQuarantine()
+    quarantine.restore({"p": HeldPart(("e1", "e2"), 0)}, 100.0)
+    quarantine.record_crash("e3", ["p"], 99.0, 100.1)
+    assert quarantine.held == {"p": HeldPart(("e1", "e2", "e3"), 0)}
+
+
+def test_new_leader_grants_no_probe_while_a_former_one_may_be_under_way():
+    quarantine = PartQuarantine()
+    quarantine.restore({"p": HeldPart(("e1", "e2"), 0)}, 100.0)
+    assert ask(quarantine, ["p"], 100.1) > 0
+    assert ask(quarantine, ["p"], 100.0 + PROBE_TIMEOUT_S) == 0
+
+
+# Guards against the hold of sound parts by probes of the harmful one beside them.
+def test_crash_of_a_proved_part_is_not_counted_for_the_parts_beside_it():
+    quarantine = PartQuarantine()
+    now = hold(quarantine, "harmful")
+    probe = ProbeId("g", 1)
+    assert quarantine.request_probe(["session", "harmful"], probe, now) == 0
+    quarantine.record_crash("e3", ["session", "queued"], now, now)
+    quarantine.record_crash("e3", ["session", "harmful"], now, now, probe)
+    quarantine.record_crash("e3", ["session", "other"], now, now)
+    assert quarantine.watched == ("harmful", "session", "queued")
+    assert not quarantine._records["session"].crashed_at
+    assert list(quarantine._records) == ["harmful", "session", "queued"]
+
+
+# Guards against a joint probe of a part whose own probes have failed.
+def test_joint_probe_waits_for_the_backoff_of_each_part():
+    quarantine = PartQuarantine()
+    now = hold(quarantine, "harmful")
+    probe = ProbeId("g", 1)
+    quarantine.request_probe(["harmful"], probe, now)
+    quarantine.record_crash("e3", ["harmful"], now, now, probe)
+    later = hold(quarantine, "session", now=now) + JOINT_PROBE_DELAY_S
+    assert ask(quarantine, ["session"], later) == 0
+    quarantine.end_probe(ProbeId("g", 1))
+    assert ask(quarantine, ["session", "harmful"], later + 0.1) > 0
+    for number in range(4, 9):
+        probe = ProbeId("g", number)
+        quarantine.record_crash(f"e{number}", ["harmful"], later, later, probe)
+    assert ask(quarantine, ["session", "harmful"], later + 5000.0) == math.inf
