Split selection of endpoints and calls to the leader out of larger modules

Probes and permits shared a copy of the wait for a reply, now gateway/leader_calls.py. The work of a request was estimated twice. A probe whose caller leaves while it waits for quota is now given back, where it counted as failed after three seconds before.

--- a/tarragonway/gateway/admission.py
+++ b/tarragonway/gateway/admission.py
@@ -1,5 +1,6 @@
 """Admission of requests: routes, keys, drain, quarantine and quotas."""
 
+import math
 import random
 
 import msgspec
@@ -34,10 +35,14 @@
 
 
 class Admitted(msgspec.Struct, frozen=True):
-    """Route and client account of a request that may be sent."""
+    """Route and client account of a request that may be sent.
+
+    ``probe`` is the right to send its held prompt parts, if it has any.
+    """
 
     route: Route
     account: Account | None
+    probe: Probe | None = None
 
 
 class GatewayRefusal(msgspec.Struct, frozen=True):
@@ -95,18 +100,11 @@
         """Return the admitted attempt, or answer with a refusal and return None."""
         await self._state.wait_complete(START_TIMEOUT_S)
         decision = self._check_request(request, facts)
-        probe: Probe | None = None
         if isinstance(decision, Admitted):
-            held = await self._check_parts(facts)
-            if isinstance(held, GatewayRefusal):
-                decision = held
-            else:
-                probe = held
+            decision = await self._check_parts(decision, facts)
         if isinstance(decision, Admitted):
             decision = await self._take_quota(decision, facts)
         if isinstance(decision, GatewayRefusal):
-            if probe is not None:
-                self._guard.end_probe(probe)
             await self._refuse(writer, facts, decision)
             return None
         timeout_s = facts.timeout_s or DEFAULT_TIMEOUT_S
@@ -122,7 +120,7 @@
             service,
             deadline,
             set(),
-            probe=probe,
+            probe=decision.probe,
         )
 
     def _check_request(
@@ -144,27 +142,23 @@
             return GatewayRefusal(ErrorCause.QUARANTINED)
         return Admitted(route, account)
 
-    async def _check_parts(self, facts: CallerRequest) -> Probe | GatewayRefusal | None:
-        """Check the prompt against held parts.
-
-        Returns
-        -------
-        Probe, GatewayRefusal or None
-            The granted probe, or None if no part is held.
-        """
+    async def _check_parts(
+        self, admitted: Admitted, facts: CallerRequest
+    ) -> Admitted | GatewayRefusal:
+        """Check the prompt against held parts, which need a probe."""
         parts = list_compared_parts(facts)
         if not parts:
-            return None
+            return admitted
         if not self._state.knows_held_parts:
             return GatewayRefusal(ErrorCause.QUARANTINE_UNKNOWN, DEFAULT_RETRY_AFTER_S)
         if not self._guard.has_held(parts):
-            return None
+            return admitted
         match await self._guard.request_probe(parts):
             case ProbeDenied(wait_s):
                 held = tuple(sorted(self._guard.held.intersection(parts)))
                 return GatewayRefusal(ErrorCause.QUARANTINED, wait_s, held_parts=held)
             case Probe() as probe:
-                return probe
+                return msgspec.structs.replace(admitted, probe=probe)
 
     def _find_account(
         self, table: RouteTable, route: Route, facts: CallerRequest
@@ -190,7 +184,12 @@
             return admitted
         units = count_units(account, facts)
         max_wait_s = admitted.route.latency_objective_s * QUOTA_WAIT_FRACTION
-        wait_s = await self._quota.admit(account, units, max_wait_s)
+        wait_s = math.inf
+        try:
+            wait_s = await self._quota.admit(account, units, max_wait_s)
+        finally:
+            if wait_s > 0 and admitted.probe is not None:
+                self._guard.end_probe(admitted.probe)
         if wait_s <= 0:
             return admitted
         return GatewayRefusal(ErrorCause.QUOTA, wait_s, account, units)
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -1,7 +1,6 @@
 """Forwarding of admitted requests: choice of endpoints, retries and final answer."""
 
 import asyncio
-import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -33,12 +32,11 @@
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.part_guard import PartGuard
+from tarragonway.gateway.selection import EndpointSelector
 from tarragonway.gateway.sender import Codec, Sender
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import ConnectionPool, Request, ResponseWriter
-from tarragonway.limits.request_limits import Permit, PermitDenied
-from tarragonway.limits.request_weights import RequestWeights
 from tarragonway.links.messages import CrashReport
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import EngineTraits, Repeatability
@@ -50,14 +48,9 @@
 # latency objective by this factor.
 OVERLOAD_FACTOR = 1.5
 MAX_PRIORITY = 9
-# Requests that ask for a permit, for each permit that limited endpoints leave.
-PERMIT_DEMAND_FACTOR = 1.5
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
 # section 15.5.20).
 STATUS_MISDIRECTED = 421
-# Connections that a gateway may use to each endpoint, even if its part of the service's
-# limit is smaller.
-MIN_CONNECTIONS = 4
 
 _log = structlog.get_logger()
 
@@ -133,8 +126,10 @@
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._weights: dict[ServiceName, RequestWeights] = {}
         self.pool = ConnectionPool()
+        self._selector = EndpointSelector(
+            state, chooser, self.pool, limit_guard, offered_load
+        )
         self._sender = Sender(self.pool, codec, self)
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
@@ -192,13 +187,13 @@
         budget = self._get_budget(attempt.service)
         budget.deposit()
         engine = self._find_engine(attempt.service)
-        self._offered_load.add(
+        work_s = self._offered_load.add(
             attempt.service, attempt.facts.prompt, engine.slots if engine else 1
         )
-        self._get_weights(attempt.service).record(self._compute_work(attempt))
+        self._selector.record_request(attempt.service, work_s)
         outcome: SendOutcome | None = None
         while True:
-            choice = await self._choose(attempt)
+            choice = await self._selector.select(attempt, work_s)
             if isinstance(choice, Limited) and outcome is None:
                 outcome = choice
             if not isinstance(choice, Choice):
@@ -223,98 +218,6 @@
             return False
         return choice.delay_ms > OVERLOAD_FACTOR * objective_ms
 
-    async def _choose(self, attempt: Attempt) -> Choice | Limited | None:
-        """Return an endpoint that may be sent the request, or why there is none.
-
-        A limited endpoint needs a permit. If it gets none, the request goes to one
-        without a limit.
-        """
-        rows = self._list_usable(attempt)
-        now = asyncio.get_running_loop().time()
-        guard = self._limit_guard
-        free = [row for row in rows if guard.find_limit(row.key) is None]
-        limited = [row for row in rows if guard.find_limit(row.key) is not None]
-        open_rows = [row for row in limited if guard.get_wait(row.key, now) <= 0]
-        has_free = any(not self._chooser.is_unhealthy(row.key, now) for row in free)
-        if has_free and limited and not self._deserves_permit(attempt, limited):
-            open_rows = []
-        choice = self._choose_among(attempt, free + open_rows)
-        if choice is None and limited:
-            return Limited(min(guard.get_wait(row.key, now) for row in limited))
-        if choice is None or guard.find_limit(choice.endpoint.key) is None:
-            return choice
-        others = [row for row in open_rows if row != choice.endpoint and not has_free]
-        match await guard.request_permit(
-            [row.key for row in (choice.endpoint, *others)]
-        ):
-            case Permit(key):
-                return self._choose_among(attempt, [r for r in rows if r.key == key])
-            case PermitDenied(_, return_s):
-                return self._choose_among(attempt, free) or Limited(return_s)
-
-    def _deserves_permit(self, attempt: Attempt, limited: list[ListedEndpoint]) -> bool:
-        """Return whether the request has as much work as permits are few.
-
-        The permits of all limited endpoints are compared with the requests of all
-        gateways, taken as equal to this one's.
-        """
-        own_rate = self._offered_load.request_rates.get(attempt.service, 0.0)
-        requests_per_s = own_rate * self._state.gateways
-        if requests_per_s <= 0:
-            return True
-        limits = (self._limit_guard.find_limit(row.key) or 0.0 for row in limited)
-        fraction = PERMIT_DEMAND_FACTOR * sum(limits) / requests_per_s
-        weights = self._get_weights(attempt.service)
-        return weights.is_among_heaviest(self._compute_work(attempt), fraction)
-
-    def _compute_work(self, attempt: Attempt) -> float:
-        """Return the estimated work of a request on an idle engine, in seconds."""
-        prompt, engine = attempt.facts.prompt, self._find_engine(attempt.service)
-        if prompt is None or engine is None:
-            return 0.0
-        return self._speeds.get(attempt.service).compute_work_s(
-            prompt.input_tokens, prompt.output_tokens, max(1, engine.slots)
-        )
-
-    def _get_weights(self, service: ServiceName) -> RequestWeights:
-        return self._weights.setdefault(service, RequestWeights())
-
-    def _list_usable(self, attempt: Attempt) -> list[ListedEndpoint]:
-        """Return the service's endpoints that are not tried or short of connections."""
-        limit = self._compute_connection_limit(attempt.service)
-        return [
-            row
-            for row in self._state.endpoints.rows.values()
-            if row.service == attempt.service
-            and not row.leaving
-            and row.key not in attempt.tried
-            and self.pool.count_used(row.key) < limit
-        ]
-
-    def _choose_among(
-        self, attempt: Attempt, rows: list[ListedEndpoint]
-    ) -> Choice | None:
-        return self._chooser.choose(
-            rows,
-            attempt.service,
-            attempt.facts.prompt,
-            attempt.tried,
-            asyncio.get_running_loop().time(),
-        )
-
-    def _compute_connection_limit(self, service: ServiceName) -> float:
-        """Return how many connections this gateway may use to each endpoint.
-
-        The service's limit is divided evenly among all gateways, but each may use a few
-        connections in any case. Without a limit, the result is infinite.
-        """
-        table = self._state.table
-        known = table.services.get(service) if table else None
-        if known is None or not known.max_connections:
-            return math.inf
-        own_part = known.max_connections / self._state.gateways
-        return max(MIN_CONNECTIONS, own_part)
-
     async def _send(self, attempt: Attempt, choice: Choice) -> SendOutcome:
         loop = asyncio.get_running_loop()
         endpoint = choice.endpoint
--- a/tarragonway/gateway/limit_guard.py
+++ b/tarragonway/gateway/limit_guard.py
@@ -1,7 +1,6 @@
 """Request limits of endpoints at a gateway, and the permits that it takes."""
 
 import asyncio
-import itertools
 import random
 from collections.abc import Callable, Iterable, Sequence
 
@@ -10,6 +9,7 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.gateway.leader_calls import LeaderCalls
 from tarragonway.gateway.state import GatewayState
 from tarragonway.limits.request_limits import (
     LeaderlessPermits,
@@ -20,7 +20,6 @@
 )
 from tarragonway.links.messages import LimitStated, PermitReply, PermitRequest
 
-ANSWER_TIMEOUT_S = 0.25
 # Wait of a caller if the leader gives none.
 DEFAULT_RETURN_S = 1.0
 MAX_CANDIDATES = 32
@@ -59,8 +58,7 @@
         self._published: dict[str, float] = {}
         self._blocked_until: dict[str, float] = {}
         self._leaderless = LeaderlessPermits(random.Random())
-        self._sequence = itertools.count(1)
-        self._pending: dict[int, asyncio.Future[PermitReply]] = {}
+        self._calls: LeaderCalls[PermitReply] = LeaderCalls()
         self.version = -1
 
     @property
@@ -69,6 +67,11 @@
         own = {key: statement.per_s for key, statement in self._own.items()}
         return {**self._published, **own}
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any endpoint is limited."""
+        return bool(self._own or self._published)
+
     def find_limit(self, key: str) -> float | None:
         """Return the limit of an endpoint, or None."""
         own = self._own.get(key)
@@ -166,7 +169,9 @@
             if per_s is None:
                 return Permit(key)
             limits[key] = per_s
-        reply = await self._ask(limits)
+        _, reply = await self._calls.call(
+            lambda sequence: self._send(PermitRequest(sequence, limits))
+        )
         if reply is None:
             return self._take_leaderless(limits)
         if reply.endpoint:
@@ -180,9 +185,7 @@
 
     def handle_reply(self, reply: PermitReply) -> None:
         """Pass the leader's reply to the request that waits for it."""
-        future = self._pending.get(reply.sequence)
-        if future is not None and not future.done():
-            future.set_result(reply)
+        self._calls.handle_reply(reply)
 
     def _take_leaderless(self, limits: dict[str, float]) -> Permit | PermitDenied:
         self._counters.increment("limits.without_leader")
@@ -191,17 +194,3 @@
             if self._leaderless.take(key, per_s, self._state.gateways, now):
                 return Permit(key)
         return PermitDenied({}, DEFAULT_RETURN_S)
-
-    async def _ask(self, limits: dict[str, float]) -> PermitReply | None:
-        sequence = next(self._sequence)
-        if not self._send(PermitRequest(sequence, limits)):
-            return None
-        future: asyncio.Future[PermitReply] = asyncio.get_running_loop().create_future()
-        self._pending[sequence] = future
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await future
-        except TimeoutError:
-            return None
-        finally:
-            del self._pending[sequence]
--- a/tarragonway/gateway/offered_load.py
+++ b/tarragonway/gateway/offered_load.py
@@ -24,7 +24,7 @@
     --------
     >>> meter = OfferedLoadMeter(EngineSpeeds())
     >>> _ = meter.measure(0.0)
-    >>> meter.add("llm", Prompt(5500, 20), slots=8)
+    >>> _ = meter.add("llm", Prompt(5500, 20), slots=8)
     >>> meter.measure(1.0)
     {'llm': 0.0519}
     >>> meter.measure(2.0)
@@ -40,8 +40,8 @@
         self._at: float | None = None
         self._started: float | None = None
 
-    def add(self, service: ServiceName, prompt: Prompt | None, slots: int) -> None:
-        """Add the estimated work of one request, which is none without a prompt.
+    def add(self, service: ServiceName, prompt: Prompt | None, slots: int) -> float:
+        """Add one request; return its estimated work in seconds, 0 without a prompt.
 
         Parameters
         ----------
@@ -53,11 +53,13 @@
             Requests that one of the service's engines runs at once.
         """
         self._counts[service] = self._counts.get(service, 0) + 1
-        if prompt is not None:
-            work_s = self._speeds.get(service).compute_work_s(
-                prompt.input_tokens, prompt.output_tokens, max(1, slots)
-            )
-            self._sums[service] = self._sums.get(service, 0.0) + work_s
+        if prompt is None:
+            return 0.0
+        work_s = self._speeds.get(service).compute_work_s(
+            prompt.input_tokens, prompt.output_tokens, max(1, slots)
+        )
+        self._sums[service] = self._sums.get(service, 0.0) + work_s
+        return work_s
 
     def measure(self, now: float) -> dict[str, float]:
         """Return the smoothed rate by service and start a new interval.
--- a/tarragonway/gateway/part_guard.py
+++ b/tarragonway/gateway/part_guard.py
@@ -1,7 +1,6 @@
 """Held prompt parts at a gateway, and the probes that it requests from the leader."""
 
 import asyncio
-import itertools
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -9,6 +8,7 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import PartId
+from tarragonway.gateway.leader_calls import LeaderCalls
 from tarragonway.links.messages import (
     HeldParts,
     PartsBegan,
@@ -18,7 +18,6 @@
 )
 from tarragonway.quarantine import BegunParts
 
-ANSWER_TIMEOUT_S = 0.25
 # Delay until a caller may return while no leader can grant a probe.
 LEADERLESS_WAIT_S = 1.0
 # A denial is repeated to later requests for at most this time.
@@ -64,8 +63,7 @@
         self._counters = counters
         self._revision = -1
         self._held: frozenset[PartId] = frozenset()
-        self._sequence = itertools.count(1)
-        self._pending: dict[int, asyncio.Future[ProbeReply]] = {}
+        self._calls: LeaderCalls[ProbeReply] = LeaderCalls()
         self._denied_until: dict[frozenset[PartId], float] = {}
         self.begun = BegunParts()
 
@@ -105,8 +103,12 @@
         denied_until = self._denied_until.get(held, 0.0)
         if now < denied_until:
             return ProbeDenied(denied_until - now)
-        reply = await self._ask(tuple(sorted(held)))
+        sequence, reply = await self._calls.call(
+            lambda sequence: self._send(ProbeRequest(sequence, tuple(sorted(held))))
+        )
         if reply is None:
+            # The leader may have granted the probe too late.
+            self._send(ProbeEnded(sequence))
             return ProbeDenied(LEADERLESS_WAIT_S)
         if reply.wait_s == 0:
             self._counters.increment("quarantine.probes")
@@ -129,21 +131,4 @@
 
     def handle_reply(self, reply: ProbeReply) -> None:
         """Pass the leader's reply to the request that waits for it."""
-        future = self._pending.get(reply.sequence)
-        if future is not None and not future.done():
-            future.set_result(reply)
-
-    async def _ask(self, held: tuple[PartId, ...]) -> ProbeReply | None:
-        sequence = next(self._sequence)
-        if not self._send(ProbeRequest(sequence, held)):
-            return None
-        future: asyncio.Future[ProbeReply] = asyncio.get_running_loop().create_future()
-        self._pending[sequence] = future
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                return await future
-        except TimeoutError:
-            self._send(ProbeEnded(sequence))
-            return None
-        finally:
-            del self._pending[sequence]
+        self._calls.handle_reply(reply)
--- /dev/null
+++ b/tarragonway/gateway/selection.py
@@ -0,0 +1,141 @@
+"""Selection of an endpoint within connection limits and request limits."""
+
+import asyncio
+import math
+
+from tarragonway.core.ids import ServiceName
+from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.gateway.attempt import Attempt, Limited
+from tarragonway.gateway.choice import Choice, EndpointChooser
+from tarragonway.gateway.limit_guard import LimitGuard
+from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.state import GatewayState
+from tarragonway.http1 import ConnectionPool
+from tarragonway.limits.request_limits import Permit, PermitDenied
+from tarragonway.limits.request_weights import RequestWeights
+
+# Requests that ask for a permit, for each permit that limited endpoints leave.
+PERMIT_DEMAND_FACTOR = 1.5
+# Connections that a gateway may use to each endpoint, even if its part of the service's
+# limit is smaller.
+MIN_CONNECTIONS = 4
+
+
+class EndpointSelector:
+    """Selects the endpoint for each send of a request.
+
+    Parameters
+    ----------
+    state : GatewayState
+        Configuration and endpoints in force.
+    chooser : EndpointChooser
+        Chooses among endpoints by their estimated delay.
+    pool : ConnectionPool
+        Source of the number of connections in use.
+    guard : LimitGuard
+        Request limits of endpoints, and permits for them.
+    offered_load : OfferedLoadMeter
+        Source of request rates and of the work of requests.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        chooser: EndpointChooser,
+        pool: ConnectionPool,
+        guard: LimitGuard,
+        offered_load: OfferedLoadMeter,
+    ) -> None:
+        self._state = state
+        self._chooser = chooser
+        self._pool = pool
+        self._guard = guard
+        self._offered_load = offered_load
+        self._weights: dict[ServiceName, RequestWeights] = {}
+
+    def record_request(self, service: ServiceName, work_s: float) -> None:
+        """Record the estimated work of a request, in seconds."""
+        self._weights.setdefault(service, RequestWeights()).record(work_s)
+
+    async def select(self, attempt: Attempt, work_s: float) -> Choice | Limited | None:
+        """Return an endpoint that may be sent the request, or why there is none.
+
+        A limited endpoint needs a permit. If it gets none, the request goes to one
+        without a limit.
+        """
+        rows = self._list_usable(attempt)
+        if not self._guard.has_limits:
+            return self._choose_among(attempt, rows)
+        now = asyncio.get_running_loop().time()
+        free = [row for row in rows if self._guard.find_limit(row.key) is None]
+        limited = [row for row in rows if self._guard.find_limit(row.key) is not None]
+        open_rows = [row for row in limited if self._guard.get_wait(row.key, now) <= 0]
+        has_free = any(not self._chooser.is_unhealthy(row.key, now) for row in free)
+        if has_free and not self._deserves_permit(attempt.service, work_s, limited):
+            open_rows = []
+        choice = self._choose_among(attempt, free + open_rows)
+        if choice is None and limited:
+            return Limited(min(self._guard.get_wait(row.key, now) for row in limited))
+        if choice is None or self._guard.find_limit(choice.endpoint.key) is None:
+            return choice
+        others = [row for row in open_rows if row != choice.endpoint and not has_free]
+        candidates = [choice.endpoint, *others]
+        match await self._guard.request_permit([row.key for row in candidates]):
+            case Permit(key):
+                permitted = [row for row in candidates if row.key == key]
+                return self._choose_among(attempt, permitted)
+            case PermitDenied(_, return_s):
+                return self._choose_among(attempt, free) or Limited(return_s)
+
+    def _deserves_permit(
+        self, service: ServiceName, work_s: float, limited: list[ListedEndpoint]
+    ) -> bool:
+        """Return whether the request has as much work as permits are few.
+
+        The permits of all limited endpoints are compared with the requests of all
+        gateways, taken as equal to this one's.
+        """
+        own_rate = self._offered_load.request_rates.get(service, 0.0)
+        requests_per_s = own_rate * self._state.gateways
+        weights = self._weights.get(service)
+        if requests_per_s <= 0 or weights is None:
+            return True
+        limits = (self._guard.find_limit(row.key) or 0.0 for row in limited)
+        fraction = PERMIT_DEMAND_FACTOR * sum(limits) / requests_per_s
+        return weights.is_among_heaviest(work_s, fraction)
+
+    def _list_usable(self, attempt: Attempt) -> list[ListedEndpoint]:
+        """Return the service's endpoints that are not tried or short of connections."""
+        limit = self._compute_connection_limit(attempt.service)
+        return [
+            row
+            for row in self._state.endpoints.rows.values()
+            if row.service == attempt.service
+            and not row.leaving
+            and row.key not in attempt.tried
+            and self._pool.count_used(row.key) < limit
+        ]
+
+    def _choose_among(
+        self, attempt: Attempt, rows: list[ListedEndpoint]
+    ) -> Choice | None:
+        return self._chooser.choose(
+            rows,
+            attempt.service,
+            attempt.facts.prompt,
+            attempt.tried,
+            asyncio.get_running_loop().time(),
+        )
+
+    def _compute_connection_limit(self, service: ServiceName) -> float:
+        """Return how many connections this gateway may use to each endpoint.
+
+        The service's limit is divided evenly among all gateways, but each may use a few
+        connections in any case. Without a limit, the result is infinite.
+        """
+        table = self._state.table
+        known = table.services.get(service) if table else None
+        if known is None or not known.max_connections:
+            return math.inf
+        own_part = known.max_connections / self._state.gateways
+        return max(MIN_CONNECTIONS, own_part)
