Order methods of the part quarantine, and log only limits that have changed

An answer without a limit, of an endpoint whose limit only the leader had published, was logged as a change with each answer until the leader had published the end.

--- a/tarragonway/gateway/limit_guard.py
+++ b/tarragonway/gateway/limit_guard.py
@@ -105,6 +105,10 @@
             self._counters.increment("limits.stated")
         if stated == known:
             return
+        if stated is None and own is None:
+            # The leader decides whether the limit that it has published has ended.
+            self._send(LimitStated(key, None, now - sent_at))
+            return
         if stated is None and own is not None and own.stated_at >= sent_at:
             return
         _log.info(
@@ -114,8 +118,7 @@
             before=known,
         )
         if stated is None:
-            # The leader decides whether the limit that it has published has ended.
-            self._own.pop(key, None)
+            del self._own[key]
             self._send(LimitStated(key, None, now - sent_at))
         else:
             self._own[key] = _Statement(stated, now)
--- a/tarragonway/quarantine/parts.py
+++ b/tarragonway/quarantine/parts.py
@@ -194,32 +194,6 @@
         if len(self._records) > MAX_RECORDS:
             self._evict()
 
-    def _add_crash(
-        self, part: PartId, endpoint: str, crashed_at: float, now: float
-    ) -> None:
-        record = self._records.get(part)
-        if record is None:
-            record = self._records[part] = _Record()
-            self.watch_version += 1
-        if endpoint in record.crashed_at:
-            return
-        record.crashed_at[endpoint] = crashed_at
-        record.last_crash_at = max(record.last_crash_at, crashed_at)
-        if record.crashes == MIN_CRASHES:
-            record.suspected_at = now
-
-    def _explain(self, endpoint: str, harmful: Collection[PartId], now: float) -> None:
-        """Remove an endpoint's crash from the parts that did not cause it."""
-        self._explained[endpoint] = now
-        for part, record in self._records.items():
-            if not record.is_held and part not in harmful:
-                record.crashed_at.pop(endpoint, None)
-
-    def _is_proved(self, part: PartId) -> bool:
-        """Return whether a probe with this part as the only held one has failed."""
-        record = self._records.get(part)
-        return record is not None and record.is_held and record.failed_probes > 0
-
     def record_began(self, part: PartId, began_at: float) -> None:
         """Record that an answer to a request with this part began at that time.
 
@@ -293,6 +267,32 @@
             )
         return bool(suspects[:room])
 
+    def _add_crash(
+        self, part: PartId, endpoint: str, crashed_at: float, now: float
+    ) -> None:
+        record = self._records.get(part)
+        if record is None:
+            record = self._records[part] = _Record()
+            self.watch_version += 1
+        if endpoint in record.crashed_at:
+            return
+        record.crashed_at[endpoint] = crashed_at
+        record.last_crash_at = max(record.last_crash_at, crashed_at)
+        if record.crashes == MIN_CRASHES:
+            record.suspected_at = now
+
+    def _explain(self, endpoint: str, harmful: Collection[PartId], now: float) -> None:
+        """Remove an endpoint's crash from the parts that did not cause it."""
+        self._explained[endpoint] = now
+        for part, record in self._records.items():
+            if not record.is_held and part not in harmful:
+                record.crashed_at.pop(endpoint, None)
+
+    def _is_proved(self, part: PartId) -> bool:
+        """Return whether a probe with this part as the only held one has failed."""
+        record = self._records.get(part)
+        return record is not None and record.is_held and record.failed_probes > 0
+
     def _compute_wait(self, held: set[PartId], now: float) -> float:
         if len(held) > 1:
             return self._compute_joint_wait(held, now)
@@ -308,12 +308,10 @@
         records = [self._records[part] for part in held]
         if any(record.is_spent for record in records):
             return float("inf")
-        smaller_at = max(
-            (r.fewest_held_at for r in records if r.fewest_held < len(held)),
-            default=float("-inf"),
-        )
-        first_at = max(smaller_at, *(r.held_at for r in records)) + JOINT_PROBE_DELAY_S
-        first_at = max(first_at, *(r.probe_at for r in records))
+        smaller_at = [r.fewest_held_at for r in records if r.fewest_held < len(held)]
+        held_at = [record.held_at for record in records]
+        first_at = max(*smaller_at, *held_at) + JOINT_PROBE_DELAY_S
+        first_at = max(first_at, *(record.probe_at for record in records))
         failed = [row for row in self._failed_sets if row.parts & held]
         if failed:
             suspects = {part for row in failed for part in row.parts & held}
