Leave empty fields out of reports, and send request rates with the speeds

The new fields made a gateway's report 104 bytes longer and its reply 48, four times a second: 0.6 of the 4 KB/s that control may cost a node.

--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -185,7 +185,8 @@
         gateway.clock_offset_s = gateway_report.clock_s - self._clock.now()
         gateway.clock_s = gateway_report.clock_s
         gateway.offered_load = gateway_report.offered_load
-        gateway.request_rates = gateway_report.request_rates
+        if gateway_report.request_rates is not None:
+            gateway.request_rates = gateway_report.request_rates
         if gateway_report.speeds is not None:
             gateway.speeds = gateway_report.speeds
         for window in gateway_report.usage:
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -356,7 +356,9 @@
             self._watch_version,
             self._limit_guard.list_statements(now) if self._full_report else (),
             self._limit_guard.version,
-            self._offered_load.request_rates,
+            self._offered_load.request_rates
+            if has_speeds or self._full_report
+            else None,
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -198,7 +198,7 @@
     gateways: int
 
 
-class GatewayReport(msgspec.Struct, frozen=True, tag="Beat"):
+class GatewayReport(msgspec.Struct, frozen=True, tag="Beat", omit_defaults=True):
     """A gateway's report to the leader.
 
     ``clock_s`` is the gateway's wall-clock time at sending. ``list_term`` and
@@ -212,7 +212,7 @@
     reported yet; ``watch_version`` is the version of the watched parts. ``limits`` are
     the request limits of endpoints that the gateway knows, sent with the first report
     to a new leader; ``limits_version`` is the version of those of the leader.
-    ``request_rates`` are the requests per second for each service.
+    ``request_rates``, the requests per second for each service, are sent with speeds.
     """
 
     name: ProcessName
@@ -225,14 +225,16 @@
     offered_load: dict[str, float] = msgspec.field(name="pressure", default={})
     history: GrantHistory | None = None
     speeds: dict[ServiceName, EngineSpeed] | None = None
-    began_ages_s: dict[PartId, float] = {}
-    watch_version: int = -1
+    began_ages_s: dict[PartId, float] = msgspec.field(name="began", default={})
+    watch_version: int = msgspec.field(name="watch", default=-1)
     limits: tuple[LimitStated, ...] = ()
-    limits_version: int = -1
-    request_rates: dict[ServiceName, float] = {}
+    limits_version: int = msgspec.field(name="limit", default=-1)
+    request_rates: dict[ServiceName, float] | None = None
 
 
-class GatewayReportReply(msgspec.Struct, frozen=True, tag="BeatReply"):
+class GatewayReportReply(
+    msgspec.Struct, frozen=True, tag="BeatReply", omit_defaults=True
+):
     """The leader's reply to a gateway's report (:class:`GatewayReport`).
 
     ``clock_correction_s`` is to be added to the gateway's clock to reach the median of
@@ -254,9 +256,9 @@
     quarantined: tuple[Fingerprint, ...] = ()
     suspects: tuple[Fingerprint, ...] = ()
     speeds: dict[ServiceName, EngineSpeed] | None = None
-    watch_version: int = -1
+    watch_version: int = msgspec.field(name="watch", default=-1)
     watched: tuple[PartId, ...] | None = None
-    limits_version: int = -1
+    limits_version: int = msgspec.field(name="limit", default=-1)
     limits: dict[str, float] | None = None
 
 
