Keep the quota property strict, and list its failing case as a test of its own

The failing seed had been added to the property as an example and the property listed as a known failure, so a regression with seed 43805 would have been passed over too. The two known seeds are a test of their own with the same bound, of which only seed 134 is listed. The property stays listed beside it, since it found that case once by chance.

Traced: a bucket without a leader holds half a second of a 64th part of the quota, about 200 tokens, and a full one admits a request of 12,000. In two gaps of 1.5 s the 64 gateways admitted 74,300 and 117,200 units; 0.7 of the quota is 37,800 each.

--- a/tarragonway/coordinator/tests/test_quotas.py
+++ b/tarragonway/coordinator/tests/test_quotas.py
@@ -1,6 +1,7 @@
 import collections
 import random
 
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -77,8 +78,6 @@
 )
 # Exceeds the bound if a tenth of the tolerance is added to the refill.
 @example(rate=36_000.0, gateways=64, first=1.5, length=1.5, pause=1.5, seed=43805)
-# Exceeds the bound by 0.5 % (KNOWN-RED.txt).
-@example(rate=36_000.0, gateways=64, first=1.5, length=1.5, pause=1.5, seed=134)
 def test_saturated_account_stays_within_quota_over_changes_of_leader(
     rate, gateways, first, length, pause, seed
 ):
@@ -87,6 +86,16 @@
     assert simulate(rate, gateways, changes, seed) <= bound
 
 
+# Seed 43805 exceeds the bound if a tenth of the tolerance is added to the refill. With
+# seed 134 many gateways without a leader admit a request beyond their part at once.
+@pytest.mark.parametrize("seed", [43805, 134])
+def test_account_with_many_gateways_stays_within_quota_for_known_seeds(seed):
+    rate, length = 36_000.0, 1.5
+    bound = (rate * WINDOW_S + rate) * (1 + OVERRUN) + SLACK
+    changes = [(1.5, length), (4.5, length)]
+    assert simulate(rate, 64, changes, seed) <= bound
+
+
 def test_saturated_account_gets_its_whole_quota():
     rate = 100_000.0
     assert simulate(rate, 8, [], 1) >= rate * WINDOW_S + rate
