--- a/tarragonway/coordinator/bootstrap.py
+++ b/tarragonway/coordinator/bootstrap.py
@@ -1,7 +1,8 @@
-"""Identity of a coordinator in its group: bootstrap, new members, recovery."""
+"""Start of a coordinator: its identity in the group, recovery, and the log."""
 
 import random
 import secrets
+from collections.abc import Callable
 
 import structlog
 import xxhash
@@ -12,14 +13,25 @@
     LogTail,
     Member,
     Membership,
+    Packet,
     Parameters,
     Recovered,
     Replica,
     Snapshot,
 )
+from tarragonway.consensus.files import FolderFiles
 from tarragonway.consensus.storage import Identity
+from tarragonway.coordinator.machine import CoordinatorMachine
+from tarragonway.core.counters import Counters
+from tarragonway.core.errors import CorruptDataError
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+from tarragonway.node.settings import NodeSettings
+from tarragonway.replication import DriverConfig, LogDriver
 
+TICK_INTERVAL_S = 0.05
+SNAPSHOT_INTERVAL_ENTRIES = 200
+RETAINED_ENTRIES = 50
+MIN_VOTERS = 3
 # Timing of the replicated log, in ticks of the coordinator process.
 ELECTION_TICKS = 12
 HEARTBEAT_TICKS = 2
@@ -98,6 +110,44 @@
     )
 
 
+def make_driver(
+    settings: NodeSettings,
+    files: FolderFiles,
+    folder: DataFolder,
+    machine: CoordinatorMachine,
+    send_packet: Callable[[Packet], None],
+    counters: Counters,
+) -> LogDriver:
+    """Return the driver of the log in the data folder.
+
+    A damaged folder is cleared: synced data may be missing, so the member must not vote
+    again under its old identity. The process then joins as a new member.
+    """
+    address, seeds = settings.peer_address, settings.seed_peers
+    try:
+        identity, recovered = prepare_data_folder(
+            folder, address, seeds, settings.bootstrap
+        )
+    except CorruptDataError as error:
+        _log.error(
+            "data folder is damaged; clearing it and joining as a new member",
+            reason=str(error),
+        )
+        files.clear()
+        identity, recovered = prepare_data_folder(folder, address, seeds, False)
+    config = DriverConfig(
+        Member(identity.member, ProcessName(address)),
+        TICK_INTERVAL_S,
+        MIN_VOTERS,
+        SNAPSHOT_INTERVAL_ENTRIES,
+        RETAINED_ENTRIES,
+    )
+    replica = restore_replica(identity, recovered)
+    return LogDriver(
+        config, identity.cluster, replica, folder, machine, send_packet, counters
+    )
+
+
 def get_peer_address(member: MemberId) -> str:
     """Return the peer address with which a member's id starts."""
     return member.rpartition("#")[0]
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -7,13 +7,17 @@
 
 import structlog
 
-from tarragonway.consensus import DataFolder, Member, Packet, Replica
+from tarragonway.consensus import DataFolder, Member, Packet
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.consensus.storage import Identity
 from tarragonway.coordinator.bootstrap import (
+    TICK_INTERVAL_S,
     get_peer_address,
-    prepare_data_folder,
-    restore_replica,
+    make_driver,
+)
+from tarragonway.coordinator.endpoint_messages import (
+    EndpointMessage,
+    EndpointMessageHandler,
 )
 from tarragonway.coordinator.gateways import GatewayReports
 from tarragonway.coordinator.lease import DutyLease
@@ -26,38 +30,27 @@
 from tarragonway.coordinator.usage import UsageReporter
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
-from tarragonway.core.errors import CorruptDataError
 from tarragonway.core.ids import AccountId, ProcessName, ZoneName
 from tarragonway.endpoints.endpoint_list import EndpointView
 from tarragonway.endpoints.reader import ListReader
 from tarragonway.http1 import CallClient, HttpServer
-from tarragonway.limits.request_limits import Permit, PermitDenied
 from tarragonway.links import Link, LinkPool
 from tarragonway.links.link import encode_message
 from tarragonway.links.messages import (
     ConfigurationText,
-    CrashReport,
     FetchConfiguration,
     GatewayReport,
     Hello,
     Join,
-    LimitStated,
     LinkMessage,
-    PartsBegan,
-    PermitReply,
-    PermitRequest,
-    ProbeEnded,
-    ProbeRequest,
     QuotaRequest,
     QuotaReturn,
     Status,
-    SuspectCleared,
 )
 from tarragonway.node.metrics import make_metrics_server
 from tarragonway.node.settings import NodeSettings
 from tarragonway.platform import configuration, duties, listing, names
 from tarragonway.process.tasks import BackgroundTasks
-from tarragonway.replication import DriverConfig, LogDriver
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
     Account,
@@ -65,12 +58,8 @@
     ConnectionLimits,
 )
 
-TICK_INTERVAL_S = 0.05
 STATUS_INTERVAL_S = 0.5
 JOIN_INTERVAL_S = 0.3
-SNAPSHOT_INTERVAL_ENTRIES = 200
-RETAINED_ENTRIES = 50
-MIN_VOTERS = 3
 MAX_NAMED_MEMBERS = 32
 # Fraction of the grace period that stepping down may take. A member without which the
 # group has no majority keeps running for up to half of that time, and then transfers
@@ -104,7 +93,14 @@
         self._files = FolderFiles(pathlib.Path(settings.data_folder))
         self._folder = DataFolder(self._files)
         self._machine = CoordinatorMachine()
-        self._driver = self._make_driver()
+        self._driver = make_driver(
+            settings,
+            self._files,
+            self._folder,
+            self._machine,
+            self._send_packet,
+            self._counters,
+        )
         self._link_pool = LinkPool(
             self._handle_message, self._handle_link_opened, self._handle_link_closed
         )
@@ -126,6 +122,13 @@
             lambda: list(self._gateways),
             self._counters,
         )
+        self._endpoint_messages = EndpointMessageHandler(
+            self._driver,
+            self._gateway_reports,
+            self._part_holds,
+            self._make_status,
+            self._counters,
+        )
         address = settings.platform.address
         reader = ListReader(
             CallClient(address),
@@ -251,42 +254,6 @@
 
     # Membership
 
-    def _make_driver(self) -> LogDriver:
-        settings = self._settings
-        try:
-            identity, recovered = prepare_data_folder(
-                self._folder, self._address, self._seeds, settings.bootstrap
-            )
-        except CorruptDataError as error:
-            # Synced data may be missing, so the member must not vote again under its
-            # old identity. The process clears the folder and joins as a new member.
-            _log.error(
-                "data folder is damaged; clearing it and joining as a new member",
-                reason=str(error),
-            )
-            self._files.clear()
-            identity, recovered = prepare_data_folder(
-                self._folder, self._address, self._seeds, False
-            )
-        replica: Replica = restore_replica(identity, recovered)
-        own = Member(identity.member, ProcessName(self._address))
-        config = DriverConfig(
-            own,
-            TICK_INTERVAL_S,
-            MIN_VOTERS,
-            SNAPSHOT_INTERVAL_ENTRIES,
-            RETAINED_ENTRIES,
-        )
-        return LogDriver(
-            config,
-            identity.cluster,
-            replica,
-            self._folder,
-            self._machine,
-            self._send_packet,
-            self._counters,
-        )
-
     async def _maintain_member_links(self) -> None:
         """Maintain links to all members and seeds.
 
@@ -358,69 +325,14 @@
                 self._handle_report(link, message)
             case QuotaRequest():
                 self._handle_quota_request(link, message)
-            case CrashReport():
-                self._handle_crash_report(link, message)
-            case SuspectCleared(fingerprint):
-                self._gateway_reports.suspects.clear_suspect(fingerprint)
-            case ProbeRequest() | ProbeEnded() | PartsBegan():
-                self._handle_probe_message(link, message)
             case QuotaReturn():
                 self._quotas.return_units(message)
-            case LimitStated() | PermitRequest():
-                self._handle_limit_message(link, message)
+            case message if isinstance(message, EndpointMessage):
+                gateway = self._gateways.get(link, ProcessName(""))
+                self._endpoint_messages.handle(link, gateway, message)
             case _:
                 self._counters.increment("links.unexpected")
 
-    def _handle_crash_report(self, link: Link, crash: CrashReport) -> None:
-        self._counters.increment("crashes.reported")
-        _log.info(
-            "crash of an endpoint reported",
-            gateway=link.peer,
-            endpoint=crash.endpoint,
-            fingerprint=crash.fingerprint,
-        )
-        self._part_holds.restore()
-        self._gateway_reports.record_crash(
-            self._gateways.get(link, ProcessName("")),
-            crash,
-            asyncio.get_running_loop().time(),
-        )
-
-    def _handle_probe_message(
-        self, link: Link, message: ProbeRequest | ProbeEnded | PartsBegan
-    ) -> None:
-        if not self._driver.is_leader:
-            link.send(self._make_status())
-            return
-        self._part_holds.handle(
-            link, self._gateways.get(link, ProcessName("")), message
-        )
-
-    def _handle_limit_message(
-        self, link: Link, message: LimitStated | PermitRequest
-    ) -> None:
-        if not self._driver.is_leader:
-            link.send(self._make_status())
-            return
-        now = asyncio.get_running_loop().time()
-        match message:
-            case LimitStated(endpoint, per_s):
-                _log.info(
-                    "request limit of an endpoint reported",
-                    gateway=link.peer,
-                    endpoint=endpoint,
-                    per_s=per_s,
-                )
-                self._gateway_reports.record_limit(message, now)
-            case PermitRequest(sequence, limits):
-                match self._gateway_reports.limits.request_permit(limits, now):
-                    case Permit(endpoint):
-                        self._counters.increment("limits.permits")
-                        link.send(PermitReply(sequence, endpoint))
-                    case PermitDenied(waits_s, return_s):
-                        self._counters.increment("limits.permits_denied")
-                        link.send(PermitReply(sequence, "", waits_s, return_s))
-
     def _handle_join(self, link: Link, member: Member) -> None:
         """Record the request, and name the leader to the sender if it is another."""
         self._driver.record_join_request(member)
