Log software versions and resumed streams at the gateways

Logs could not tell the three hypotheses on mixed software versions apart: no line had a version, and none showed that a stream was resumed. Rows of the endpoint list now carry the version of the endpoint's software, and 'endpoint added or changed', 'send failed', 'request ended' and the new 'stream is resumed at an endpoint' log it. Choices are unchanged.

A row without a version, or with an empty one, has the version "". A version longer than 64 characters is shortened with a digest, so that different ones stay different.

--- a/tarragonway/endpoints/endpoint_list.py
+++ b/tarragonway/endpoints/endpoint_list.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tarragonway.core.ids import ServiceName, ZoneName
+from tarragonway.core.ids import ServiceName, SoftwareVersion, ZoneName
 
 MAX_LEAVING_MARKS = 4096
 
@@ -15,7 +15,8 @@
     ``key`` identifies the incarnation; ``platform_id`` is the platform's id, which a
     restarted endpoint may have again. ``leaves_s`` is the announced time in seconds
     until a reclaimed endpoint is stopped, negative if unknown. ``cold_s`` is the rest
-    of its cold start in seconds.
+    of its cold start in seconds. ``version`` is the version of its software, "" if the
+    list does not state one.
     """
 
     key: str
@@ -28,6 +29,7 @@
     reclaimable: bool = False
     leaves_s: float = -1.0
     cold_s: float = 0.0
+    version: SoftwareVersion = SoftwareVersion("")
 
 
 class EndpointView:
--- a/tarragonway/endpoints/reader.py
+++ b/tarragonway/endpoints/reader.py
@@ -61,6 +61,7 @@
         self._decode_page = decode_page
         self._counters = counters
         self._failing = False
+        self._unusable = 0
         self.pages = 1
 
     async def read(self) -> list[ListedEndpoint] | ListReadFailed:
@@ -80,6 +81,7 @@
 
     async def _read_pages(self) -> list[ListedEndpoint] | ListReadFailed:
         rows: list[ListedEndpoint] = []
+        unusable = 0
         token: str | None = None
         for number in range(1, MAX_PAGES + 1):
             answer = await self._read_page(token)
@@ -94,12 +96,23 @@
             rows.extend(page.rows)
             if page.unusable:
                 self._counters.increment("list.unusable", page.unusable)
+            unusable += page.unusable
             token = page.next
             if token is None:
                 self.pages = number
+                self._log_unusable(unusable, len(rows))
                 return rows
         return ListReadFailed(f"list has more than {MAX_PAGES} pages")
 
+    def _log_unusable(self, unusable: int, usable: int) -> None:
+        if unusable != self._unusable:
+            self._unusable = unusable
+            _log.warning(
+                "entries of the endpoint list cannot be used and are left out",
+                unusable=unusable,
+                usable=usable,
+            )
+
     async def _read_page(self, token: str | None) -> CallResponse | CallFailed:
         for tries_left in reversed(range(MAX_PAGE_ATTEMPTS)):
             answer = await self._client.call(self._make_call(token), READ_TIMEOUT_S)
--- a/tarragonway/exchange/model.py
+++ b/tarragonway/exchange/model.py
@@ -47,6 +47,8 @@
     """Platform-independent contents of a caller's request.
 
     ``timeout_s`` is the caller's timeout in seconds, None if the request has none.
+    ``last_event_id`` and ``resumed_attempt`` are set if the caller resumes a stream:
+    the last event that it has, and the attempt that brought the first event.
     """
 
     attempt: AttemptId
@@ -56,6 +58,12 @@
     api_key: str | None
     last_event_id: str | None
     prompt: Prompt | None
+    resumed_attempt: AttemptId | None = None
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller resumes a stream that an earlier attempt began."""
+        return self.last_event_id is not None or self.resumed_attempt is not None
 
 
 class ForwardContext(msgspec.Struct, frozen=True):
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from tarragonway.core.ids import PartId, ServiceName
+from tarragonway.core.ids import PartId, ServiceName, SoftwareVersion
 from tarragonway.exchange import CallerRequest, ResponseInfo
 from tarragonway.gateway.choice import Choice
 from tarragonway.gateway.part_guard import Probe
@@ -28,6 +28,7 @@
     None before the first send and once that endpoint has begun to answer. ``endpoint``
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
     ``load_at_send`` is the number of other requests that its endpoint ran then.
+    ``version`` is the software version of the latest send's endpoint.
     ``probe`` is the right to send held prompt parts; it is None without such parts, and
     once the leader knows the probe's outcome.
     """
@@ -47,6 +48,7 @@
     choice: Choice | None = None
     sent_at: float = 0.0
     endpoint: str = ""
+    version: SoftwareVersion = SoftwareVersion("")
     estimated_ms: float = 0.0
     load_at_send: float = 0.0
     probe: Probe | None = None
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -314,6 +314,7 @@
                 zone=row.zone,
                 leaving=row.leaving,
                 leaves_s=row.leaves_s,
+                version=row.version,
                 listing=update.list_version,
             )
         if removed:
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -223,6 +223,17 @@
         endpoint = choice.endpoint
         self._chooser.record_send(choice)
         attempt.choice, attempt.sent_at = choice, loop.time()
+        if attempt.last_event_id is not None or attempt.facts.resumes_stream:
+            _log.info(
+                "stream is resumed at an endpoint",
+                attempt=attempt.facts.attempt,
+                resumed_attempt=attempt.facts.resumed_attempt,
+                last_event_id=attempt.last_event_id or attempt.facts.last_event_id,
+                endpoint=endpoint.platform_id,
+                version=endpoint.version,
+                version_before=attempt.version,
+            )
+        attempt.version = endpoint.version
         attempt.load_at_send = self._chooser.get_load(endpoint.key) - 1
         attempt.endpoint, attempt.estimated_ms = endpoint.platform_id, choice.delay_ms
         failed = False
@@ -248,6 +259,7 @@
                 attempt=attempt.facts.attempt,
                 endpoint=endpoint.platform_id,
                 address=endpoint.address,
+                version=endpoint.version,
                 outcome=repr(outcome),
                 began=began,
                 parts=attempt.shared_parts,
@@ -386,6 +398,8 @@
             outcome=outcome,
             sends=attempt.sends,
             endpoint=attempt.endpoint,
+            version=attempt.version,
+            resumed_attempt=attempt.facts.resumed_attempt,
             foreseen_ms=round(attempt.estimated_ms, 1),
             taken_ms=round(taken_ms, 1),
             list_age_s=round(self._compute_list_age(), 2),
--- a/tarragonway/platform/listing.py
+++ b/tarragonway/platform/listing.py
@@ -1,15 +1,19 @@
 """Calls and pages of the platform's endpoint list."""
 
+import hashlib
 from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
 
-from tarragonway.core.ids import ServiceName, ZoneName
+from tarragonway.core.ids import ServiceName, SoftwareVersion, ZoneName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.http1.call import Call
 from tarragonway.platform import names
 
+# Longer texts that name a version are shortened; different ones stay different.
+MAX_VERSION_LENGTH = 64
+
 # Whether an endpoint in this state is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -50,6 +54,8 @@
     born: int = 0
     spot: bool = False
     leaves_ms: float | None = None
+    # Version of the replica's software; those of its weights are in the field "models".
+    version: str = ""
 
 
 _page_decoder = msgspec.json.Decoder(_Page)
@@ -93,4 +99,12 @@
         entry.spot,
         -1.0 if entry.leaves_ms is None else round(entry.leaves_ms / 1000),
         float(round(entry.cold_left_ms / 1000)),
+        _shorten_version(entry.version),
     )
+
+
+def _shorten_version(version: str) -> SoftwareVersion:
+    if len(version) <= MAX_VERSION_LENGTH:
+        return SoftwareVersion(version)
+    digest = hashlib.blake2b(version.encode(), digest_size=8).hexdigest()
+    return SoftwareVersion(f"{version[: MAX_VERSION_LENGTH - 17]}~{digest}")
--- a/tarragonway/platform/names.py
+++ b/tarragonway/platform/names.py
@@ -8,6 +8,9 @@
 # Input and output tokens that a request needs, not those that it has used: "in,out".
 PROMPT_TOKENS = b"tarragonway-token-usage"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the attempt that brought the first event of the stream that is taken up, which
+# need not be the attempt before.
+RESUMED_ATTEMPT = b"resumes"
 # Marks an answer as the endpoint's own; only its presence is checked.
 SIGNATURE = b"tarragonway-server-signature"
 # Id of the client account.
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -28,6 +28,7 @@
         _parse_api_key(request.get(b"authorization")),
         _parse_text(request.get(names.LAST_EVENT_ID)),
         _parse_prompt(request),
+        _parse_attempt(request.get(names.RESUMED_ATTEMPT)),
     )
 
 
@@ -86,6 +87,11 @@
     return None if value is None else value.decode("latin-1")
 
 
+def _parse_attempt(value: bytes | None) -> AttemptId | None:
+    text = (_parse_text(value) or "").strip()
+    return AttemptId(text) if text else None
+
+
 def _parse_number(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tarragonway/platform/tests/test_boundary.py
+++ b/tarragonway/platform/tests/test_boundary.py
@@ -9,7 +9,7 @@
     r"|request|length|model|instance|tenant|fencing)"
     r"|Config\.(Replace|Read)|kv-(move|events|list|handle|pin|fetch|from)|hold-(take|drop)"
     r"|readyz|/replicas|path_prefix|route_kind|max_attempts\"|api_keys|zone_prices\""
-    r"|server-limit|cold_left_ms|leaves_ms|spot_price|window_id|uncached_tokens",
+    r"|server-limit|b\"resumes|cold_left_ms|leaves_ms|spot_price|window_id|uncached_tokens",
     re.IGNORECASE,
 )
 IMPORTERS = {"gateway/daemon.py", "coordinator/daemon.py"}
--- a/tarragonway/platform/tests/test_listing.py
+++ b/tarragonway/platform/tests/test_listing.py
@@ -44,3 +44,21 @@
 
 def test_malformed_page_is_an_error():
     assert isinstance(decode_page(b"{"), PageError)
+
+
+# Guards against streams that go on at another version, because a row's version is lost.
+def test_version_of_the_software_is_decoded():
+    versions = ["v1.2", "", "v" * 99 + "a", "v" * 99 + "b"]
+    entries = [{**ROW, "version": version} for version in versions]
+    page = decode_page(msgspec.json.encode({"instances": [*entries, ROW]}))
+    decoded = [row.version for row in page.rows]
+    assert decoded[:2] == ["v1.2", ""]
+    assert decoded[2] != decoded[3]
+    assert max(map(len, decoded)) == 64
+    assert decoded[4] == ""
+
+
+def test_row_whose_version_is_no_text_is_unusable():
+    entries = [{**ROW, "version": 7}, {**ROW, "version": None}, ROW]
+    page = decode_page(msgspec.json.encode({"instances": entries}))
+    assert (len(page.rows), page.unusable) == (1, 2)
