--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -71,6 +71,10 @@
         Id of a prompt part; the endpoint crashes when it begins to answer it.
     on_harmful : callable
         Called for each arriving request with that part.
+    version : str
+        Version of its software, which the endpoint list and each event state.
+    event_interval_s : float
+        Seconds between the events of a stream.
     request_limit : str
         Requests a second that the endpoint states in its answers; empty for none.
     arrived_at : list of float
@@ -94,6 +98,8 @@
         self.failure_probability = 0.0
         self.harmful_part = ""
         self.on_harmful: Callable[[], None] = lambda: None
+        self.version = "v1"
+        self.event_interval_s = EVENT_INTERVAL_S
         self.request_limit = ""
         self.arrived_at: list[float] = []
         self.crashed_at: list[float] = []
@@ -123,6 +129,7 @@
             "state": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
             "born": 1 + len(self.crashed_at),
+            "version": self.version,
         }
 
     async def _handle(self, request: Request, writer: ResponseWriter) -> None:
@@ -158,8 +165,8 @@
             self._crash()
             return
         for number in range(first, EVENTS_PER_STREAM + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S)
-            event = f"id: {number}\ndata: {number}\n\n".encode()
+            await asyncio.sleep(self.event_interval_s)
+            event = f"id: {number}\ndata: {self.version}\n\n".encode()
             if self._random.random() < self.failure_probability / EVENTS_PER_STREAM:
                 await writer.write(event[: len(event) // 2])
                 writer.abort()
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -163,13 +163,15 @@
     def report_cleared(self, fingerprint):
         self.cleared.append(fingerprint)
 
-    async def add(self, port, *, listens=True) -> StubEndpoint:
+    async def add(self, port, *, listens=True, version="") -> StubEndpoint:
         endpoint = StubEndpoint()
         if listens:
             await asyncio.start_server(endpoint.serve, "127.0.0.1", port)
         self.endpoints.append(endpoint)
         name = f"e{len(self.endpoints)}"
-        row = ListedEndpoint(name, name, "s", f"127.0.0.1:{port}", "a", 4, False)
+        row = ListedEndpoint(
+            name, name, "s", f"127.0.0.1:{port}", "a", 4, False, version=version
+        )
         self.state.endpoints.apply_delta([row], [])
         return endpoint
 
