Resume a stream within one answer only at the version that began it

Callers got one answer whose first events came from v1 and the rest from v2. A gateway chose the endpoint of a resend among all endpoints of the service: the class of fault is that replicas of a service are treated as alike although they have a property that the rest of the work depends on.

The first relayed event now binds the attempt to its origin, the service and version of the endpoint that sent it; before it, a resend may still go to any version. A stream whose version is only left at leaving endpoints may go on there for two fifths of the drain time after this gateway has seen them leave, which with the longest age of its list stays within the drain time. Without such an endpoint the answer is cut at once, and 'no endpoint may go on with the stream' has the reason.

The chooser no longer filters endpoints a second time; the selector alone decides which may be used.

--- a/tarragonway/endpoints/endpoint_list.py
+++ b/tarragonway/endpoints/endpoint_list.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from tarragonway.core.clock import read_monotonic
 from tarragonway.core.ids import ServiceName, SoftwareVersion, ZoneName
 
 MAX_LEAVING_MARKS = 4096
@@ -35,6 +36,10 @@
 class EndpointView:
     """The latest endpoint list, in which a leaving endpoint never becomes active again.
 
+    ``leaving_since`` holds the times of :func:`read_monotonic`, in seconds, at which
+    listed endpoints were first seen as leaving. It lacks those that were never seen
+    active.
+
     Examples
     --------
     >>> row = ListedEndpoint("e.1", "e", "s", "127.0.0.1:1", "a", 4, False)
@@ -47,6 +52,7 @@
 
     def __init__(self) -> None:
         self.rows: dict[str, ListedEndpoint] = {}
+        self.leaving_since: dict[str, float] = {}
         self._leaving: dict[str, None] = {}
 
     def apply_full_list(
@@ -57,6 +63,8 @@
         changed = [row for row in marked_rows if self.rows.get(row.key) != row]
         listed = {row.key for row in marked_rows}
         removed = [key for key in self.rows if key not in listed]
+        for key in removed:
+            self.leaving_since.pop(key, None)
         self.rows = {row.key: row for row in marked_rows}
         return changed, removed
 
@@ -69,9 +77,13 @@
             self.rows[marked.key] = marked
         for key in removed:
             self.rows.pop(key, None)
+            self.leaving_since.pop(key, None)
 
     def _mark(self, row: ListedEndpoint) -> ListedEndpoint:
         if row.leaving:
+            known = self.rows.get(row.key)
+            if known is not None and not known.leaving:
+                self.leaving_since[row.key] = read_monotonic()
             self._leaving[row.key] = None
             while len(self._leaving) > MAX_LEAVING_MARKS:
                 del self._leaving[next(iter(self._leaving))]
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -9,6 +9,7 @@
 from tarragonway.http1.client import ResponseHead
 from tarragonway.http1.server import Request, ResponseWriter
 from tarragonway.routes.model import Account, Route
+from tarragonway.versions import StreamOrigin
 
 # Further parts of a prompt are not compared with the held ones. A report on a crash has
 # them all, so their number must be bounded.
@@ -29,6 +30,7 @@
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
     ``load_at_send`` is the number of other requests that its endpoint ran then.
     ``version`` is the software version of the latest send's endpoint.
+    ``origin`` is what began the caller's stream; it is None until the first event.
     ``probe`` is the right to send held prompt parts; it is None without such parts, and
     once the leader knows the probe's outcome.
     """
@@ -51,6 +53,7 @@
     version: SoftwareVersion = SoftwareVersion("")
     estimated_ms: float = 0.0
     load_at_send: float = 0.0
+    origin: StreamOrigin | None = None
     probe: Probe | None = None
 
     @property
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -1,7 +1,7 @@
 """Choice of an endpoint for one request."""
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -84,32 +84,24 @@
         rows: Iterable[ListedEndpoint],
         service: ServiceName,
         prompt: Prompt | None,
-        tried: Collection[str],
         now: float,
     ) -> Choice | None:
         """Return the endpoint with the least estimated delay, or None.
 
-        Leaving endpoints and those in ``tried`` are excluded. Unhealthy endpoints are
-        used only if no healthy one remains.
+        Unhealthy endpoints are used only if no healthy one remains.
 
         Parameters
         ----------
         rows : iterable of ListedEndpoint
-            Endpoints to choose from.
+            Endpoints of the service that may be sent the request.
         service : ServiceName
-            Service that the endpoint must belong to.
+            Service whose engines' speed is used.
         prompt : Prompt or None
             Size and shared parts of the request, if known.
-        tried : collection of str
-            Keys of endpoints that were chosen before for this request.
         now : float
             Time of the event loop's clock, in seconds.
         """
-        candidates = [
-            row
-            for row in rows
-            if row.service == service and not row.leaving and row.key not in tried
-        ]
+        candidates = list(rows)
         healthy = [row for row in candidates if not self.is_unhealthy(row.key, now)]
         pool = healthy or candidates
         if not pool:
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -63,7 +63,7 @@
         super().__init__()
         self._settings = settings
         self._counters = Counters()
-        self._state = GatewayState()
+        self._state = GatewayState(settings.bounds.drain_ms / 1000)
         self._usage = UsageCounter(settings.bounds.report_window_s)
         speeds = EngineSpeeds()
         self._chooser = EndpointChooser(LoadTracker(), speeds, random.Random())
@@ -200,7 +200,7 @@
     async def _refresh_list(self) -> None:
         """Read the platform's list whenever the leader's list becomes too old."""
         loop = asyncio.get_running_loop()
-        max_age_s = self._settings.bounds.drain_ms / 1000 * MAX_LIST_AGE_FRACTION
+        max_age_s = self._state.drain_s * MAX_LIST_AGE_FRACTION
         confirmed_at = loop.time() - max_age_s * (1 - LIST_START_WAIT_FRACTION)
         rate_limited = 0
         while True:
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -41,6 +41,7 @@
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import EngineTraits, Repeatability
 from tarragonway.routing.engine_speed import EngineSpeeds
+from tarragonway.versions import StreamOrigin, count_by_version
 
 # Number of endpoints to which a request may fail to connect before it is given up.
 MAX_FAILED_CONNECTS = 3
@@ -179,6 +180,10 @@
         if account:
             self._usage.count(account, self._state.clock.now())
 
+    def handle_first_event(self, attempt: Attempt, endpoint: ListedEndpoint) -> None:
+        """Bind the stream to the version that begins it."""
+        attempt.origin = StreamOrigin.from_endpoint(endpoint)
+
     # Sends
 
     async def _run(self, attempt: Attempt) -> None:
@@ -197,6 +202,7 @@
             if isinstance(choice, Limited) and outcome is None:
                 outcome = choice
             if not isinstance(choice, Choice):
+                self._log_unresumable(attempt)
                 break
             if outcome is None and self._is_overloaded(attempt, choice):
                 outcome = Overloaded(choice.delay_ms)
@@ -383,6 +389,25 @@
     def _compute_list_age(self) -> float:
         return asyncio.get_running_loop().time() - self._state.list_current_at
 
+    def _log_unresumable(self, attempt: Attempt) -> None:
+        """Log which endpoints there are if none of them may go on with a stream."""
+        origin = attempt.origin
+        if origin is None:
+            return
+        self._counters.increment("request.stream_without_endpoint")
+        rows = self._state.endpoints.rows.values()
+        _log.info(
+            "no endpoint may go on with the stream",
+            attempt=attempt.facts.attempt,
+            resumed_attempt=attempt.facts.resumed_attempt,
+            service=origin.service,
+            version=origin.version,
+            tried=sorted(attempt.tried),
+            active=count_by_version(rows, origin.service),
+            leaving=[row.key for row in rows if row.leaving and origin.matches(row)],
+            list_age_s=round(self._compute_list_age(), 2),
+        )
+
     def _log_end(self, attempt: Attempt, outcome: str, started: float) -> None:
         taken_ms = (asyncio.get_running_loop().time() - started) * 1000
         self._counters.increment(f"request.{outcome}")
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+from tarragonway.core.clock import read_monotonic
 from tarragonway.core.ids import ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.gateway.attempt import Attempt, Limited
@@ -19,6 +20,10 @@
 # Connections that a gateway may use to each endpoint, even if its part of the service's
 # limit is smaller.
 MIN_CONNECTIONS = 4
+# Part of the drain time, counted from when this gateway has first seen an endpoint as
+# leaving, in which streams of its version may go on there. The gateway may see it late
+# by the longest age of its list.
+LEAVING_USE_FRACTION = 0.4
 
 
 class EndpointSelector:
@@ -105,16 +110,32 @@
         return weights.is_among_heaviest(work_s, fraction)
 
     def _list_usable(self, attempt: Attempt) -> list[ListedEndpoint]:
-        """Return the service's endpoints that are not tried or short of connections."""
+        """Return the endpoints that may be sent the request now.
+
+        A stream that has begun goes on only at the version that began it, and also at
+        leaving endpoints if no other of that version is left. Endpoints that were
+        tried, or to which too many connections are in use, are left out.
+        """
         limit = self._compute_connection_limit(attempt.service)
-        return [
+        origin = attempt.origin
+        rows = [
             row
             for row in self._state.endpoints.rows.values()
             if row.service == attempt.service
-            and not row.leaving
+            and (origin is None or origin.matches(row))
             and row.key not in attempt.tried
             and self._pool.count_used(row.key) < limit
         ]
+        active = [row for row in rows if not row.leaving]
+        if active or origin is None:
+            return active
+        return [row for row in rows if self._still_takes_streams(row)]
+
+    def _still_takes_streams(self, row: ListedEndpoint) -> bool:
+        """Return whether a leaving endpoint has enough time to go on with a stream."""
+        since = self._state.endpoints.leaving_since.get(row.key)
+        use_s = self._state.drain_s * LEAVING_USE_FRACTION
+        return since is not None and read_monotonic() - since < use_s
 
     def _choose_among(
         self, attempt: Attempt, rows: list[ListedEndpoint]
@@ -123,7 +144,6 @@
             rows,
             attempt.service,
             attempt.facts.prompt,
-            attempt.tried,
             asyncio.get_running_loop().time(),
         )
 
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -78,6 +78,10 @@
         """Handle each arriving part of an answer, which shows that the request runs."""
         ...
 
+    def handle_first_event(self, attempt: Attempt, endpoint: ListedEndpoint) -> None:
+        """Handle the first event of a caller's answer before it is relayed."""
+        ...
+
 
 class Sender:
     """Sends attempts over pooled connections.
@@ -160,7 +164,7 @@
         if head.status < 300 and _is_event_stream(head):
             if not info.signed:
                 return Broken("successful answer without a server signature")
-            return await self._relay(attempt, head, connection)
+            return await self._relay(attempt, endpoint, head, connection)
         self._observer.handle_running(attempt)
         body = await connection.read_body(MAX_ANSWER_BYTES)
         if head.status < 300 and not info.signed:
@@ -168,7 +172,11 @@
         return Answered(head, info, body)
 
     async def _relay(
-        self, attempt: Attempt, head: ResponseHead, connection: EndpointConnection
+        self,
+        attempt: Attempt,
+        endpoint: ListedEndpoint,
+        head: ResponseHead,
+        connection: EndpointConnection,
     ) -> SendOutcome:
         """Relay complete events as they arrive; the head is sent with the first one.
 
@@ -190,6 +198,8 @@
                 raise ConnectionEnded(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             if complete:
                 has_events = True
+                if not attempt.writer.started:
+                    self._observer.handle_first_event(attempt, endpoint)
                 pauses.record(splitter.events, asyncio.get_running_loop().time())
                 await self._relay_data(attempt, head, complete)
                 attempt.last_event_id = splitter.last_id or attempt.last_event_id
--- a/tarragonway/gateway/state.py
+++ b/tarragonway/gateway/state.py
@@ -10,6 +10,7 @@
 # Number of gateways that is assumed until the leader sends it. Too high a number only
 # makes each gateway's part of shared limits smaller.
 DEFAULT_GATEWAYS = 16
+DEFAULT_DRAIN_S = 3.0
 
 
 class GatewayState:
@@ -21,9 +22,16 @@
     not be sent to endpoints.
     ``intake_ends_at`` is the time from which arriving requests are refused, None unless
     the gateway drains.
+
+    Parameters
+    ----------
+    drain_s : float
+        Seconds after which an endpoint that is listed as leaving must not be sent
+        requests any more.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_s: float = DEFAULT_DRAIN_S) -> None:
+        self.drain_s = drain_s
         self.table: RouteTable | None = None
         self.endpoints = EndpointView()
         self.list_current_at = float("-inf")
--- a/tarragonway/gateway/tests/test_choice.py
+++ b/tarragonway/gateway/tests/test_choice.py
@@ -18,7 +18,7 @@
     chooser = make_chooser()
     now = 0.0
     for now in range(2000):
-        choice = chooser.choose([make_endpoint("e1")], "s", None, (), now)
+        choice = chooser.choose([make_endpoint("e1")], "s", None, now)
         chooser.record_send(choice)
         chooser.record_completion(choice, False, True, now)
         chooser.record_unreachable("e1", now)
--- a/tarragonway/gateway/tests/test_mixed_versions.py
+++ b/tarragonway/gateway/tests/test_mixed_versions.py
@@ -1,5 +1,7 @@
 """Streams while endpoints of several software versions serve in one service."""
 
+from msgspec.structs import replace
+
 from tarragonway.gateway.tests.harness import make_events
 from tarragonway.platform import names
 
@@ -86,3 +88,42 @@
     assert received.startswith(b"HTTP/1.1 503")
     assert not count_requests(endpoints)
     assert harness.quota.returned
+
+
+def make_version_leave(harness, version):
+    rows = harness.state.endpoints.rows.values()
+    leaving = [replace(row, leaving=True) for row in rows if row.version == version]
+    harness.state.endpoints.apply_delta(leaving, [])
+
+
+async def ask_while_the_version_leaves(harness):
+    """Return the answer of a stream that breaks off as all endpoints of v1 leave."""
+
+    def leave_and_break(head):
+        make_version_leave(harness, "v1")
+        is_resumed = b"last-event-id" in head.lower()
+        return make_events(3, 4) if is_resumed else make_events(1, 2, end=False)
+
+    await add_endpoints(harness, "v1", 2, leave_and_break)
+    await harness.add(harness.ports(), listens=False, version="v2")
+    (row,) = [r for r in harness.state.endpoints.rows.values() if r.version == "v2"]
+    harness.forwarder._chooser.record_unreachable(row.key, 1e9)
+    return await harness.ask("/resume/")
+
+
+# Guards against a stream that is cut although a leaving endpoint still takes it.
+async def test_stream_goes_on_at_a_leaving_endpoint_if_no_other_has_its_version(
+    harness,
+):
+    received = await ask_while_the_version_leaves(harness)
+    assert b"id: 4" in received
+    assert received.endswith(b"0\r\n\r\n")
+
+
+# Guards against sends to an endpoint that has been leaving for longer than allowed.
+async def test_stream_is_cut_if_its_version_has_been_leaving_for_long(harness):
+    harness.state.drain_s = 0.0
+    received = await ask_while_the_version_leaves(harness)
+    assert b"id: 2" in received
+    assert received.endswith(b"<reset>")
+    assert count_requests(harness.endpoints) == 1
