Take a stream up only at the version that began it, also after a kill of all gateways

Callers that took a broken stream up, at another gateway or after a kill of all gateways, got the rest from any version. No process kept which version began a stream: the class of fault is state that a later request depends on and that lives only in the process that made it.

A gateway now records the origin of each resumable stream as its first event leaves: a 64-bit key of account and attempt id, with service and version. Batches go to three coordinators, which keep them in memory as long as the caller waits for the stream. A record never changes, so any positive answer is right, and neither a leader nor a quorum is needed. Nothing waits for a record: a lost one can only lead to a refusal.

Without a record, a stream goes on only if the log shows that one version alone can have begun it. Else the caller gets 503 with a true promise and a time to return, or none if no endpoint of the version is listed. A pinned stream is not refused for its late first event, and may be sent once more to a healthy endpoint that broke one connection.

Ruled out: waiting for an acknowledgement before the first event (a round trip that hurts its objective, without need); choosing versions by a hash of the attempt id (lists that lag give two answers, and a refusal by a full endpoint could not change the version).

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -27,6 +27,7 @@
 from tarragonway.coordinator.part_holds import PartHolds
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
 from tarragonway.coordinator.scaling import FleetReconciler
+from tarragonway.coordinator.stream_origins import StreamOrigins
 from tarragonway.coordinator.usage import UsageReporter
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
@@ -43,9 +44,11 @@
     Hello,
     Join,
     LinkMessage,
+    OriginRequest,
     QuotaRequest,
     QuotaReturn,
     Status,
+    StreamsBegan,
 )
 from tarragonway.node.metrics import make_metrics_server
 from tarragonway.node.settings import NodeSettings
@@ -122,6 +125,12 @@
             lambda: list(self._gateways),
             self._counters,
         )
+        self._origins = StreamOrigins(
+            self._driver,
+            self._machine,
+            lambda: list(self._gateways),
+            self._counters,
+        )
         self._endpoint_messages = EndpointMessageHandler(
             self._driver,
             self._gateway_reports,
@@ -141,6 +150,7 @@
             reader,
             self._view,
             lambda: list(self._gateways),
+            self._origins.register,
             self._handle_list_change,
             settings.platform.calls_per_s,
         )
@@ -197,6 +207,7 @@
         self._start_permanent_task(self._maintain_member_links())
         self._start_permanent_task(self._publish_status_periodically())
         self._start_permanent_task(self._part_holds.run())
+        self._start_permanent_task(self._origins.run())
         self._start_permanent_task(self._publisher.run())
         if "usage" in self._settings.platform.duties:
             self._start_permanent_task(self._usage.run())
@@ -248,6 +259,7 @@
             "windows": sorted(self._machine.usage)[-4:],
             "gateways": list(self._gateways.values()),
             "held_parts": self._machine.held,
+            "versions": self._machine.versions,
             "request_limits": self._gateway_reports.limits.stated,
             "counters": self._counters.snapshot(),
         }
@@ -319,6 +331,9 @@
                 self._gateways[link] = name
                 link.send(self._make_status())
                 self._part_holds.send_held(link)
+                self._origins.send_versions(link)
+            case StreamsBegan() | OriginRequest():
+                self._origins.handle(link, message)
             case FetchConfiguration():
                 link.send(ConfigurationText(self._machine.revision, self._machine.data))
             case GatewayReport():
--- a/tarragonway/coordinator/list_publisher.py
+++ b/tarragonway/coordinator/list_publisher.py
@@ -1,7 +1,7 @@
 """Publication of the platform's endpoint list by the leader to the gateways."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import structlog
 
@@ -40,6 +40,8 @@
         Receives each list that was read.
     list_gateways : callable
         Returns the links of the gateways.
+    register : callable
+        Called with each list that was read; returns the rows that may be published.
     notify_changed : callable
         Called after each change of the view.
     calls_per_s : float
@@ -52,6 +54,7 @@
         reader: ListReader,
         view: EndpointView,
         list_gateways: Callable[[], list[Link]],
+        register: Callable[[list[ListedEndpoint]], Awaitable[list[ListedEndpoint]]],
         notify_changed: Callable[[], None],
         calls_per_s: float,
     ) -> None:
@@ -59,6 +62,7 @@
         self._reader = reader
         self._view = view
         self._list_gateways = list_gateways
+        self._register = register
         self._notify_changed = notify_changed
         self._calls_per_s = calls_per_s
         self._full_list_sent_at: dict[Link, float] = {}
@@ -77,8 +81,11 @@
             rows = await self._reader.read()
             if isinstance(rows, ListReadFailed):
                 continue
+            published = await self._register(rows)
+            if not self._driver.is_leader:
+                continue
             self.read_at = started
-            self._publish(rows)
+            self._publish(published)
 
     def _compute_read_interval(self) -> float:
         needed_s = self._reader.pages / (self._calls_per_s * READ_CALLS_FRACTION)
--- a/tarragonway/coordinator/machine.py
+++ b/tarragonway/coordinator/machine.py
@@ -1,11 +1,11 @@
-"""Replicated state of the coordinators: configuration, usage reports, held parts."""
+"""Replicated state of the coordinators: configuration, usage, held parts, versions."""
 
 import zlib
 from typing import Any
 
 import msgspec
 
-from tarragonway.core.ids import AccountId, PartId
+from tarragonway.core.ids import AccountId, PartId, ServiceName, SoftwareVersion
 from tarragonway.quarantine import HeldPart
 
 RETAINED_WINDOWS = 64
@@ -50,7 +50,13 @@
     held: dict[PartId, HeldPart]
 
 
-Command = PutConfiguration | DecideUsage | MarkReported | PutHeldParts
+class PutVersions(msgspec.Struct, frozen=True, tag=True):
+    """Replaces the software versions whose streams can still be resumed."""
+
+    versions: dict[ServiceName, tuple[SoftwareVersion, ...]]
+
+
+Command = PutConfiguration | DecideUsage | MarkReported | PutHeldParts | PutVersions
 Result = ConfigurationStored | UsageDecided | None
 
 
@@ -61,6 +67,8 @@
     reported: dict[int, bool] = {}
     held: dict[PartId, HeldPart] = {}
     held_revision: int = 0
+    versions: dict[ServiceName, tuple[SoftwareVersion, ...]] = {}
+    versions_revision: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -110,6 +118,16 @@
         """Number of changes of the held parts."""
         return self._content.held_revision
 
+    @property
+    def versions(self) -> dict[ServiceName, tuple[SoftwareVersion, ...]]:
+        """Software versions of services whose streams can still be resumed."""
+        return self._content.versions
+
+    @property
+    def versions_revision(self) -> int:
+        """Number of changes of the software versions, 0 if none are known."""
+        return self._content.versions_revision
+
     @property
     def last_window(self) -> int:
         """The newest window with decided counts, or -1."""
@@ -155,6 +173,10 @@
                 content.held = held
                 content.held_revision += 1
                 return None
+            case PutVersions(versions):
+                content.versions = versions
+                content.versions_revision += 1
+                return None
             case MarkReported(window):
                 if window in content.usage:
                     content.reported[window] = True
--- a/tarragonway/coordinator/tests/conftest.py
+++ b/tarragonway/coordinator/tests/conftest.py
@@ -19,8 +19,18 @@
 def publisher():
     """Return the publisher of a leader that has read a list of three endpoints."""
     driver = SimpleNamespace(is_leader=True, replica=SimpleNamespace(term=TERM))
+
+    async def register(rows):
+        return rows
+
     publisher = ListPublisher(
-        driver, None, EndpointView(), lambda: publisher.links, lambda: None, 40.0
+        driver,
+        None,
+        EndpointView(),
+        lambda: publisher.links,
+        register,
+        lambda: None,
+        40.0,
     )
     publisher.links = []
     publisher._publish(make_rows(3))
--- a/tarragonway/core/hashes.py
+++ b/tarragonway/core/hashes.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from tarragonway.core.ids import AccountId, Fingerprint
+from tarragonway.core.ids import AccountId, AttemptId, Fingerprint, StreamKey
 
 
 def hash_secret(secret: str) -> str:
@@ -26,6 +26,17 @@
     return Fingerprint(digest.hexdigest())
 
 
+def compute_stream_key(account: AccountId, attempt: AttemptId) -> StreamKey:
+    """Return the key of the stream that an attempt of a client account began.
+
+    Callers choose the ids of attempts, so the key also depends on the account, has a
+    fixed length of 8 bytes, and collisions cannot be constructed with little effort.
+    """
+    key = account.encode()[:64]
+    digest = hashlib.blake2b(attempt.encode(), digest_size=8, key=key).digest()
+    return StreamKey(int.from_bytes(digest, "big"))
+
+
 def compute_mac(key: bytes, data: bytes) -> bytes:
     """Return the 16-byte message authentication code of ``data``."""
     return hashlib.blake2b(data, digest_size=16, key=key).digest()
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
-from tarragonway.core.ids import PartId, ServiceName, SoftwareVersion
+from tarragonway.core.ids import AccountId, PartId, ServiceName, SoftwareVersion
 from tarragonway.exchange import CallerRequest, ResponseInfo
 from tarragonway.gateway.choice import Choice
+from tarragonway.gateway.origin_guard import OriginNotFound
 from tarragonway.gateway.part_guard import Probe
 from tarragonway.http1.client import ResponseHead
 from tarragonway.http1.server import Request, ResponseWriter
@@ -20,8 +21,9 @@
     """An admitted request and the progress of its sends.
 
     ``deadline`` and ``sent_at`` are times of the event loop's clock, in seconds.
-    ``tried`` holds the keys of the endpoints that were chosen so far, ``sends`` the
-    number of endpoints to which the request was written. While ``may_have_run`` is
+    ``tried`` holds the keys of the endpoints that were chosen so far, ``broken`` those
+    whose answers broke off, ``sends`` the number of times the request was written to an
+    endpoint. While ``may_have_run`` is
     set, the caller must not be promised that the request did not run.
     ``usage_counted`` is set once the request is included in the usage counts.
     ``last_event_id`` is the id of the last event that was relayed to the caller.
@@ -30,7 +32,8 @@
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
     ``load_at_send`` is the number of other requests that its endpoint ran then.
     ``version`` is the software version of the latest send's endpoint.
-    ``origin`` is what began the caller's stream; it is None until the first event.
+    ``origin`` is what began the caller's stream; it is None until the first event,
+    unless the caller resumes a stream.
     ``probe`` is the right to send held prompt parts; it is None without such parts, and
     once the leader knows the probe's outcome.
     """
@@ -43,6 +46,7 @@
     service: ServiceName
     deadline: float
     tried: set[str]
+    broken: set[str] = msgspec.field(default_factory=set)
     sends: int = 0
     may_have_run: bool = False
     usage_counted: bool = False
@@ -56,6 +60,11 @@
     origin: StreamOrigin | None = None
     probe: Probe | None = None
 
+    @property
+    def account_id(self) -> AccountId:
+        """Client account of the caller, "" if requests need no key."""
+        return self.account.id if self.account is not None else AccountId("")
+
     @property
     def shared_parts(self) -> tuple[PartId, ...]:
         """Ids of the prompt's parts that are compared with held ones."""
@@ -124,6 +133,10 @@
     return_s: float
 
 
+class VersionGone(msgspec.Struct, frozen=True):
+    """No endpoint of the version that began the stream is listed; nothing was sent."""
+
+
 def list_compared_parts(facts: CallerRequest) -> tuple[PartId, ...]:
     """Return the first parts of the prompt that other requests may share."""
     prompt = facts.prompt
@@ -131,5 +144,14 @@
 
 
 SendOutcome = (
-    Unsent | Refused | Answered | Streamed | Broken | Expired | Overloaded | Limited
+    Unsent
+    | Refused
+    | Answered
+    | Streamed
+    | Broken
+    | Expired
+    | Overloaded
+    | Limited
+    | OriginNotFound
+    | VersionGone
 )
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -12,6 +12,7 @@
 from tarragonway.core.ids import Fingerprint, ProcessName
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.origin_guard import OriginGuard
 from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.quota import QuotaClient
 from tarragonway.gateway.state import GatewayState
@@ -28,6 +29,7 @@
     Hello,
     LimitStated,
     LinkMessage,
+    OriginReply,
     PartsBegan,
     PermitReply,
     PermitRequest,
@@ -39,6 +41,7 @@
     QuotaReturn,
     Status,
     SuspectCleared,
+    VersionsInService,
 )
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
@@ -109,6 +112,13 @@
         self._link_pool = LinkPool(
             self._handle_message, self._send_hello, lambda link: None
         )
+        self._origins = OriginGuard(
+            name,
+            gateway_state,
+            lambda: sorted(self._link_pool.links),
+            lambda address, message: self._link_pool.send(address, message),
+            counters,
+        )
         self._term = 0
         self._leader = ""
         self._coordinators: set[str] = set()
@@ -122,6 +132,11 @@
         )
         self._full_report = True
 
+    @property
+    def origins(self) -> OriginGuard:
+        """Origins of streams, which the coordinators record."""
+        return self._origins
+
     async def run(self) -> None:
         """Connect to the seeds and report to the leader until cancelled."""
         self._link_pool.connect_to(self._seeds)
@@ -182,6 +197,7 @@
 
     async def close(self) -> None:
         """Send a last report and close all links."""
+        self._origins.flush()
         self._send_report()
         await asyncio.sleep(0)
         await self._link_pool.close()
@@ -194,6 +210,7 @@
             "links": sorted(self._link_pool.links),
             "listing": self._list_version,
             "held_parts": sorted(self._guard.held),
+            "versions": self._origins.history,
             "request_limits": self._limit_guard.limits,
         }
 
@@ -201,6 +218,7 @@
 
     def _send_hello(self, link: Link) -> None:
         link.send(Hello(self._name))
+        self._origins.send_all(link.peer)
         if link.peer == self._leader:
             # Reports may have been lost with the link before.
             self._report_everything()
@@ -221,6 +239,8 @@
                 self._guard.handle_reply(message)
             case PermitReply():
                 self._limit_guard.handle_reply(message)
+            case OriginReply() | VersionsInService():
+                self._origins.handle(link.peer, message)
             case HeldParts():
                 self._guard.set_held(message)
                 self._state.knows_held_parts = self._guard.is_informed
--- a/tarragonway/gateway/error_responses.py
+++ b/tarragonway/gateway/error_responses.py
@@ -23,6 +23,8 @@
     OVERLOADED = (503, "overloaded")
     ENDPOINTS_FULL = (503, "endpoints_full")
     ENDPOINTS_LIMITED = (503, "endpoints_limited")
+    VERSION_UNKNOWN = (503, "version_unknown")
+    VERSION_GONE = (503, "version_gone")
     QUARANTINED = (503, "quarantined")
     QUARANTINE_UNKNOWN = (503, "quarantine_unknown")
     DEADLINE_BEFORE_SEND = (503, "deadline_before_send")
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -7,10 +7,15 @@
 import structlog
 
 from tarragonway.core.counters import Counters
-from tarragonway.core.ids import AccountId, Fingerprint, ServiceName
+from tarragonway.core.ids import Fingerprint, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import ResponseInfo
-from tarragonway.gateway.admission import Admission, count_units, make_fingerprint
+from tarragonway.gateway.admission import (
+    DEFAULT_TIMEOUT_S,
+    Admission,
+    count_units,
+    make_fingerprint,
+)
 from tarragonway.gateway.attempt import (
     Answered,
     Attempt,
@@ -22,6 +27,7 @@
     SendOutcome,
     Streamed,
     Unsent,
+    VersionGone,
 )
 from tarragonway.gateway.choice import Choice, EndpointChooser
 from tarragonway.gateway.error_responses import (
@@ -31,6 +37,7 @@
 )
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.origin_guard import OriginGuard, OriginNotFound
 from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.selection import EndpointSelector
 from tarragonway.gateway.sender import Codec, Sender
@@ -93,6 +100,8 @@
         Keeps requests with held prompt parts from endpoints.
     limit_guard : LimitGuard
         Keeps sends to endpoints within the request limits that they state.
+    origins : OriginGuard
+        Records and finds the versions that began streams.
     codec : Codec
         Decodes and encodes requests and answers for the platform.
     counters : Counters
@@ -111,6 +120,7 @@
         crash_reporter: CrashReporter,
         guard: PartGuard,
         limit_guard: LimitGuard,
+        origins: OriginGuard,
         codec: Codec,
         counters: Counters,
     ) -> None:
@@ -124,6 +134,7 @@
         self._crash_reporter = crash_reporter
         self._guard = guard
         self._limit_guard = limit_guard
+        self._origins = origins
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
@@ -176,19 +187,33 @@
         if attempt.usage_counted:
             return
         attempt.usage_counted = True
-        account = attempt.account.id if attempt.account else AccountId("")
-        if account:
-            self._usage.count(account, self._state.clock.now())
+        if attempt.account_id:
+            self._usage.count(attempt.account_id, self._state.clock.now())
 
     def handle_first_event(self, attempt: Attempt, endpoint: ListedEndpoint) -> None:
-        """Bind the stream to the version that begins it."""
+        """Bind the stream to the version that begins it, and record this.
+
+        The record lasts as long as the caller waits for the whole stream.
+        """
         attempt.origin = StreamOrigin.from_endpoint(endpoint)
+        if attempt.route.resumable:
+            self._origins.record_began(
+                attempt.account_id,
+                attempt.facts.attempt,
+                attempt.origin,
+                attempt.facts.timeout_s or DEFAULT_TIMEOUT_S,
+            )
 
     # Sends
 
     async def _run(self, attempt: Attempt) -> None:
         loop = asyncio.get_running_loop()
         started = loop.time()
+        outcome = await self._bind_resumed_stream(attempt)
+        if outcome is not None:
+            await self._finish(attempt, outcome)
+            self._log_end(attempt, type(outcome).__name__.lower(), started)
+            return
         budget = self._get_budget(attempt.service)
         budget.deposit()
         engine = self._find_engine(attempt.service)
@@ -196,13 +221,12 @@
             attempt.service, attempt.facts.prompt, engine.slots if engine else 1
         )
         self._selector.record_request(attempt.service, work_s)
-        outcome: SendOutcome | None = None
         while True:
             choice = await self._selector.select(attempt, work_s)
             if isinstance(choice, Limited) and outcome is None:
                 outcome = choice
             if not isinstance(choice, Choice):
-                self._log_unresumable(attempt)
+                outcome = self._explain_unresumable(attempt, outcome)
                 break
             if outcome is None and self._is_overloaded(attempt, choice):
                 outcome = Overloaded(choice.delay_ms)
@@ -217,8 +241,31 @@
         await self._finish(attempt, outcome)
         self._log_end(attempt, type(outcome).__name__.lower(), started)
 
+    async def _bind_resumed_stream(self, attempt: Attempt) -> SendOutcome | None:
+        """Bind a stream that the caller resumes to the version that began it.
+
+        Returns
+        -------
+        SendOutcome or None
+            None if the request may be sent; the reason if it may not.
+        """
+        if not (attempt.facts.resumes_stream and attempt.route.resumable):
+            return None
+        found = await self._origins.find(
+            attempt.account_id, attempt.facts.resumed_attempt, attempt.route
+        )
+        if isinstance(found, OriginNotFound):
+            return found
+        attempt.origin, attempt.service = found, found.service
+        return None
+
     def _is_overloaded(self, attempt: Attempt, choice: Choice) -> bool:
         """Return whether the estimated delay is too far above the latency objective."""
+        if attempt.origin is not None:
+            # The latency objective was decided by the first event, and no other version
+            # can take the stream; it only has to go on before the caller leaves.
+            left_s = attempt.deadline - asyncio.get_running_loop().time()
+            return choice.delay_ms > left_s * 1000
         objective_ms = attempt.route.latency_objective_s * 1000
         if attempt.facts.prompt is None or not objective_ms:
             return False
@@ -255,6 +302,8 @@
             began = attempt.choice is None
             self._chooser.record_completion(choice, began, failed, loop.time())
         self._report_content(attempt, outcome, endpoint, began)
+        if isinstance(outcome, Broken):
+            attempt.broken.add(endpoint.key)
         if isinstance(outcome, Streamed):
             self._record_stream(attempt, outcome)
         if misdirected or isinstance(outcome, Unsent):
@@ -389,13 +438,22 @@
     def _compute_list_age(self) -> float:
         return asyncio.get_running_loop().time() - self._state.list_current_at
 
-    def _log_unresumable(self, attempt: Attempt) -> None:
-        """Log which endpoints there are if none of them may go on with a stream."""
+    def _explain_unresumable(
+        self, attempt: Attempt, outcome: SendOutcome | None
+    ) -> SendOutcome | None:
+        """Log which endpoints there are if none of them may go on with a stream.
+
+        Returns
+        -------
+        SendOutcome or None
+            The outcome so far, or :class:`VersionGone` if nothing was sent and no
+            endpoint of the stream's version is listed.
+        """
         origin = attempt.origin
         if origin is None:
-            return
+            return outcome
         self._counters.increment("request.stream_without_endpoint")
-        rows = self._state.endpoints.rows.values()
+        rows = list(self._state.endpoints.rows.values())
         _log.info(
             "no endpoint may go on with the stream",
             attempt=attempt.facts.attempt,
@@ -407,6 +465,8 @@
             leaving=[row.key for row in rows if row.leaving and origin.matches(row)],
             list_age_s=round(self._compute_list_age(), 2),
         )
+        is_listed = any(origin.matches(row) and not row.leaving for row in rows)
+        return outcome if outcome is not None or is_listed else VersionGone()
 
     def _log_end(self, attempt: Attempt, outcome: str, started: float) -> None:
         taken_ms = (asyncio.get_running_loop().time() - started) * 1000
@@ -417,7 +477,7 @@
         _log.info(
             "request ended",
             attempt=attempt.facts.attempt,
-            account=attempt.account.id if attempt.account else "",
+            account=attempt.account_id,
             units=count_units(attempt.account, attempt.facts) if attempt.account else 0,
             route=attempt.route.name,
             outcome=outcome,
@@ -442,6 +502,10 @@
         case Limited(return_s):
             wait_s = max(return_s, DEFAULT_RETRY_AFTER_S)
             return ErrorCause.ENDPOINTS_LIMITED, round(wait_s, 3)
+        case OriginNotFound(_, return_s):
+            return ErrorCause.VERSION_UNKNOWN, return_s
+        case VersionGone():
+            return ErrorCause.VERSION_GONE, None
         case Refused(_, suggested_s) if not attempt.may_have_run:
             return ErrorCause.ENDPOINTS_FULL, suggested_s or DEFAULT_RETRY_AFTER_S
         case Expired() if not attempt.may_have_run:
--- /dev/null
+++ b/tarragonway/gateway/origin_guard.py
@@ -0,0 +1,279 @@
+"""Origins of streams at a gateway: which version may go on with a resumed stream."""
+
+import asyncio
+import itertools
+import math
+from collections.abc import Callable, Collection
+
+import msgspec
+import structlog
+
+from tarragonway.core.counters import Counters
+from tarragonway.core.hashes import compute_stream_key, rank_by_hash
+from tarragonway.core.ids import AccountId, AttemptId, ProcessName, StreamKey
+from tarragonway.gateway.state import GatewayState
+from tarragonway.links.messages import (
+    OriginReply,
+    OriginRequest,
+    StreamsBegan,
+    VersionsInService,
+)
+from tarragonway.routes.model import Route
+from tarragonway.versions import (
+    OriginRecords,
+    ServiceVersions,
+    StreamOrigin,
+    UnknownOrigin,
+    count_by_version,
+    decide_origin,
+)
+
+# Coordinators that hold each gateway's records, so that two may be lost.
+RECORD_HOLDERS = 3
+MAX_OWN_RECORDS = 50_000
+# Keys in one message to a coordinator.
+MAX_KEYS = 4096
+# Shortest time between two messages with new records, and the rate of such messages of
+# all gateways together, to each of their coordinators.
+MIN_FLUSH_INTERVAL_S = 0.02
+FLUSHES_PER_S = 1600.0
+LOOKUP_TIMEOUT_S = 0.25
+# Time until a caller may return whose stream is not known although all coordinators
+# have answered: a record may still be on its way to them.
+MIN_RETURN_S = 0.25
+# The same if some coordinators have not answered.
+UNANSWERED_RETURN_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class OriginNotFound(msgspec.Struct, frozen=True):
+    """The stream's version is not known; a retry may succeed after ``return_s``."""
+
+    cause: UnknownOrigin
+    return_s: float
+
+
+class _Lookup(msgspec.Struct):
+    waits_for: set[str]
+    origins: set[StreamOrigin]
+    done: asyncio.Event
+
+
+class OriginGuard:
+    """Records the origins of this gateway's streams, and looks up those of others.
+
+    A record is sent when a stream's first event is relayed, and nothing waits for it. A
+    stream whose record is lost is refused when a caller resumes it, unless only one
+    version can have begun it; so a lost record costs a retry, and never joins versions.
+
+    Parameters
+    ----------
+    name : ProcessName
+        Name of this gateway, by which it chooses the holders of its records.
+    state : GatewayState
+        Source of the listed endpoints and of the number of gateways.
+    list_peers : callable
+        Returns the addresses of the coordinators that are connected.
+    send : callable
+        Sends a message to a coordinator; returns False if it is not connected.
+    counters : Counters
+        Receives ``origins.*`` counters.
+    """
+
+    def __init__(
+        self,
+        name: ProcessName,
+        state: GatewayState,
+        list_peers: Callable[[], list[str]],
+        send: Callable[[str, StreamsBegan | OriginRequest], bool],
+        counters: Counters,
+    ) -> None:
+        self._name = name
+        self._state = state
+        self._list_peers = list_peers
+        self._send = send
+        self._counters = counters
+        self._records = OriginRecords(MAX_OWN_RECORDS)
+        self._unsent: list[tuple[StreamKey, StreamOrigin, float]] = []
+        self._sequence = itertools.count(1)
+        self._lookups: dict[int, _Lookup] = {}
+        self._revision = 0
+        self._history: ServiceVersions | None = None
+
+    @property
+    def history(self) -> ServiceVersions | None:
+        """Versions whose streams can still be resumed, None if not known."""
+        return self._history
+
+    def handle(self, peer: str, message: OriginReply | VersionsInService) -> None:
+        """Handle a coordinator's message."""
+        match message:
+            case OriginReply():
+                self._handle_reply(peer, message)
+            case VersionsInService():
+                self._set_history(message)
+
+    def _set_history(self, message: VersionsInService) -> None:
+        if message.revision <= self._revision:
+            return
+        self._revision, self._history = message.revision, message.versions
+        _log.info(
+            "software versions in service changed",
+            versions=message.versions,
+            revision=message.revision,
+        )
+
+    # Records
+
+    def record_began(
+        self,
+        account: AccountId,
+        attempt: AttemptId,
+        origin: StreamOrigin,
+        lifetime_s: float,
+    ) -> None:
+        """Record what began the stream of an attempt, before its first event leaves.
+
+        A stream of an attempt without an id cannot be named, so it is not recorded.
+        """
+        if not attempt:
+            return
+        now = asyncio.get_running_loop().time()
+        key = compute_stream_key(account, attempt)
+        if self._records.add(key, origin, lifetime_s, now):
+            self._unsent.append((key, origin, lifetime_s))
+        else:
+            self._counters.increment("origins.dropped")
+
+    async def run(self) -> None:
+        """Send new records to the coordinators until cancelled."""
+        while True:
+            await asyncio.sleep(self.flush_interval_s)
+            self.flush()
+
+    @property
+    def flush_interval_s(self) -> float:
+        """Time between two messages with new records, in seconds."""
+        return max(MIN_FLUSH_INTERVAL_S, self._state.gateways / FLUSHES_PER_S)
+
+    def flush(self) -> None:
+        """Send the new records."""
+        if not self._unsent:
+            return
+        unsent, self._unsent = self._unsent, []
+        for peer in self._choose_holders():
+            self._send_records(peer, unsent)
+
+    def send_all(self, peer: str) -> None:
+        """Send all records to a coordinator that may have lost them."""
+        now = asyncio.get_running_loop().time()
+        if peer in self._choose_holders():
+            self._send_records(peer, list(self._records.list_live(now)))
+
+    def _choose_holders(self) -> list[str]:
+        return rank_by_hash(self._name, self._list_peers())[:RECORD_HOLDERS]
+
+    def _send_records(
+        self, peer: str, records: list[tuple[StreamKey, StreamOrigin, float]]
+    ) -> None:
+        by_origin: dict[StreamOrigin, list[tuple[StreamKey, int]]] = {}
+        for key, origin, lifetime_s in records:
+            row = (key, math.ceil(lifetime_s))
+            by_origin.setdefault(origin, []).append(row)
+        for origin, rows in by_origin.items():
+            for start in range(0, len(rows), MAX_KEYS):
+                keys, lifetimes_s = zip(*rows[start : start + MAX_KEYS], strict=True)
+                self._send(peer, StreamsBegan(origin, keys, lifetimes_s))
+
+    # Look-ups
+
+    async def find(
+        self, account: AccountId, attempt: AttemptId | None, route: Route
+    ) -> StreamOrigin | OriginNotFound:
+        """Return what began the stream that a caller resumes.
+
+        Parameters
+        ----------
+        account : AccountId
+            Client account of the caller; streams of other accounts are not found.
+        attempt : AttemptId or None
+            The attempt that brought the stream's first event, if the caller names it.
+        route : Route
+            Route of the caller's request.
+        """
+        records: Collection[StreamOrigin] = ()
+        unanswered: Collection[str] = ()
+        if attempt is not None:
+            now = asyncio.get_running_loop().time()
+            key = compute_stream_key(account, attempt)
+            records = self._records.find(key, now)
+            if not records:
+                records, unanswered = await self._ask_coordinators(key)
+        services = {share.service for share in route.shares if share.weight > 0}
+        rows = self._state.endpoints.rows.values()
+        listed = {
+            version
+            for service in services
+            for version in count_by_version(rows, service)
+        }
+        decision = decide_origin(records, services, self._read_history(), listed)
+        is_known = isinstance(decision, StreamOrigin)
+        self._counters.increment("origins.known" if is_known else "origins.unknown")
+        _log.info(
+            "origin of a resumed stream looked up",
+            resumed_attempt=attempt,
+            decision=repr(decision),
+            records=len(records),
+            unanswered=sorted(unanswered),
+            history={name: (self._history or {}).get(name) for name in services},
+            history_revision=self._revision,
+            listed=sorted(listed),
+        )
+        if isinstance(decision, StreamOrigin):
+            return decision
+        return OriginNotFound(decision, self._estimate_return(bool(unanswered)))
+
+    def _handle_reply(self, peer: str, reply: OriginReply) -> None:
+        lookup = self._lookups.get(reply.sequence)
+        if lookup is None:
+            return
+        lookup.origins.update(reply.origins)
+        lookup.waits_for.discard(peer)
+        if lookup.origins or not lookup.waits_for:
+            lookup.done.set()
+
+    async def _ask_coordinators(
+        self, key: StreamKey
+    ) -> tuple[set[StreamOrigin], set[str]]:
+        """Return the recorded origins, and the coordinators that did not answer."""
+        sequence = next(self._sequence)
+        peers = self._list_peers()
+        request = OriginRequest(sequence, key)
+        asked = {peer for peer in peers if self._send(peer, request)}
+        lookup = _Lookup(asked, set(), asyncio.Event())
+        if not asked:
+            return set(), set(peers)
+        self._lookups[sequence] = lookup
+        try:
+            async with asyncio.timeout(LOOKUP_TIMEOUT_S):
+                await lookup.done.wait()
+        except TimeoutError:
+            self._counters.increment("origins.unanswered")
+        finally:
+            del self._lookups[sequence]
+        return lookup.origins, lookup.waits_for
+
+    def _read_history(self) -> ServiceVersions | None:
+        """Return the versions in service, or None while this gateway's list is old.
+
+        A version may begin to serve without the history while no leader keeps it; only
+        a current list of endpoints shows that.
+        """
+        list_age_s = asyncio.get_running_loop().time() - self._state.list_current_at
+        return self._history if list_age_s <= self._state.drain_s else None
+
+    def _estimate_return(self, is_unanswered: bool) -> float:
+        if is_unanswered:
+            return UNANSWERED_RETURN_S
+        return max(MIN_RETURN_S, 2 * self.flush_interval_s)
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -112,9 +112,11 @@
     def _list_usable(self, attempt: Attempt) -> list[ListedEndpoint]:
         """Return the endpoints that may be sent the request now.
 
-        A stream that has begun goes on only at the version that began it, and also at
-        leaving endpoints if no other of that version is left. Endpoints that were
-        tried, or to which too many connections are in use, are left out.
+        Endpoints that were tried, or to which too many connections are in use, are left
+        out. A stream that has begun goes on only at the version that began it. If no
+        other endpoint of that version is left, it also goes on at healthy ones that
+        broke off an answer, which may be due to a single connection, and else at
+        leaving ones.
         """
         limit = self._compute_connection_limit(attempt.service)
         origin = attempt.origin
@@ -123,13 +125,22 @@
             for row in self._state.endpoints.rows.values()
             if row.service == attempt.service
             and (origin is None or origin.matches(row))
-            and row.key not in attempt.tried
+            and (row.key not in attempt.tried or row.key in attempt.broken)
             and self._pool.count_used(row.key) < limit
         ]
         active = [row for row in rows if not row.leaving]
-        if active or origin is None:
-            return active
-        return [row for row in rows if self._still_takes_streams(row)]
+        untried = [row for row in active if row.key not in attempt.tried]
+        if untried or origin is None:
+            return untried
+        now = asyncio.get_running_loop().time()
+        healthy = [
+            row for row in active if not self._chooser.is_unhealthy(row.key, now)
+        ]
+        return healthy or [
+            row
+            for row in rows
+            if row.key not in attempt.tried and self._still_takes_streams(row)
+        ]
 
     def _still_takes_streams(self, row: ListedEndpoint) -> bool:
         """Return whether a leaving endpoint has enough time to go on with a stream."""
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -11,6 +11,7 @@
 from tarragonway.gateway.forward import Forwarder
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.origin_guard import OriginGuard
 from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
@@ -72,6 +73,12 @@
         self.choose = lambda head: self.answers.pop(0) if self.answers else []
 
     async def serve(self, reader, writer):
+        try:
+            await self._answer(reader, writer)
+        finally:
+            writer.close()
+
+    async def _answer(self, reader, writer):
         self.heads.append(await reader.readuntil(b"\r\n\r\n"))
         if self.hang:
             with contextlib.suppress(ConnectionResetError):
@@ -82,7 +89,6 @@
                 writer.write(part)
                 await writer.drain()
                 await asyncio.sleep(self.pause_s)
-            writer.close()
             return
         self.disconnected.set()
 
@@ -134,6 +140,15 @@
         self.guard.set_held(HeldParts(0, ()))
         self.limit_guard = LimitGuard(self.state, self.send_to_leader, Counters())
         self.state.knows_held_parts = True
+        # Coordinators by address; each takes the messages that are sent to it.
+        self.coordinators = {}
+        self.origins = OriginGuard(
+            "gateway",
+            self.state,
+            lambda: list(self.coordinators),
+            lambda address, message: self.coordinators[address](address, message),
+            Counters(),
+        )
         self.usage = UsageCounter(5.0)
         speeds = EngineSpeeds()
         self.forwarder = Forwarder(
@@ -147,6 +162,7 @@
             self,
             self.guard,
             self.limit_guard,
+            self.origins,
             requests,
             Counters(),
         )
--- a/tarragonway/gateway/tests/test_mixed_versions.py
+++ b/tarragonway/gateway/tests/test_mixed_versions.py
@@ -1,9 +1,20 @@
 """Streams while endpoints of several software versions serve in one service."""
 
+import asyncio
+
+import pytest
 from msgspec.structs import replace
 
+from tarragonway.core.hashes import compute_stream_key
 from tarragonway.gateway.tests.harness import make_events
+from tarragonway.links.messages import (
+    OriginReply,
+    OriginRequest,
+    StreamsBegan,
+    VersionsInService,
+)
 from tarragonway.platform import names
+from tarragonway.versions import OriginRecords, StreamOrigin
 
 ATTEMPT = names.ATTEMPT.decode()
 RESUMED_ATTEMPT = names.RESUMED_ATTEMPT.decode()
@@ -34,14 +45,20 @@
 
 # Guards against a stream that goes on at another version within one answer.
 async def test_broken_stream_is_not_resumed_at_another_version(harness):
-    choose = answer_in_parts(make_events(1, 2, end=False), make_events(3, 4))
-    await add_endpoints(harness, "v1", 1, choose)
-    await add_endpoints(harness, "v2", 1, choose)
+    began = []
+
+    def begin_only_once(head):
+        began.append(head)
+        is_first = len(began) == 1
+        return make_events(1, 2, end=False) if is_first else make_events(end=False)
+
+    await add_endpoints(harness, "v1", 1, begin_only_once)
+    await add_endpoints(harness, "v2", 1, begin_only_once)
     received = await harness.ask("/resume/")
     assert b"id: 2" in received
-    assert b"id: 3" not in received
     assert received.endswith(b"<reset>")
-    assert count_requests(harness.endpoints) == 1
+    # Only the endpoint of the stream's version is asked once more.
+    assert sorted(len(endpoint.heads) for endpoint in harness.endpoints) == [0, 2]
 
 
 async def test_broken_stream_is_resumed_at_its_version(harness):
@@ -61,7 +78,7 @@
 # Guards against a caller's try that goes on at another version at the same gateway.
 async def test_stream_is_taken_up_at_the_version_that_began_it(harness):
     choose = answer_in_parts(make_events(1, 2, end=False), make_events(3, 4))
-    old = await add_endpoints(harness, "v1", 1, choose)
+    await add_endpoints(harness, "v1", 1, choose)
     await harness.ask("/resume/", f"{ATTEMPT}: a1")
     new = await add_endpoints(harness, "v2", 8, choose)
     for attempt in ("a2", "a3"):
@@ -71,14 +88,17 @@
             f"{RESUMED_ATTEMPT}: a1",
             f"{LAST_EVENT_ID}: 2",
         )
+        ids = [line for line in received.split(b"\n") if line.startswith(b"id:")]
+        assert ids == [b"id: 3", b"id: 4"]
         assert received.endswith(b"0\r\n\r\n")
-    assert count_requests(old) == 3
     assert not count_requests(new)
 
 
 # Guards against a caller's try that goes on at any version at a gateway that does not
 # know which one began the stream.
 async def test_stream_of_an_unknown_version_is_refused_as_not_run(harness):
+    harness.origins.handle("c1", VersionsInService(1, {"s": ("v1", "v2")}))
+    harness.state.list_current_at = asyncio.get_running_loop().time()
     choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
     endpoints = await add_endpoints(harness, "v1", 2, choose)
     endpoints += await add_endpoints(harness, "v2", 2, choose)
@@ -127,3 +147,140 @@
     assert b"id: 2" in received
     assert received.endswith(b"<reset>")
     assert count_requests(harness.endpoints) == 1
+
+
+class FakeCoordinators:
+    """Coordinators that keep the gateway's records and answer its requests."""
+
+    def __init__(self, harness, *addresses):
+        self.harness = harness
+        self.records = {address: OriginRecords() for address in addresses}
+        self.silent = set()
+        harness.coordinators = {address: self.send for address in addresses}
+
+    def send(self, address, message):
+        now = asyncio.get_running_loop().time()
+        match message:
+            case StreamsBegan(origin, keys, lifetimes_s):
+                for key, lifetime_s in zip(keys, lifetimes_s, strict=True):
+                    self.records[address].add(key, origin, lifetime_s, now)
+            case OriginRequest(sequence, key) if address not in self.silent:
+                reply = OriginReply(sequence, self.records[address].find(key, now))
+                loop = asyncio.get_running_loop()
+                loop.call_soon(self.harness.origins.handle, address, reply)
+        return True
+
+
+async def take_up(harness, resumed, *, last_id=2):
+    return await harness.ask(
+        "/resume/",
+        f"{ATTEMPT}: again",
+        f"{RESUMED_ATTEMPT}: {resumed}",
+        f"{LAST_EVENT_ID}: {last_id}",
+    )
+
+
+def add_record(coordinators, address, version, *, account="acct", attempt="a1"):
+    now = asyncio.get_running_loop().time()
+    key = compute_stream_key(account, attempt)
+    coordinators.records[address].add(key, StreamOrigin("s", version), 15.0, now)
+
+
+async def make_two_versions(harness):
+    """Return the endpoints of two versions, between which nothing else decides."""
+    choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
+    old = await add_endpoints(harness, "v1", 2, choose)
+    new = await add_endpoints(harness, "v2", 2, choose)
+    harness.origins.handle("c1", VersionsInService(1, {"s": ("v1", "v2")}))
+    harness.state.list_current_at = asyncio.get_running_loop().time()
+    return old, new
+
+
+# Guards against a stream that goes on at any version after all gateways were killed.
+async def test_new_gateway_takes_a_stream_up_at_the_recorded_version(harness):
+    _, new = await make_two_versions(harness)
+    coordinators = FakeCoordinators(harness, "c1", "c2", "c3")
+    add_record(coordinators, "c2", "v1")
+    # A coordinator that answers suffices, and silent ones are not waited for.
+    coordinators.silent = {"c1", "c3"}
+    received = await take_up(harness, "a1")
+    assert received.endswith(b"0\r\n\r\n")
+    assert not count_requests(new)
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        {"version": "v1", "account": "other"},
+        {"version": "v1", "attempt": "other"},
+        {"version": "v1", "contradiction": "v2"},
+    ],
+)
+# Guards against a stream that goes on by the record of another stream.
+async def test_foreign_or_contradictory_record_does_not_count(harness, record):
+    await make_two_versions(harness)
+    coordinators = FakeCoordinators(harness, "c1")
+    contradiction = record.pop("contradiction", "")
+    add_record(coordinators, "c1", **record)
+    if contradiction:
+        add_record(coordinators, "c1", contradiction)
+    received = await take_up(harness, "a1")
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 0.250" in received.lower()
+    assert not count_requests(harness.endpoints)
+
+
+# Guards against a caller that waits for coordinators which are cut off.
+async def test_unanswered_look_up_is_refused_soon(harness):
+    await make_two_versions(harness)
+    FakeCoordinators(harness, "c1", "c2").silent = {"c1", "c2"}
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    received = await take_up(harness, "a1")
+    assert loop.time() - started < 0.5
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 1.000" in received.lower()
+
+
+# Guards against a stream that is held although no endpoint of its version is left.
+async def test_stream_whose_version_is_gone_is_refused_at_once(harness):
+    old, _ = await make_two_versions(harness)
+    add_record(FakeCoordinators(harness, "c1"), "c1", "v0")
+    received = await take_up(harness, "a1")
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"version_gone" in received
+    assert b"retry-after" not in received.lower()
+    assert not count_requests(old)
+
+
+# Guards against refused streams while every stream was begun by one version.
+async def test_stream_without_a_record_goes_on_while_one_version_serves(harness):
+    choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
+    await add_endpoints(harness, "v1", 2, choose)
+    FakeCoordinators(harness, "c1")
+    received = await take_up(harness, "a1")
+    assert b"version_unknown" in received
+    harness.origins.handle("c1", VersionsInService(1, {"s": ("v1",)}))
+    harness.state.list_current_at = asyncio.get_running_loop().time()
+    received = await take_up(harness, "a1")
+    assert received.endswith(b"0\r\n\r\n")
+    # A list that nobody has confirmed for long may lack a version.
+    harness.state.list_current_at -= 2 * harness.state.drain_s
+    assert b"version_unknown" in await take_up(harness, "a1")
+
+
+# Guards against records that a restarted coordinator has lost.
+async def test_records_are_sent_again_to_a_coordinator_that_connects(harness):
+    choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
+    await add_endpoints(harness, "v1", 1, choose)
+    coordinators = FakeCoordinators(harness, "c1", "c2", "c3", "c4")
+    await harness.ask("/resume/", f"{ATTEMPT}: a1")
+    harness.origins.flush()
+    holders = [a for a, records in coordinators.records.items() if len(records)]
+    assert len(holders) == 3
+    coordinators.records = {
+        address: OriginRecords() for address in coordinators.records
+    }
+    for address in coordinators.records:
+        harness.origins.send_all(address)
+    assert [a for a, records in coordinators.records.items() if len(records)] == holders
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -9,9 +9,12 @@
     PartId,
     ProcessName,
     ServiceName,
+    SoftwareVersion,
+    StreamKey,
 )
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
+from tarragonway.versions import StreamOrigin
 
 
 class Join(msgspec.Struct, frozen=True, tag=True):
@@ -185,6 +188,46 @@
     ages_s: dict[PartId, float]
 
 
+class StreamsBegan(msgspec.Struct, frozen=True, tag=True):
+    """Record of streams that endpoints of one origin began, for their resumption.
+
+    ``lifetimes_s`` are the seconds for which each stream can be resumed.
+    """
+
+    origin: StreamOrigin
+    keys: tuple[StreamKey, ...]
+    lifetimes_s: tuple[int, ...]
+
+
+class OriginRequest(msgspec.Struct, frozen=True, tag=True):
+    """Request to a coordinator for the recorded origin of a stream."""
+
+    sequence: int
+    key: StreamKey
+
+
+class OriginReply(msgspec.Struct, frozen=True, tag=True):
+    """A coordinator's reply to :class:`OriginRequest`.
+
+    ``origins`` is empty without a record, and has several entries if the records
+    contradict each other.
+    """
+
+    sequence: int
+    origins: tuple[StreamOrigin, ...]
+
+
+class VersionsInService(msgspec.Struct, frozen=True, tag=True):
+    """Software versions of services that may have begun streams that still run.
+
+    Every coordinator sends them to each gateway that connects, and on each change.
+    ``revision`` grows with each change.
+    """
+
+    revision: int
+    versions: dict[ServiceName, tuple[SoftwareVersion, ...]]
+
+
 class GrantHistory(msgspec.Struct, frozen=True, array_like=True):
     """Units that former leaders granted to a gateway, reported to each new leader.
 
@@ -298,5 +341,9 @@
     | ProbeReply
     | ProbeEnded
     | PartsBegan
+    | StreamsBegan
+    | OriginRequest
+    | OriginReply
+    | VersionsInService
     | EndpointUpdate
 )
--- a/tarragonway/versions/__init__.py
+++ b/tarragonway/versions/__init__.py
@@ -1,5 +1,22 @@
 """Software versions of endpoints, and the streams that only one of them can end."""
 
+from tarragonway.versions.history import ServiceVersions, VersionHistory, is_in_history
 from tarragonway.versions.model import StreamOrigin, count_by_version
+from tarragonway.versions.records import OriginRecords
+from tarragonway.versions.resumption import (
+    UnknownOrigin,
+    UnknownOriginReason,
+    decide_origin,
+)
 
-__all__ = ["StreamOrigin", "count_by_version"]
+__all__ = [
+    "OriginRecords",
+    "ServiceVersions",
+    "StreamOrigin",
+    "UnknownOrigin",
+    "UnknownOriginReason",
+    "VersionHistory",
+    "count_by_version",
+    "decide_origin",
+    "is_in_history",
+]
--- a/tarragonway/versions/model.py
+++ b/tarragonway/versions/model.py
@@ -8,7 +8,7 @@
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 
 
-class StreamOrigin(msgspec.Struct, frozen=True):
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """Service and software version that began a stream, and that must end it.
 
     Texts of two versions do not fit together, and endpoints do not check this.
