Believe a refusal only if it is about this send

A faulty endpoint wrote an earlier refusal once more on a kept connection. A gateway took it for the answer to the next request there if it had no id or that request's id, and told the caller 'not run' while the endpoint ran the request. Unsafe requests never were at risk, since they use new connections; requests that may be repeated got a false promise and a second run. The class of fault: an answer is attributed to a request by its place on a connection, although the endpoint may write out of turn.

A connection on which a refusal arrived is no longer reused, so that no earlier refusal can follow on it, whatever id it has and whenever it is written. On a connection that carried other requests, an answer without an id is attributed to none: the send counts as broken, and the caller is promised nothing. This holds for successes too, which were passed on as another request's answer. Two answers of one endpoint with this attempt's id on one kept connection, without a refusal before, remain indistinguishable.

Ruled out: reading the body of a refusal to keep its connection, which was the former way. The price is a new connection after each refusal.

--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -1,7 +1,6 @@
 """Sending of an attempt to one endpoint, and relaying of its answer."""
 
 import asyncio
-import contextlib
 from typing import Protocol
 
 import structlog
@@ -37,10 +36,6 @@
 EVENT_STREAM = b"text/event-stream"
 # Longest answer that is not a stream. Such an answer is relayed only when complete.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-# The body of a refusal is not relayed. It is only read so that the connection can be
-# reused, which is not worth more bytes or time.
-MAX_REFUSAL_BYTES = 64 * 1024
-REFUSAL_BODY_TIMEOUT_S = 0.1
 
 _log = structlog.get_logger()
 
@@ -152,6 +147,8 @@
             lambda head: self._is_for_attempt(head, attempt)
         )
         info = self._codec.decode_answer(head)
+        if info.attempt is None and attempt.facts.attempt and connection.exchanges > 1:
+            return Broken("an answer on a kept connection names no attempt")
         self._observer.handle_response_info(attempt, endpoint, info)
         if info.keep_alive_s is not None:
             connection.idle_limit_s = info.keep_alive_s
@@ -159,7 +156,9 @@
             connection.idle_limit_s = 0.0
         if info.refused:
             attempt.may_have_run = may_have_run_before
-            await _discard_refusal(connection)
+            # A faulty endpoint may write a refusal once more, with any id. On another
+            # connection that cannot be taken for the answer to a later request.
+            connection.idle_limit_s = 0.0
             return Refused(head.status, info.retry_after_s)
         if head.status < 300 and _is_event_stream(head):
             if not info.signed:
@@ -236,7 +235,7 @@
         )
 
     def _is_for_attempt(self, head: ResponseHead, attempt: Attempt) -> bool:
-        """Return whether the answer has this attempt's id, or no id at all."""
+        """Return whether the answer does not belong to another attempt by its id."""
         echoed = self._codec.decode_answer(head).attempt
         matches = echoed is None or echoed == attempt.facts.attempt
         if not matches:
@@ -248,10 +247,3 @@
 
 def _is_event_stream(head: ResponseHead) -> bool:
     return (head.get(b"content-type") or b"").startswith(EVENT_STREAM)
-
-
-async def _discard_refusal(connection: EndpointConnection) -> None:
-    """Read the body of a refusal; if it takes long, the connection isn't reusable."""
-    with contextlib.suppress(ConnectionEnded, TimeoutError):
-        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
-            await connection.read_body(MAX_REFUSAL_BYTES)
