Tie answers on the project's own interface to their call by the connection

An earlier refusal written once more was taken for the answer to the next call: 'leaving' sent it to a second replica while the first ran it, and a repeated 400 failed another caller's request for good.

Each call and each stream now has a connection of its own, as claimed calls always had. The price is one round trip to connect. Ruled out: closing a connection after a refusal, since the client library has returned it to its pool once the body has arrived.

A repeatable call of which any send may have run is no longer answered 'refused' (this attempt was not accepted) when no endpoint is left, but 'unknown'.

--- a/tarragonway/engines/client.py
+++ b/tarragonway/engines/client.py
@@ -104,17 +104,21 @@
 
 
 class EngineClient:
-    """Opens streams on engines and sends control requests to them."""
+    """Opens streams on engines and sends control requests to them.
+
+    Each has a connection of its own, since an answer has no id: a faulty engine may
+    write an earlier refusal once more.
+    """
 
     def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
 
     def open(self) -> None:
-        """Create the connection pool; needs a running loop."""
+        """Create the client session; needs a running loop."""
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
         )
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
 
     async def close(self) -> None:
--- a/tarragonway/entry/plain_calls.py
+++ b/tarragonway/entry/plain_calls.py
@@ -193,11 +193,13 @@
         self._retry_budget.deposit()
         deadline = asyncio.get_running_loop().time() + call.service.deadline_s
         avoid: frozenset[EndpointId] = frozenset()
+        may_have_run = False
         while True:
             endpoint = await self._acquire(call, deadline, avoid)
             if isinstance(endpoint, Refusal):
-                return make_problem_response(endpoint)
+                return _make_final_response(endpoint, may_have_run)
             result = await self._sender.send(call, endpoint)
+            may_have_run |= not isinstance(result, NotExecuted)
             self._record_leaving(endpoint, result)
             succeeded = (
                 isinstance(result, Answer) and result.status not in _RETRIED_STATUSES
@@ -213,7 +215,7 @@
             case NotExecuted(reason) | MaybeExecuted(reason):
                 detail = f"no endpoint of {call.service.name} answered: {reason}"
                 refusal = Refusal(RefusalReason.NO_ENDPOINT, detail, 1.0)
-                return make_problem_response(refusal)
+                return _make_final_response(refusal, may_have_run)
 
     # Calls that run at most once
 
@@ -376,6 +378,13 @@
         return await self._dispatcher.acquire(demand)
 
 
+def _make_final_response(refusal: Refusal, may_have_run: bool) -> web.Response:
+    """Return the refusal, unless an earlier send of the call may have run."""
+    if may_have_run:
+        return make_unknown_response(f"the call may have run: {refusal.detail}")
+    return make_problem_response(refusal)
+
+
 def _classify_result(result: SendResult) -> ClaimState:
     match result:
         case Answer():
--- a/tarragonway/entry/sender.py
+++ b/tarragonway/entry/sender.py
@@ -50,10 +50,11 @@
 
 
 class CallSender:
-    """Connection pools to plain services.
+    """Sends calls to plain services, each on a connection of its own.
 
-    Calls that may be repeated share connections. Each claimed call has a connection of
-    its own, and :mod:`tarragonway.entry.guard` keeps aiohttp from repeating it.
+    An answer has no id, so only its connection ties it to a call: a faulty endpoint may
+    write an earlier answer once more. :mod:`tarragonway.entry.guard` keeps aiohttp from
+    repeating claimed calls.
 
     Parameters
     ----------
@@ -63,16 +64,16 @@
 
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
-        self._pooled: aiohttp.ClientSession | None = None
+        self._repeatable: aiohttp.ClientSession | None = None
         self._guarded: aiohttp.ClientSession | None = None
 
     def open(self) -> None:
-        """Create the connection pools; needs a running loop."""
+        """Create the client sessions; needs a running loop."""
         timeout = aiohttp.ClientTimeout(
             total=self._timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
-        self._pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+        self._repeatable = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
             timeout=timeout,
             auto_decompress=False,
         )
@@ -80,18 +81,18 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for session in (self._pooled, self._guarded):
+        for session in (self._repeatable, self._guarded):
             if session is not None:
                 await session.close()
 
     async def send(self, call: PlainCall, endpoint: Endpoint) -> SendResult:
-        """Send a call that may be repeated, on a pooled connection."""
-        return await self._send(call, endpoint, self._pooled, "")
+        """Send a call that may be repeated."""
+        return await self._send(call, endpoint, self._repeatable, "")
 
     async def send_once(
         self, call: PlainCall, endpoint: Endpoint, key: str
     ) -> SendResult:
-        """Send a claimed call on a connection of its own."""
+        """Send a claimed call, which must not be repeated."""
         return await self._send(call, endpoint, self._guarded, key)
 
     async def _send(
