Relay only what continues a broken stream

A stream had begun and broke off, and the next endpoint's answer was no continuation. The text of an error never reached callers here: the answer was cut at once. But a stream that began again at its first event, or repeated the last one, was relayed, so events came twice; an empty one ended the answer as if it were complete; and after an error no third endpoint was asked. The class of fault: an answer is judged by its form alone, not by what it has to continue.

An answer that resumes a stream is now relayed only if its first event comes after the last one that the caller has. One without events completes the stream only if a second endpoint agrees. Callers see a cut as a reset, those of HTTP/1.0 too.

Not reproduced: an error's text or head inside a stream, tried with errors, whole answers and unsigned streams, over HTTP/1.0 and 1.1.

--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -31,6 +31,7 @@
     None before the first send and once that endpoint has begun to answer. ``endpoint``
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
     ``load_at_send`` is the number of other requests that its endpoint ran then.
+    ``empty_continuations`` counts endpoints that had nothing to add to the stream.
     ``version`` is the software version of the latest send's endpoint.
     ``origin`` is what began the caller's stream; it is None until the first event,
     unless the caller resumes a stream.
@@ -51,6 +52,7 @@
     may_have_run: bool = False
     usage_counted: bool = False
     last_event_id: str | None = None
+    empty_continuations: int = 0
     choice: Choice | None = None
     sent_at: float = 0.0
     endpoint: str = ""
@@ -60,6 +62,13 @@
     origin: StreamOrigin | None = None
     probe: Probe | None = None
 
+    @property
+    def resumed_id(self) -> str | None:
+        """Id of the last event that the caller has, None unless a stream is resumed."""
+        if self.last_event_id is not None or not self.route.resumable:
+            return self.last_event_id
+        return self.facts.last_event_id
+
     @property
     def account_id(self) -> AccountId:
         """Client account of the caller, "" if requests need no key."""
@@ -108,6 +117,15 @@
     reason: str
 
 
+class NotContinued(msgspec.Struct, frozen=True):
+    """The endpoint answered, but not with the rest of the stream that it should resume.
+
+    Nothing of its answer was relayed.
+    """
+
+    reason: str
+
+
 class Expired(msgspec.Struct, frozen=True):
     """The deadline passed before the answer was complete.
 
@@ -149,6 +167,7 @@
     | Answered
     | Streamed
     | Broken
+    | NotContinued
     | Expired
     | Overloaded
     | Limited
--- a/tarragonway/gateway/events.py
+++ b/tarragonway/gateway/events.py
@@ -48,6 +48,43 @@
                 self.events += 1
 
 
+def find_first_id(data: bytes) -> str | None:
+    r"""Return the id of the first of some complete events, or None if it has none.
+
+    Examples
+    --------
+    >>> find_first_id(b"data: a\nid: 3\n\nid: 4\n\n")
+    '3'
+    >>> find_first_id(b"data: a\n\nid: 4\n\n") is None
+    True
+    """
+    for line in data.splitlines():
+        if not line:
+            return None
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return None
+
+
+def comes_after(event_id: str | None, previous: str) -> bool:
+    """Return whether an event can follow one with the id ``previous`` in a stream.
+
+    Whole numbers must increase; other ids must differ.
+
+    Examples
+    --------
+    >>> comes_after("10", "9"), comes_after("9", "9"), comes_after("1", "9")
+    (True, False, False)
+    >>> comes_after("b", "a"), comes_after(None, "a")
+    (True, False)
+    """
+    if event_id is None:
+        return False
+    if event_id.isdecimal() and previous.isdecimal():
+        return int(event_id) > int(previous)
+    return event_id != previous
+
+
 class PauseMeter:
     """Measures the pauses between the first events of a stream.
 
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -22,6 +22,7 @@
     Broken,
     Expired,
     Limited,
+    NotContinued,
     Overloaded,
     Refused,
     SendOutcome,
@@ -276,12 +277,12 @@
         endpoint = choice.endpoint
         self._chooser.record_send(choice)
         attempt.choice, attempt.sent_at = choice, loop.time()
-        if attempt.last_event_id is not None or attempt.facts.resumes_stream:
+        if attempt.resumed_id is not None or attempt.facts.resumes_stream:
             _log.info(
                 "stream is resumed at an endpoint",
                 attempt=attempt.facts.attempt,
                 resumed_attempt=attempt.facts.resumed_attempt,
-                last_event_id=attempt.last_event_id or attempt.facts.last_event_id,
+                last_event_id=attempt.resumed_id,
                 endpoint=endpoint.platform_id,
                 version=endpoint.version,
                 version_before=attempt.version,
@@ -389,7 +390,7 @@
                 return len(attempt.tried) < MAX_FAILED_CONNECTS + attempt.sends
             case Refused():
                 retryable = True
-            case Broken():
+            case Broken() | NotContinued():
                 retryable = route.is_repeatable
             case Answered(head):
                 retryable = route.repeatability is Repeatability.SAFE
@@ -520,7 +521,7 @@
 
 def _is_endpoint_failure(outcome: SendOutcome) -> bool:
     match outcome:
-        case Unsent() | Broken():
+        case Unsent() | Broken() | NotContinued():
             return True
         case Expired(in_body):
             return in_body
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -12,12 +12,19 @@
     Attempt,
     Broken,
     Expired,
+    NotContinued,
     Refused,
     SendOutcome,
     Streamed,
     Unsent,
 )
-from tarragonway.gateway.events import MAX_EVENT_BYTES, EventSplitter, PauseMeter
+from tarragonway.gateway.events import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    PauseMeter,
+    comes_after,
+    find_first_id,
+)
 from tarragonway.http1 import (
     ConnectFailed,
     ConnectionEnded,
@@ -34,6 +41,8 @@
 # connection.
 MAX_IDLE_UNREPEATABLE_S = 0.0
 EVENT_STREAM = b"text/event-stream"
+# Endpoints that must have nothing to add to a broken stream before it is complete.
+MIN_EMPTY_CONTINUATIONS = 2
 # Longest answer that is not a stream. Such an answer is relayed only when complete.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
@@ -164,6 +173,8 @@
             if not info.signed:
                 return Broken("successful answer without a server signature")
             return await self._relay(attempt, endpoint, head, connection)
+        if attempt.writer.started:
+            return NotContinued(f"status {head.status} instead of the stream's rest")
         self._observer.handle_running(attempt)
         body = await connection.read_body(MAX_ANSWER_BYTES)
         if head.status < 300 and not info.signed:
@@ -179,7 +190,10 @@
     ) -> SendOutcome:
         """Relay complete events as they arrive; the head is sent with the first one.
 
-        Until then, another endpoint can still answer with a different head.
+        Until then, another endpoint can still answer with a different head. An answer
+        that resumes a stream is relayed only if its first event comes after the last
+        one that the caller has. If it has no event, a second endpoint must agree that
+        the stream is complete.
 
         Raises
         ------
@@ -196,6 +210,9 @@
             if len(splitter.incomplete) > MAX_EVENT_BYTES:
                 raise ConnectionEnded(f"an event exceeds {MAX_EVENT_BYTES} bytes")
             if complete:
+                if not has_events and not _can_follow(attempt, complete):
+                    first_id = find_first_id(complete)
+                    return NotContinued(f"event {first_id} after {attempt.resumed_id}")
                 has_events = True
                 if not attempt.writer.started:
                     self._observer.handle_first_event(attempt, endpoint)
@@ -204,8 +221,8 @@
                 attempt.last_event_id = splitter.last_id or attempt.last_event_id
         if splitter.incomplete:
             raise ConnectionEnded("the stream ended inside an event")
-        if not has_events and not head.is_framed:
-            raise ConnectionEnded("the stream ended without an event, length or chunks")
+        if not has_events and not _is_complete_without_events(attempt, head):
+            return NotContinued(f"no event after {attempt.resumed_id}")
         if not attempt.writer.started:
             await self._relay_data(attempt, head, b"")
         attempt.writer.finish()
@@ -245,5 +262,27 @@
         return matches
 
 
+def _can_follow(attempt: Attempt, events: bytes) -> bool:
+    """Return whether an answer that begins with these events may be relayed."""
+    previous = attempt.resumed_id
+    return previous is None or comes_after(find_first_id(events), previous)
+
+
+def _is_complete_without_events(attempt: Attempt, head: ResponseHead) -> bool:
+    """Return whether a stream without events is complete, and count resumed ones.
+
+    Raises
+    ------
+    ConnectionEnded
+        If it has neither length nor chunks, so that it may have broken off.
+    """
+    if not head.is_framed:
+        raise ConnectionEnded("the stream ended without an event, length or chunks")
+    if attempt.resumed_id is None:
+        return True
+    attempt.empty_continuations += 1
+    return attempt.empty_continuations >= MIN_EMPTY_CONTINUATIONS
+
+
 def _is_event_stream(head: ResponseHead) -> bool:
     return (head.get(b"content-type") or b"").startswith(EVENT_STREAM)
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -117,6 +117,7 @@
     make_route("single", Repeatability.UNSAFE),
     make_route("read", Repeatability.SAFE, attempts=2),
     make_route("resume", Repeatability.STREAM, attempts=2, resumable=True),
+    make_route("patient", Repeatability.STREAM, attempts=3, resumable=True),
     make_route("stream", Repeatability.STREAM, attempts=2),
     make_route("short", Repeatability.SAFE, timeout_s=0.2),
 )
@@ -191,11 +192,11 @@
         self.state.endpoints.apply_delta([row], [])
         return endpoint
 
-    async def ask(self, path, *headers, key="key", wait_s=1.5) -> bytes:
+    async def ask(self, path, *headers, key="key", wait_s=1.5, version="1.1") -> bytes:
         host, port = self.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         lines = [
-            f"POST {path} HTTP/1.1",
+            f"POST {path} HTTP/{version}",
             "Host: h",
             "Content-Length: 0",
             f"Authorization: Bearer {key}",
