End failed streams of the own interface without [DONE]

A request that failed after its stream had begun ended in 'event: error' and then [DONE], which clients of this protocol read as the end of a whole answer. The error event is now the last one.

Test: test_failed_stream_has_no_end_mark failed before and passes.

--- a/tarragonway/entry/streams.py
+++ b/tarragonway/entry/streams.py
@@ -145,8 +145,11 @@
             if response._req.transport is not None:
                 response._req.transport.abort()
             return
+        # Clients of this protocol read [DONE] as the end of a complete answer, whatever
+        # came before it.
         if self._live.state is RequestState.FAILED:
             error = _encoder.encode(_StreamError(self._live.error))
             await response.write(b"event: error\ndata: " + error + b"\n\n")
-        await response.write(b"data: [DONE]\n\n")
+        else:
+            await response.write(b"data: [DONE]\n\n")
         await response.write_eof()
