--- a/tarragonway/coordinator/stream_origins.py
+++ b/tarragonway/coordinator/stream_origins.py
@@ -19,7 +19,8 @@
 from tarragonway.replication import LogDriver
 from tarragonway.versions import OriginRecords, VersionHistory, is_in_history
 
-CHECK_INTERVAL_S = 0.05
+# The leader publishes changes at once, so this only bounds the delay of other members.
+CHECK_INTERVAL_S = 0.25
 # Longest wait for the log before a list is published without new versions.
 REGISTRATION_TIMEOUT_S = 0.3
 
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -118,7 +118,6 @@
         """Start the background tasks and listen on all addresses."""
         listen = self._settings.listen
         self._start_permanent_task(self._link.run())
-        self._start_permanent_task(self._link.origins.run())
         self._start_permanent_task(self._refresh_list())
         await self._readiness.listen(listen.readiness)
         await self._callers.listen(listen.callers)
--- a/tarragonway/gateway/origin_guard.py
+++ b/tarragonway/gateway/origin_guard.py
@@ -139,18 +139,14 @@
         """
         if not attempt:
             return
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
         key = compute_stream_key(account, attempt)
-        if self._records.add(key, origin, lifetime_s, now):
-            self._unsent.append((key, origin, lifetime_s))
-        else:
+        if not self._records.add(key, origin, lifetime_s, loop.time()):
             self._counters.increment("origins.dropped")
-
-    async def run(self) -> None:
-        """Send new records to the coordinators until cancelled."""
-        while True:
-            await asyncio.sleep(self.flush_interval_s)
-            self.flush()
+            return
+        if not self._unsent:
+            loop.call_later(self.flush_interval_s, self.flush)
+        self._unsent.append((key, origin, lifetime_s))
 
     @property
     def flush_interval_s(self) -> float:
@@ -158,9 +154,7 @@
         return max(MIN_FLUSH_INTERVAL_S, self._state.gateways / FLUSHES_PER_S)
 
     def flush(self) -> None:
-        """Send the new records."""
-        if not self._unsent:
-            return
+        """Send the new records to the coordinators that hold them."""
         unsent, self._unsent = self._unsent, []
         for peer in self._choose_holders():
             self._send_records(peer, unsent)
