Let callers of the soak take broken streams up, over two software versions

Engines of the soak have two versions in turn. Callers resume broken streams up to three times at any gateway, and the checks require that the events of all tries follow each other and come from one version.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -43,6 +43,8 @@
             f"{record.attempt} was refused with {record.status}"
             f" but was executed {executions} times"
         )
+    if record.kind == "stream":
+        violations += _check_stream(record)
     if record.status == 200 and record.complete:
         violations += _check_success(record, executions)
     if record.status in (401, 404):
@@ -53,14 +55,25 @@
     return violations
 
 
+def _check_stream(record: AttemptRecord) -> list[str]:
+    """Check that a stream's events follow each other and come from one version."""
+    versions = set(record.list_chain_values(b"data"))
+    ids = [int(value) for value in record.list_chain_values(b"id")]
+    violations = []
+    if len(versions) > 1:
+        violations.append(f"{record.attempt} has events of versions {versions}")
+    if ids != list(range(1, len(ids) + 1)):
+        violations.append(f"{record.attempt} has events {ids} over its tries")
+    return violations
+
+
 def _check_success(record: AttemptRecord, executions: int) -> list[str]:
     if not executions:
         return [f"{record.attempt} succeeded but was never executed"]
     if record.kind != "stream":
         is_expected = record.body == f"done {record.attempt}".encode()
         return [] if is_expected else [f"{record.attempt} received {record.body!r}"]
-    lines = record.body.split(b"\n")
-    ids = [int(line[3:]) for line in lines if line.startswith(b"id:")]
+    ids = [int(value) for value in record.list_chain_values(b"id")]
     if ids == list(range(1, EVENTS_PER_STREAM + 1)):
         return []
     return [
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -17,19 +17,37 @@
 API_KEY = "soak-key"
 ROUTE_KINDS = {"once": "unsafe", "read": "safe", "stream": "streaming"}
 MAX_OPERATOR_DELAY_S = 0.7
+# Further tries of a client whose stream has broken off.
+MAX_TAKE_UPS = 3
 # Shared prompt part of some streams, on which engines may crash.
 HARMFUL_PART = "dd"
 HARMFUL_PROBABILITY = 0.1
 
 
 class AttemptRecord(msgspec.Struct):
-    """The response to one attempt; status 0 means that no status line arrived."""
+    """The response to one attempt; status 0 means that no status line arrived.
+
+    ``resumed`` holds the earlier attempts of the same stream, the first one first.
+    """
 
     attempt: str
     kind: str
     status: int
     body: bytes
     complete: bool
+    resumed: tuple["AttemptRecord", ...] = ()
+
+    def list_values(self, name: bytes) -> list[bytes]:
+        """Return the values of a field of all events that arrived whole."""
+        whole = self.body[: self.body.rfind(b"\n\n") + 1]
+        prefix = name + b": "
+        lines = whole.split(b"\n")
+        return [line[len(prefix) :] for line in lines if line.startswith(prefix)]
+
+    def list_chain_values(self, name: bytes) -> list[bytes]:
+        """Return the values of a field of all events of the stream."""
+        chain = (*self.resumed, self)
+        return [value for record in chain for value in record.list_values(name)]
 
 
 def make_configuration(version: int) -> bytes:
@@ -90,13 +108,23 @@
             kind = self._random.choice(list(ROUTE_KINDS))
             attempt = f"c{self._number}-{count}"
             record = AttemptRecord(attempt, kind, 0, b"", False)
-            self._records.append(record)
-            try:
-                async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                    await self._send_request(record)
-            except (OSError, TimeoutError, h11.RemoteProtocolError):
-                self._abort_connection()
-            await asyncio.sleep(REQUEST_DELAY_S)
+            await self._try(record)
+            for number in range(MAX_TAKE_UPS):
+                if record.complete or not record.list_chain_values(b"id"):
+                    break
+                chain = (*record.resumed, record)
+                name = f"{attempt}-r{number}"
+                record = AttemptRecord(name, kind, 0, b"", False, chain)
+                await self._try(record)
+
+    async def _try(self, record: AttemptRecord) -> None:
+        self._records.append(record)
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                await self._send_request(record)
+        except (OSError, TimeoutError, h11.RemoteProtocolError):
+            self._abort_connection()
+        await asyncio.sleep(REQUEST_DELAY_S)
 
     async def _send_request(self, record: AttemptRecord) -> None:
         if self._connection is None:
@@ -106,18 +134,7 @@
             self._connection = await asyncio.open_connection(host, int(port))
         reader, writer = self._connection
         state = h11.Connection(h11.CLIENT)
-        headers = [
-            (b"host", b"soak"),
-            (names.ATTEMPT, record.attempt.encode()),
-            (names.DEADLINE, str(int(REQUEST_TIMEOUT_S * 1000)).encode()),
-            (b"authorization", f"Bearer {API_KEY}".encode()),
-            (b"content-length", b"0"),
-        ]
-        if record.kind == "stream":
-            headers += [
-                (names.PROMPT_TOKENS, b"800,20"),
-                (names.PROMPT_PARTS, self._make_parts(record).encode()),
-            ]
+        headers = self._make_headers(record)
         target = f"/{record.kind}/{record.attempt}"
         request = h11.Request(method="POST", target=target, headers=headers)
         writer.write(state.send(request) or b"")
@@ -139,10 +156,32 @@
         if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
             self._abort_connection()
 
+    def _make_headers(self, record: AttemptRecord) -> list[tuple[bytes, bytes]]:
+        headers = [
+            (b"host", b"soak"),
+            (names.ATTEMPT, record.attempt.encode()),
+            (names.DEADLINE, str(int(REQUEST_TIMEOUT_S * 1000)).encode()),
+            (b"authorization", f"Bearer {API_KEY}".encode()),
+            (b"content-length", b"0"),
+        ]
+        if record.kind == "stream":
+            headers += [
+                (names.PROMPT_TOKENS, b"800,20"),
+                (names.PROMPT_PARTS, self._make_parts(record).encode()),
+            ]
+        if ids := record.list_chain_values(b"id"):
+            first = next(r for r in record.resumed if r.list_values(b"id"))
+            headers += [
+                (names.RESUMED_ATTEMPT, first.attempt.encode()),
+                (names.LAST_EVENT_ID, ids[-1]),
+            ]
+        return headers
+
     def _make_parts(self, record: AttemptRecord) -> str:
         """Return two parts that others share, at times the harmful one, and an own."""
         shared = ["aa:500", f"b{self._number % 3}:200"]
-        if self._part_random.random() < HARMFUL_PROBABILITY:
+        is_new = not record.resumed
+        if is_new and self._part_random.random() < HARMFUL_PROBABILITY:
             shared.append(f"{HARMFUL_PART}:90")
         own = f"{zlib.crc32(record.attempt.encode()):x}:10"
         return ",".join([*shared, own])
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -12,7 +12,9 @@
 
 COORDINATOR_COUNT = 3
 GATEWAY_COUNT = 3
-ENDPOINT_COUNTS = {"plain": 3, "model": 3}
+ENDPOINT_COUNTS = {"plain": 3, "model": 4}
+# Software versions that the endpoints of each service have in turn.
+SOFTWARE_VERSIONS = ("v1", "v2")
 PEER_PORT_OFFSET = 0
 OPERATOR_PORT_OFFSET = 1
 CLIENT_PORT_OFFSET = 2
@@ -124,6 +126,8 @@
             )
             for n in range(1, count + 1)
         ]
+        for number, endpoint in enumerate(self.endpoints):
+            endpoint.version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
         self.platform.endpoints = list(self.endpoints)
         self.coordinators = [
             self._make_process(f"coordinator-{n}", host, True)
