Count leaving endpoints as a version, and name final refusals as such

A version of which only leaving endpoints were listed did not count when a stream without a record was to go on at the only version; it does now. A refusal for contradictory records, or for a route that now leads to another service, no longer names a time to return, since no later record can change it. Versions stay in the history as long as the longest record lasts, ten minutes instead of one, since a caller may wait longer than a minute. An empty Last-Event-Id begins a new stream. The choice of the final error has a module of its own.

Tests: the three new ones; the case of contradictory records moved out of a parametrized test, and now requires the absence of Retry-After.

--- a/tarragonway/exchange/model.py
+++ b/tarragonway/exchange/model.py
@@ -63,7 +63,7 @@
     @property
     def resumes_stream(self) -> bool:
         """Whether the caller resumes a stream that an earlier attempt began."""
-        return self.last_event_id is not None or self.resumed_attempt is not None
+        return bool(self.last_event_id) or self.resumed_attempt is not None
 
 
 class ForwardContext(msgspec.Struct, frozen=True):
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -67,7 +67,7 @@
         """Id of the last event that the caller has, None unless a stream is resumed."""
         if self.last_event_id is not None or not self.route.resumable:
             return self.last_event_id
-        return self.facts.last_event_id
+        return self.facts.last_event_id or None
 
     @property
     def account_id(self) -> AccountId:
--- /dev/null
+++ b/tarragonway/gateway/final_errors.py
@@ -0,0 +1,39 @@
+"""Error responses to requests that no endpoint has answered."""
+
+from tarragonway.gateway.attempt import (
+    Attempt,
+    Expired,
+    Limited,
+    Overloaded,
+    Refused,
+    SendOutcome,
+    VersionGone,
+)
+from tarragonway.gateway.error_responses import DEFAULT_RETRY_AFTER_S, ErrorCause
+from tarragonway.gateway.origin_guard import OriginNotFound
+
+
+def choose_error(
+    attempt: Attempt, outcome: SendOutcome | None
+) -> tuple[ErrorCause, float | None]:
+    """Return the cause of an error response, and its Retry-After in seconds."""
+    match outcome:
+        case Overloaded(delay_ms):
+            return ErrorCause.OVERLOADED, round(delay_ms / 1000 / 2, 3)
+        case Limited(return_s):
+            wait_s = max(return_s, DEFAULT_RETRY_AFTER_S)
+            return ErrorCause.ENDPOINTS_LIMITED, round(wait_s, 3)
+        case OriginNotFound(_, return_s):
+            return ErrorCause.VERSION_UNKNOWN, return_s
+        case VersionGone():
+            return ErrorCause.VERSION_GONE, None
+        case Refused(_, suggested_s) if not attempt.may_have_run:
+            return ErrorCause.ENDPOINTS_FULL, suggested_s or DEFAULT_RETRY_AFTER_S
+        case Expired() if not attempt.may_have_run:
+            return ErrorCause.DEADLINE_BEFORE_SEND, DEFAULT_RETRY_AFTER_S
+        case Expired():
+            return ErrorCause.DEADLINE, None
+        case _ if not attempt.may_have_run:
+            return ErrorCause.NO_ENDPOINT, DEFAULT_RETRY_AFTER_S
+        case _:
+            return ErrorCause.ENDPOINT_FAILED, None
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -31,11 +31,8 @@
     VersionGone,
 )
 from tarragonway.gateway.choice import Choice, EndpointChooser
-from tarragonway.gateway.error_responses import (
-    DEFAULT_RETRY_AFTER_S,
-    ErrorCause,
-    send_error_response,
-)
+from tarragonway.gateway.error_responses import send_error_response
+from tarragonway.gateway.final_errors import choose_error
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.origin_guard import OriginGuard, OriginNotFound
@@ -416,7 +413,7 @@
             headers = self._codec.drop_hop_by_hop_headers(outcome.head)
             await writer.send(outcome.head.status, headers, outcome.body)
             return
-        cause, retry_after_s = _choose_error(attempt, outcome)
+        cause, retry_after_s = choose_error(attempt, outcome)
         self._counters.increment(f"request.failed.{cause.reason}")
         if not attempt.may_have_run:
             self._admission.refund_quota(attempt)
@@ -493,32 +490,6 @@
         )
 
 
-def _choose_error(
-    attempt: Attempt, outcome: SendOutcome | None
-) -> tuple[ErrorCause, float | None]:
-    """Return the cause of an error response, and its Retry-After in seconds."""
-    match outcome:
-        case Overloaded(delay_ms):
-            return ErrorCause.OVERLOADED, round(delay_ms / 1000 / 2, 3)
-        case Limited(return_s):
-            wait_s = max(return_s, DEFAULT_RETRY_AFTER_S)
-            return ErrorCause.ENDPOINTS_LIMITED, round(wait_s, 3)
-        case OriginNotFound(_, return_s):
-            return ErrorCause.VERSION_UNKNOWN, return_s
-        case VersionGone():
-            return ErrorCause.VERSION_GONE, None
-        case Refused(_, suggested_s) if not attempt.may_have_run:
-            return ErrorCause.ENDPOINTS_FULL, suggested_s or DEFAULT_RETRY_AFTER_S
-        case Expired() if not attempt.may_have_run:
-            return ErrorCause.DEADLINE_BEFORE_SEND, DEFAULT_RETRY_AFTER_S
-        case Expired():
-            return ErrorCause.DEADLINE, None
-        case _ if not attempt.may_have_run:
-            return ErrorCause.NO_ENDPOINT, DEFAULT_RETRY_AFTER_S
-        case _:
-            return ErrorCause.ENDPOINT_FAILED, None
-
-
 def _is_endpoint_failure(outcome: SendOutcome) -> bool:
     match outcome:
         case Unsent() | Broken() | NotContinued():
--- a/tarragonway/gateway/origin_guard.py
+++ b/tarragonway/gateway/origin_guard.py
@@ -23,8 +23,7 @@
     OriginRecords,
     ServiceVersions,
     StreamOrigin,
-    UnknownOrigin,
-    count_by_version,
+    UnknownOriginReason,
     decide_origin,
 )
 
@@ -47,11 +46,20 @@
 _log = structlog.get_logger()
 
 
+# Reasons that no later record can remove.
+_FINAL_REASONS = frozenset(
+    {UnknownOriginReason.CONTRADICTORY_RECORDS, UnknownOriginReason.OTHER_ROUTE}
+)
+
+
 class OriginNotFound(msgspec.Struct, frozen=True):
-    """The stream's version is not known; a retry may succeed after ``return_s``."""
+    """The stream's version is not known.
 
-    cause: UnknownOrigin
-    return_s: float
+    A retry may succeed after ``return_s`` seconds; None if it cannot.
+    """
+
+    reason: UnknownOriginReason
+    return_s: float | None
 
 
 class _Lookup(msgspec.Struct):
@@ -206,11 +214,7 @@
                 records, unanswered = await self._ask_coordinators(key)
         services = {share.service for share in route.shares if share.weight > 0}
         rows = self._state.endpoints.rows.values()
-        listed = {
-            version
-            for service in services
-            for version in count_by_version(rows, service)
-        }
+        listed = {row.version for row in rows if row.service in services}
         decision = decide_origin(records, services, self._read_history(), listed)
         is_known = isinstance(decision, StreamOrigin)
         self._counters.increment("origins.known" if is_known else "origins.unknown")
@@ -226,7 +230,9 @@
         )
         if isinstance(decision, StreamOrigin):
             return decision
-        return OriginNotFound(decision, self._estimate_return(bool(unanswered)))
+        return OriginNotFound(
+            decision.reason, self._estimate_return(decision.reason, bool(unanswered))
+        )
 
     def _handle_reply(self, peer: str, reply: OriginReply) -> None:
         lookup = self._lookups.get(reply.sequence)
@@ -267,7 +273,11 @@
         list_age_s = asyncio.get_running_loop().time() - self._state.list_current_at
         return self._history if list_age_s <= self._state.drain_s else None
 
-    def _estimate_return(self, is_unanswered: bool) -> float:
+    def _estimate_return(
+        self, reason: UnknownOriginReason, is_unanswered: bool
+    ) -> float | None:
+        if reason in _FINAL_REASONS:
+            return None
         if is_unanswered:
             return UNANSWERED_RETURN_S
         return max(MIN_RETURN_S, 2 * self.flush_interval_s)
--- a/tarragonway/gateway/tests/test_mixed_versions.py
+++ b/tarragonway/gateway/tests/test_mixed_versions.py
@@ -210,26 +210,41 @@
 
 @pytest.mark.parametrize(
     "record",
-    [
-        {"version": "v1", "account": "other"},
-        {"version": "v1", "attempt": "other"},
-        {"version": "v1", "contradiction": "v2"},
-    ],
+    [{"version": "v1", "account": "other"}, {"version": "v1", "attempt": "other"}],
 )
 # Guards against a stream that goes on by the record of another stream.
-async def test_foreign_or_contradictory_record_does_not_count(harness, record):
+async def test_foreign_record_does_not_count(harness, record):
     await make_two_versions(harness)
-    coordinators = FakeCoordinators(harness, "c1")
-    contradiction = record.pop("contradiction", "")
-    add_record(coordinators, "c1", **record)
-    if contradiction:
-        add_record(coordinators, "c1", contradiction)
+    add_record(FakeCoordinators(harness, "c1"), "c1", **record)
     received = await take_up(harness, "a1")
     assert received.startswith(b"HTTP/1.1 503")
     assert b"retry-after: 0.250" in received.lower()
     assert not count_requests(harness.endpoints)
 
 
+# Guards against a stream that goes on by one of two records that contradict each other.
+async def test_contradictory_records_are_refused_for_good(harness):
+    await make_two_versions(harness)
+    coordinators = FakeCoordinators(harness, "c1")
+    for version in ("v1", "v2"):
+        add_record(coordinators, "c1", version)
+    received = await take_up(harness, "a1")
+    assert received.startswith(b"HTTP/1.1 503")
+    assert b"retry-after" not in received.lower()
+    assert not count_requests(harness.endpoints)
+
+
+# Guards against a version that is taken for the only one while another still leaves.
+async def test_leaving_endpoints_count_as_a_version(harness):
+    await make_two_versions(harness)
+    FakeCoordinators(harness, "c1")
+    make_version_leave(harness, "v1")
+    # The log lacks a version that began to serve while no leader kept it.
+    harness.origins.handle("c1", VersionsInService(2, {"s": ("v2",)}))
+    assert b"version_unknown" in await take_up(harness, "a1")
+    assert not count_requests(harness.endpoints)
+
+
 # Guards against a caller that waits for coordinators which are cut off.
 async def test_unanswered_look_up_is_refused_soon(harness):
     await make_two_versions(harness)
@@ -284,3 +299,13 @@
     for address in coordinators.records:
         harness.origins.send_all(address)
     assert [a for a, records in coordinators.records.items() if len(records)] == holders
+
+
+# Guards against a new stream that is taken for one that its caller resumes.
+async def test_empty_last_event_id_begins_a_stream(harness):
+    await make_two_versions(harness)
+    for endpoint in harness.endpoints:
+        endpoint.choose = lambda head: make_events(1, 2)
+    received = await harness.ask("/resume/", f"{LAST_EVENT_ID}:")
+    assert received.startswith(b"HTTP/1.1 200")
+    assert received.endswith(b"0\r\n\r\n")
--- a/tarragonway/versions/history.py
+++ b/tarragonway/versions/history.py
@@ -5,10 +5,11 @@
 from tarragonway.core.ids import ServiceName, SoftwareVersion
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.versions.model import StreamOrigin
+from tarragonway.versions.records import MAX_LIFETIME_S
 
-# Longest time after which a stream may be resumed without a record of its origin. A
-# version stays in the history for this time after its last endpoint was listed.
-HISTORY_RETENTION_S = 60.0
+# Time for which a version stays in the history after its last endpoint was listed: as
+# long as the longest record of a stream lasts.
+HISTORY_RETENTION_S = MAX_LIFETIME_S
 # With two versions, the origin of a stream does not follow from the history any more.
 MAX_VERSIONS = 16
 
@@ -28,10 +29,10 @@
     >>> history.observe([row], 0.0)
     >>> history.versions
     {'s': ('v1',)}
-    >>> history.observe([], 59.0)
+    >>> history.observe([], 599.0)
     >>> history.versions
     {'s': ('v1',)}
-    >>> history.observe([], 61.0)
+    >>> history.observe([], 601.0)
     >>> history.versions
     {}
     """
--- a/tarragonway/versions/records.py
+++ b/tarragonway/versions/records.py
@@ -7,6 +7,7 @@
 
 # Records are removed together with all others that expire in the same period.
 BUCKET_S = 5.0
+# Longest time after its first event for which a stream can be resumed.
 MAX_LIFETIME_S = 600.0
 DEFAULT_MAX_RECORDS = 400_000
 
