Read the change once as a newcomer: one branch an outcome, constants together

No change of behaviour: the decision on an origin names its three cases with a record, the reasons that are final stand with the other constants, the attempt's description is one paragraph, and a test uses the stub link that another one has.

--- a/tarragonway/coordinator/tests/test_stream_origins.py
+++ b/tarragonway/coordinator/tests/test_stream_origins.py
@@ -5,6 +5,7 @@
 
 from tarragonway.coordinator.machine import CoordinatorMachine, PutVersions
 from tarragonway.coordinator.stream_origins import StreamOrigins
+from tarragonway.coordinator.tests.test_part_holds import FakeLink
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.links.link import encode_message
@@ -17,17 +18,6 @@
 from tarragonway.versions import StreamOrigin
 
 
-class FakeLink:
-    def __init__(self):
-        self.sent = []
-
-    def send(self, message):
-        self.sent.append(message)
-
-    def send_encoded(self, frame):
-        self.sent.append(frame)
-
-
 class FakeDriver:
     """Applies proposals while ``commits`` is set, and else never."""
 
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -23,10 +23,10 @@
     ``deadline`` and ``sent_at`` are times of the event loop's clock, in seconds.
     ``tried`` holds the keys of the endpoints that were chosen so far, ``broken`` those
     whose answers broke off, ``sends`` the number of times the request was written to an
-    endpoint. While ``may_have_run`` is
-    set, the caller must not be promised that the request did not run.
-    ``usage_counted`` is set once the request is included in the usage counts.
-    ``last_event_id`` is the id of the last event that was relayed to the caller.
+    endpoint. While ``may_have_run`` is set, the caller must not be promised that the
+    request did not run. ``usage_counted`` is set once the request is included in the
+    usage counts. ``last_event_id`` is the id of the last event that was relayed to the
+    caller.
     ``choice`` is the endpoint to which the request was last sent, at ``sent_at``; it is
     None before the first send and once that endpoint has begun to answer. ``endpoint``
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
--- a/tarragonway/gateway/origin_guard.py
+++ b/tarragonway/gateway/origin_guard.py
@@ -42,15 +42,13 @@
 MIN_RETURN_S = 0.25
 # The same if some coordinators have not answered.
 UNANSWERED_RETURN_S = 1.0
-
-_log = structlog.get_logger()
-
-
 # Reasons that no later record can remove.
-_FINAL_REASONS = frozenset(
+FINAL_REASONS = frozenset(
     {UnknownOriginReason.CONTRADICTORY_RECORDS, UnknownOriginReason.OTHER_ROUTE}
 )
 
+_log = structlog.get_logger()
+
 
 class OriginNotFound(msgspec.Struct, frozen=True):
     """The stream's version is not known.
@@ -276,7 +274,7 @@
     def _estimate_return(
         self, reason: UnknownOriginReason, is_unanswered: bool
     ) -> float | None:
-        if reason in _FINAL_REASONS:
+        if reason in FINAL_REASONS:
             return None
         if is_unanswered:
             return UNANSWERED_RETURN_S
--- a/tarragonway/versions/resumption.py
+++ b/tarragonway/versions/resumption.py
@@ -58,10 +58,11 @@
     origins = set(records)
     if len(origins) > 1:
         return UnknownOrigin(UnknownOriginReason.CONTRADICTORY_RECORDS)
-    for origin in origins:
-        if origin.service not in services:
-            return UnknownOrigin(UnknownOriginReason.OTHER_ROUTE)
-        return origin
+    if origins:
+        (origin,) = origins
+        if origin.service in services:
+            return origin
+        return UnknownOrigin(UnknownOriginReason.OTHER_ROUTE)
     if history is None:
         return UnknownOrigin(UnknownOriginReason.HISTORY_UNKNOWN)
     candidates = {
