Show that a version of over 64 bits ends each coordinator that leads

The script review/5/run.sh sends one configuration whose version has 20 digits, again and again as an operator does without a clear answer. Nothing is fixed here.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec python3 review/5/case.py
