Confirm the versions in service before a stream without a record goes on

Cause: the decision by elimination rested on a gateway's copy of the history, while gateways that read the platform's list themselves began streams at versions that the history lacked, and a gateway out of touch took an old copy for current for up to drain_ms. Ruled out: lost records alone (with a leader in touch the stream is refused); a wrong version in the list (the log lines name the version of each send).

Elimination needs the leader's confirmation, asked for after the caller's request, so it covers every stream that can be taken up and needs no clock.

The test of a stream without a record asserted that an old list forbids elimination; it now asserts the same of a history that the leader does not confirm, which also holds for a list that is young.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -49,6 +49,7 @@
     QuotaReturn,
     Status,
     StreamsBegan,
+    VersionsRequest,
 )
 from tarragonway.node.metrics import make_metrics_server
 from tarragonway.node.settings import NodeSettings
@@ -331,7 +332,7 @@
                 link.send(self._make_status())
                 self._part_holds.send_held(link)
                 self._origins.send_versions(link)
-            case StreamsBegan() | OriginRequest():
+            case StreamsBegan() | OriginRequest() | VersionsRequest():
                 self._origins.handle(link, message)
             case FetchConfiguration():
                 link.send(ConfigurationText(self._machine.revision, self._machine.data))
--- a/tarragonway/coordinator/stream_origins.py
+++ b/tarragonway/coordinator/stream_origins.py
@@ -15,6 +15,8 @@
     OriginRequest,
     StreamsBegan,
     VersionsInService,
+    VersionsReply,
+    VersionsRequest,
 )
 from tarragonway.replication import LogDriver
 from tarragonway.versions import OriginRecords, VersionHistory, is_in_history
@@ -23,6 +25,8 @@
 CHECK_INTERVAL_S = 0.25
 # Longest wait for the log before a list is published without new versions.
 REGISTRATION_TIMEOUT_S = 0.3
+# Longest wait for a majority that confirms the versions in service.
+CONFIRMATION_TIMEOUT_S = 0.3
 
 _log = structlog.get_logger()
 
@@ -58,6 +62,7 @@
         self._restored_term = -1
         self._published_revision = 0
         self._proposal: asyncio.Task | None = None
+        self._confirmations: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Publish committed changes until cancelled."""
@@ -106,7 +111,9 @@
         if self._knows_versions:
             link.send(self._make_message())
 
-    def handle(self, link: Link, message: StreamsBegan | OriginRequest) -> None:
+    def handle(
+        self, link: Link, message: StreamsBegan | OriginRequest | VersionsRequest
+    ) -> None:
         """Handle a gateway's message; every coordinator does, not only the leader."""
         now = asyncio.get_running_loop().time()
         match message:
@@ -119,6 +126,26 @@
                 found = "origins.found" if origins else "origins.missing"
                 self._counters.increment(found)
                 link.send(OriginReply(sequence, origins))
+            case VersionsRequest(sequence):
+                task = asyncio.create_task(self._confirm_versions(link, sequence))
+                self._confirmations.add(task)
+                task.add_done_callback(self._confirmations.discard)
+
+    async def _confirm_versions(self, link: Link, sequence: int) -> None:
+        """Send the versions in service, if a majority confirms this leader.
+
+        A former leader would not know the versions that its successor has added.
+        """
+        versions = None
+        try:
+            async with asyncio.timeout(CONFIRMATION_TIMEOUT_S):
+                index = await self._driver.confirm_read_index()
+                if isinstance(index, int):
+                    await self._driver.wait_applied(index)
+                    versions = self._machine.versions
+        except TimeoutError:
+            self._counters.increment("origins.unconfirmed")
+        link.send(VersionsReply(sequence, versions))
 
     @property
     def _knows_versions(self) -> bool:
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -155,6 +155,13 @@
     """No endpoint of the version that began the stream is listed; nothing was sent."""
 
 
+class VersionUnregistered(msgspec.Struct, frozen=True):
+    """Only endpoints of versions that the leaders do not know yet are left.
+
+    A resumable stream must not begin there; nothing was sent.
+    """
+
+
 def list_compared_parts(facts: CallerRequest) -> tuple[PartId, ...]:
     """Return the first parts of the prompt that other requests may share."""
     prompt = facts.prompt
@@ -173,4 +180,5 @@
     | Limited
     | OriginNotFound
     | VersionGone
+    | VersionUnregistered
 )
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -42,6 +42,8 @@
     Status,
     SuspectCleared,
     VersionsInService,
+    VersionsReply,
+    VersionsRequest,
 )
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
@@ -117,6 +119,7 @@
             gateway_state,
             lambda: sorted(self._link_pool.links),
             lambda address, message: self._link_pool.send(address, message),
+            self.send_to_leader,
             counters,
         )
         self._term = 0
@@ -190,7 +193,8 @@
         | ProbeEnded
         | PartsBegan
         | LimitStated
-        | PermitRequest,
+        | PermitRequest
+        | VersionsRequest,
     ) -> bool:
         """Send a message; return False if no leader is known or its link is closed."""
         return bool(self._leader) and self._link_pool.send(self._leader, message)
@@ -239,7 +243,7 @@
                 self._guard.handle_reply(message)
             case PermitReply():
                 self._limit_guard.handle_reply(message)
-            case OriginReply() | VersionsInService():
+            case OriginReply() | VersionsInService() | VersionsReply():
                 self._origins.handle(link.peer, message)
             case HeldParts():
                 self._guard.set_held(message)
--- a/tarragonway/gateway/error_responses.py
+++ b/tarragonway/gateway/error_responses.py
@@ -25,6 +25,7 @@
     ENDPOINTS_LIMITED = (503, "endpoints_limited")
     VERSION_UNKNOWN = (503, "version_unknown")
     VERSION_GONE = (503, "version_gone")
+    VERSION_UNREGISTERED = (503, "version_unregistered")
     QUARANTINED = (503, "quarantined")
     QUARANTINE_UNKNOWN = (503, "quarantine_unknown")
     DEADLINE_BEFORE_SEND = (503, "deadline_before_send")
--- a/tarragonway/gateway/final_errors.py
+++ b/tarragonway/gateway/final_errors.py
@@ -8,10 +8,14 @@
     Refused,
     SendOutcome,
     VersionGone,
+    VersionUnregistered,
 )
 from tarragonway.gateway.error_responses import DEFAULT_RETRY_AFTER_S, ErrorCause
 from tarragonway.gateway.origin_guard import OriginNotFound
 
+# Time in which a leader reads the endpoint list and registers a new version.
+VERSION_RETURN_S = 0.5
+
 
 def choose_error(
     attempt: Attempt, outcome: SendOutcome | None
@@ -27,6 +31,8 @@
             return ErrorCause.VERSION_UNKNOWN, return_s
         case VersionGone():
             return ErrorCause.VERSION_GONE, None
+        case VersionUnregistered():
+            return ErrorCause.VERSION_UNREGISTERED, VERSION_RETURN_S
         case Refused(_, suggested_s) if not attempt.may_have_run:
             return ErrorCause.ENDPOINTS_FULL, suggested_s or DEFAULT_RETRY_AFTER_S
         case Expired() if not attempt.may_have_run:
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -23,6 +23,7 @@
     SendOutcome,
     Streamed,
     Unsent,
+    VersionUnregistered,
 )
 from tarragonway.gateway.choice import Choice, EndpointChooser
 from tarragonway.gateway.error_responses import send_error_response
@@ -132,7 +133,12 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.pool = ConnectionPool()
         self._selector = EndpointSelector(
-            state, chooser, self.pool, limit_guard, offered_load
+            state,
+            chooser,
+            self.pool,
+            limit_guard,
+            offered_load,
+            origins.list_beginnable,
         )
         self._sender = Sender(self.pool, codec, self)
 
@@ -205,7 +211,7 @@
         self._selector.record_request(attempt.service, work_s)
         while True:
             choice = await self._selector.select(attempt, work_s)
-            if isinstance(choice, Limited) and outcome is None:
+            if isinstance(choice, Limited | VersionUnregistered) and outcome is None:
                 outcome = choice
             if not isinstance(choice, Choice):
                 if attempt.origin is not None:
--- a/tarragonway/gateway/origin_guard.py
+++ b/tarragonway/gateway/origin_guard.py
@@ -1,6 +1,7 @@
 """Origins of streams at a gateway: which version may go on with a resumed stream."""
 
 import asyncio
+import functools
 import itertools
 import math
 from collections.abc import Callable, Collection
@@ -11,20 +12,27 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.hashes import compute_stream_key, rank_by_hash
 from tarragonway.core.ids import AccountId, AttemptId, ProcessName, StreamKey
+from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.gateway.state import GatewayState
+from tarragonway.gateway.version_confirmation import VersionConfirmer
 from tarragonway.links.messages import (
     OriginReply,
     OriginRequest,
     StreamsBegan,
     VersionsInService,
+    VersionsReply,
+    VersionsRequest,
 )
 from tarragonway.routes.model import Route
 from tarragonway.versions import (
     OriginRecords,
     ServiceVersions,
     StreamOrigin,
+    UnknownOrigin,
     UnknownOriginReason,
     decide_origin,
+    list_beginnable,
+    needs_record,
 )
 
 # Coordinators that hold each gateway's records, so that two may be lost.
@@ -70,8 +78,10 @@
     """Records the origins of this gateway's streams, and looks up those of others.
 
     A record is sent when a stream's first event is relayed, and nothing waits for it. A
-    stream whose record is lost is refused when a caller resumes it, unless only one
-    version can have begun it; so a lost record costs a retry, and never joins versions.
+    stream whose record is lost is refused when a caller resumes it, unless the leader
+    confirms that only one version can have begun it; so a lost record costs a retry,
+    and never joins versions. That holds because gateways begin streams at versions
+    which the leaders' history lacks only as :func:`list_beginnable` allows.
 
     Parameters
     ----------
@@ -83,6 +93,8 @@
         Returns the addresses of the coordinators that are connected.
     send : callable
         Sends a message to a coordinator; returns False if it is not connected.
+    send_to_leader : callable
+        Sends a message to the leader; returns False if none is known or connected.
     counters : Counters
         Receives ``origins.*`` counters.
     """
@@ -93,12 +105,14 @@
         state: GatewayState,
         list_peers: Callable[[], list[str]],
         send: Callable[[str, StreamsBegan | OriginRequest], bool],
+        send_to_leader: Callable[[VersionsRequest], bool],
         counters: Counters,
     ) -> None:
         self._name = name
         self._state = state
         self._list_peers = list_peers
         self._send = send
+        self._confirmer = VersionConfirmer(send_to_leader, counters)
         self._counters = counters
         self._records = OriginRecords(MAX_OWN_RECORDS)
         self._unsent: list[tuple[StreamKey, StreamOrigin, float]] = []
@@ -112,11 +126,32 @@
         """Versions whose streams can still be resumed, None if not known."""
         return self._history
 
-    def handle(self, peer: str, message: OriginReply | VersionsInService) -> None:
+    def list_beginnable(
+        self, rows: list[ListedEndpoint], account: AccountId, attempt: AttemptId
+    ) -> list[ListedEndpoint]:
+        """Return those of a service's endpoints at which a resumable stream may begin.
+
+        Parameters
+        ----------
+        rows : list of ListedEndpoint
+            Endpoints that may be sent the request, at least one.
+        account, attempt : AccountId, AttemptId
+            Client account and attempt, by which its caller can take the stream up.
+        """
+        listed = self._state.endpoints.rows.values()
+        same_service = [row for row in listed if row.service == rows[0].service]
+        key = compute_stream_key(account, attempt) if attempt else None
+        return list_beginnable(rows, same_service, self._history or {}, key)
+
+    def handle(
+        self, peer: str, message: OriginReply | VersionsInService | VersionsReply
+    ) -> None:
         """Handle a coordinator's message."""
         match message:
             case OriginReply():
                 self._handle_reply(peer, message)
+            case VersionsReply():
+                self._confirmer.handle_reply(message)
             case VersionsInService():
                 self._set_history(message)
 
@@ -204,16 +239,30 @@
         """
         records: Collection[StreamOrigin] = ()
         unanswered: Collection[str] = ()
+        is_recorded_only = False
         if attempt is not None:
             now = asyncio.get_running_loop().time()
             key = compute_stream_key(account, attempt)
+            is_recorded_only = needs_record(key)
             records = self._records.find(key, now)
             if not records:
                 records, unanswered = await self._ask_coordinators(key)
         services = {share.service for share in route.shares if share.weight > 0}
         rows = self._state.endpoints.rows.values()
         listed = {row.version for row in rows if row.service in services}
-        decision = decide_origin(records, services, self._read_history(), listed)
+        decide = functools.partial(
+            decide_origin,
+            records,
+            services,
+            listed=listed,
+            is_recorded_only=is_recorded_only,
+        )
+        decision = decide(self._history)
+        is_confirmed = None
+        if not records and _needs_confirmation(decision):
+            history = await self._confirmer.confirm()
+            is_confirmed = history is not None
+            decision = decide(history)
         is_known = isinstance(decision, StreamOrigin)
         self._counters.increment("origins.known" if is_known else "origins.unknown")
         _log.info(
@@ -224,12 +273,16 @@
             unanswered=sorted(unanswered),
             history={name: (self._history or {}).get(name) for name in services},
             history_revision=self._revision,
+            is_confirmed=is_confirmed,
             listed=sorted(listed),
         )
         if isinstance(decision, StreamOrigin):
             return decision
         return OriginNotFound(
-            decision.reason, self._estimate_return(decision.reason, bool(unanswered))
+            decision.reason,
+            self._estimate_return(
+                decision.reason, bool(unanswered) or is_confirmed is False
+            ),
         )
 
     def _handle_reply(self, peer: str, reply: OriginReply) -> None:
@@ -262,15 +315,6 @@
             del self._lookups[sequence]
         return lookup.origins, lookup.waits_for
 
-    def _read_history(self) -> ServiceVersions | None:
-        """Return the versions in service, or None while this gateway's list is old.
-
-        A version may begin to serve without the history while no leader keeps it; only
-        a current list of endpoints shows that.
-        """
-        list_age_s = asyncio.get_running_loop().time() - self._state.list_current_at
-        return self._history if list_age_s <= self._state.drain_s else None
-
     def _estimate_return(
         self, reason: UnknownOriginReason, is_unanswered: bool
     ) -> float | None:
@@ -279,3 +323,16 @@
         if is_unanswered:
             return UNANSWERED_RETURN_S
         return max(MIN_RETURN_S, 2 * self.flush_interval_s)
+
+
+def _needs_confirmation(decision: StreamOrigin | UnknownOrigin) -> bool:
+    """Return whether a decision without a record depends on the history's age.
+
+    Other gateways may have begun streams at versions that were added since this gateway
+    heard of the history. Several versions stay several.
+    """
+    match decision:
+        case UnknownOrigin(reason):
+            return reason is UnknownOriginReason.HISTORY_UNKNOWN
+        case _:
+            return True
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from tarragonway.core.clock import read_monotonic
-from tarragonway.core.ids import ServiceName
+from tarragonway.core.ids import AccountId, AttemptId, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
-from tarragonway.gateway.attempt import Attempt, Limited
+from tarragonway.gateway.attempt import Attempt, Limited, VersionUnregistered
 from tarragonway.gateway.choice import Choice, EndpointChooser
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
@@ -41,6 +42,9 @@
         Request limits of endpoints, and permits for them.
     offered_load : OfferedLoadMeter
         Source of request rates and of the work of requests.
+    list_beginnable : callable
+        Returns those of a service's endpoints at which an attempt's resumable stream
+        may begin.
     """
 
     def __init__(
@@ -50,25 +54,36 @@
         pool: ConnectionPool,
         guard: LimitGuard,
         offered_load: OfferedLoadMeter,
+        list_beginnable: Callable[
+            [list[ListedEndpoint], AccountId, AttemptId], list[ListedEndpoint]
+        ],
     ) -> None:
         self._state = state
         self._chooser = chooser
         self._pool = pool
         self._guard = guard
         self._offered_load = offered_load
+        self._list_beginnable = list_beginnable
         self._weights: dict[ServiceName, RequestWeights] = {}
 
     def record_request(self, service: ServiceName, work_s: float) -> None:
         """Record the estimated work of a request, in seconds."""
         self._weights.setdefault(service, RequestWeights()).record(work_s)
 
-    async def select(self, attempt: Attempt, work_s: float) -> Choice | Limited | None:
+    async def select(
+        self, attempt: Attempt, work_s: float
+    ) -> Choice | Limited | VersionUnregistered | None:
         """Return an endpoint that may be sent the request, or why there is none.
 
         A limited endpoint needs a permit. If it gets none, the request goes to one
         without a limit.
         """
         rows = self._list_usable(attempt)
+        if rows and attempt.origin is None and attempt.route.resumable:
+            facts = attempt.facts
+            rows = self._list_beginnable(rows, attempt.account_id, facts.attempt)
+            if not rows:
+                return VersionUnregistered()
         if not self._guard.has_limits:
             return self._choose_among(attempt, rows)
         now = asyncio.get_running_loop().time()
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -16,7 +16,7 @@
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import HttpServer
-from tarragonway.links.messages import HeldParts
+from tarragonway.links.messages import HeldParts, VersionsInService, VersionsReply
 from tarragonway.platform import names, requests
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes import (
@@ -148,8 +148,13 @@
             self.state,
             lambda: list(self.coordinators),
             lambda address, message: self.coordinators[address](address, message),
+            self.answer_versions_request,
             Counters(),
         )
+        # What the leader knows; None if it does not answer.
+        self.versions = {}
+        self.versions_revision = 0
+        self.leader_versions = self.versions
         self.usage = UsageCounter(5.0)
         speeds = EngineSpeeds()
         self.forwarder = Forwarder(
@@ -174,13 +179,29 @@
         self.probe_messages.append(message)
         return False
 
+    def set_versions(self, versions):
+        """Let a coordinator send the versions in service, which the leader confirms."""
+        self.versions = self.leader_versions = versions
+        self.versions_revision += 1
+        message = VersionsInService(self.versions_revision, versions)
+        self.origins.handle("c1", message)
+
+    def answer_versions_request(self, request):
+        if self.leader_versions is not None:
+            reply = VersionsReply(request.sequence, self.leader_versions)
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.origins.handle, "c1", reply)
+        return True
+
     def report_crash(self, crash):
         self.crashes.append(crash)
 
     def report_cleared(self, fingerprint):
         self.cleared.append(fingerprint)
 
-    async def add(self, port, *, listens=True, version="") -> StubEndpoint:
+    async def add(
+        self, port, *, listens=True, version="", registers=True
+    ) -> StubEndpoint:
         endpoint = StubEndpoint()
         if listens:
             await asyncio.start_server(endpoint.serve, "127.0.0.1", port)
@@ -190,6 +211,9 @@
             name, name, "s", f"127.0.0.1:{port}", "a", 4, False, version=version
         )
         self.state.endpoints.apply_delta([row], [])
+        if registers:
+            names = {*self.versions.get("s", ()), version}
+            self.set_versions({"s": tuple(sorted(names))})
         return endpoint
 
     async def ask(self, path, *headers, key="key", wait_s=1.5, version="1.1") -> bytes:
--- a/tarragonway/gateway/tests/test_mixed_versions.py
+++ b/tarragonway/gateway/tests/test_mixed_versions.py
@@ -1,20 +1,23 @@
 """Streams while endpoints of several software versions serve in one service."""
 
 import asyncio
+import itertools
 
 import pytest
 from msgspec.structs import replace
 
+from tarragonway.core.counters import Counters
 from tarragonway.core.hashes import compute_stream_key
 from tarragonway.gateway.tests.harness import make_events
+from tarragonway.gateway.version_confirmation import VersionConfirmer
 from tarragonway.links.messages import (
     OriginReply,
     OriginRequest,
     StreamsBegan,
-    VersionsInService,
+    VersionsReply,
 )
 from tarragonway.platform import names
-from tarragonway.versions import OriginRecords, StreamOrigin
+from tarragonway.versions import OriginRecords, StreamOrigin, needs_record
 
 ATTEMPT = names.ATTEMPT.decode()
 RESUMED_ATTEMPT = names.RESUMED_ATTEMPT.decode()
@@ -97,8 +100,7 @@
 # Guards against a caller's try that goes on at any version at a gateway that does not
 # know which one began the stream.
 async def test_stream_of_an_unknown_version_is_refused_as_not_run(harness):
-    harness.origins.handle("c1", VersionsInService(1, {"s": ("v1", "v2")}))
-    harness.state.list_current_at = asyncio.get_running_loop().time()
+    harness.set_versions({"s": ("v1", "v2")})
     choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
     endpoints = await add_endpoints(harness, "v1", 2, choose)
     endpoints += await add_endpoints(harness, "v2", 2, choose)
@@ -171,6 +173,13 @@
         return True
 
 
+def find_attempt(is_recorded_only):
+    """Return an attempt whose stream does, or does not, need its record."""
+    names = (f"attempt-{number}" for number in itertools.count())
+    keys = ((name, compute_stream_key("acct", name)) for name in names)
+    return next(name for name, key in keys if needs_record(key) == is_recorded_only)
+
+
 async def take_up(harness, resumed, *, last_id=2):
     return await harness.ask(
         "/resume/",
@@ -191,8 +200,7 @@
     choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
     old = await add_endpoints(harness, "v1", 2, choose)
     new = await add_endpoints(harness, "v2", 2, choose)
-    harness.origins.handle("c1", VersionsInService(1, {"s": ("v1", "v2")}))
-    harness.state.list_current_at = asyncio.get_running_loop().time()
+    harness.set_versions({"s": ("v1", "v2")})
     return old, new
 
 
@@ -240,7 +248,7 @@
     FakeCoordinators(harness, "c1")
     make_version_leave(harness, "v1")
     # The log lacks a version that began to serve while no leader kept it.
-    harness.origins.handle("c1", VersionsInService(2, {"s": ("v2",)}))
+    harness.set_versions({"s": ("v2",)})
     assert b"version_unknown" in await take_up(harness, "a1")
     assert not count_requests(harness.endpoints)
 
@@ -273,15 +281,79 @@
     choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
     await add_endpoints(harness, "v1", 2, choose)
     FakeCoordinators(harness, "c1")
+    harness.leader_versions = {}
     received = await take_up(harness, "a1")
     assert b"version_unknown" in received
-    harness.origins.handle("c1", VersionsInService(1, {"s": ("v1",)}))
-    harness.state.list_current_at = asyncio.get_running_loop().time()
+    harness.set_versions({"s": ("v1",)})
     received = await take_up(harness, "a1")
     assert received.endswith(b"0\r\n\r\n")
-    # A list that nobody has confirmed for long may lack a version.
-    harness.state.list_current_at -= 2 * harness.state.drain_s
+    # A history that the leader does not confirm now may lack a version.
+    harness.leader_versions = None
+    received = await take_up(harness, "a1")
+    assert b"version_unknown" in received
+    assert b"retry-after: 1.000" in received.lower()
+
+
+# Guards against a stream that a gateway, which was out of touch while a version joined,
+# sends on to the only version that it knows.
+async def test_version_that_joined_meanwhile_is_a_possible_origin(harness):
+    choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
+    await add_endpoints(harness, "v1", 2, choose)
+    FakeCoordinators(harness, "c1")
+    harness.leader_versions = {"s": ("v1", "v2")}
     assert b"version_unknown" in await take_up(harness, "a1")
+    assert not count_requests(harness.endpoints)
+
+
+# Guards against streams that begin at a version which no other gateway knows, while no
+# leader registers it: their callers' tries would go on at the version that it knows.
+async def test_stream_does_not_begin_at_a_version_without_registration(harness):
+    choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
+    new = await harness.add(harness.ports(), version="v2", registers=False)
+    new.choose = choose
+    received = await harness.ask("/resume/", f"{ATTEMPT}: {find_attempt(False)}")
+    assert b"version_unregistered" in received
+    assert b"retry-after: 0.500" in received.lower()
+    old = await add_endpoints(harness, "v1", 1, choose)
+    (row,) = [r for r in harness.state.endpoints.rows.values() if r.version == "v1"]
+    # While the new endpoint is healthy, it would get the send.
+    harness.forwarder._chooser.record_unreachable(row.key, 1e9)
+    await harness.ask("/resume/", f"{ATTEMPT}: {find_attempt(False)}")
+    assert count_requests(old) == 1
+    assert not new.heads
+    # What is never resumed without its record may go there.
+    await harness.ask("/resume/", f"{ATTEMPT}: {find_attempt(True)}")
+    assert len(new.heads) == 1
+
+
+# Guards against a stream that may have begun at a version without registration and goes
+# on at the only version that is registered.
+async def test_stream_that_needs_its_record_is_refused_without_it(harness):
+    choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
+    await add_endpoints(harness, "v1", 2, choose)
+    FakeCoordinators(harness, "c1")
+    received = await take_up(harness, find_attempt(True))
+    assert b"version_unknown" in received
+    received = await take_up(harness, find_attempt(False))
+    assert received.endswith(b"0\r\n\r\n")
+
+
+# Guards against a caller's look-up that is answered by an older request of another.
+async def test_confirmation_is_asked_for_after_each_call(harness):
+    asked = []
+    confirmer = VersionConfirmer(lambda r: not asked.append(r.sequence), Counters())
+    first = asyncio.create_task(confirmer.confirm())
+    await asyncio.sleep(0)
+    others = [asyncio.create_task(confirmer.confirm()) for _ in range(3)]
+    await asyncio.sleep(0)
+    assert asked == [1]
+    confirmer.handle_reply(VersionsReply(1, {"s": ("v1",)}))
+    assert await first == {"s": ("v1",)}
+    await asyncio.sleep(0)
+    assert asked == [1, 2]
+    confirmer.handle_reply(VersionsReply(1, {}))
+    confirmer.handle_reply(VersionsReply(2, {"s": ("v1", "v2")}))
+    assert await asyncio.gather(*others) == [{"s": ("v1", "v2")}] * 3
 
 
 # Guards against records that a restarted coordinator has lost.
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -228,6 +228,19 @@
     versions: dict[ServiceName, tuple[SoftwareVersion, ...]]
 
 
+class VersionsRequest(msgspec.Struct, frozen=True, tag=True):
+    """Request to the leader for all versions that were in service before it."""
+
+    sequence: int
+
+
+class VersionsReply(msgspec.Struct, frozen=True, tag=True):
+    """Reply to :class:`VersionsRequest`; None from a process that does not lead."""
+
+    sequence: int
+    versions: dict[ServiceName, tuple[SoftwareVersion, ...]] | None
+
+
 class GrantHistory(msgspec.Struct, frozen=True, array_like=True):
     """Units that former leaders granted to a gateway, reported to each new leader.
 
@@ -345,5 +358,7 @@
     | OriginRequest
     | OriginReply
     | VersionsInService
+    | VersionsRequest
+    | VersionsReply
     | EndpointUpdate
 )
--- a/tarragonway/versions/__init__.py
+++ b/tarragonway/versions/__init__.py
@@ -1,6 +1,12 @@
 """Software versions of endpoints, and the streams that only one of them can end."""
 
-from tarragonway.versions.history import ServiceVersions, VersionHistory, is_in_history
+from tarragonway.versions.history import (
+    ServiceVersions,
+    VersionHistory,
+    is_in_history,
+    list_beginnable,
+    needs_record,
+)
 from tarragonway.versions.model import StreamOrigin, count_by_version
 from tarragonway.versions.records import OriginRecords
 from tarragonway.versions.resumption import (
@@ -19,4 +25,6 @@
     "count_by_version",
     "decide_origin",
     "is_in_history",
+    "list_beginnable",
+    "needs_record",
 ]
--- a/tarragonway/versions/resumption.py
+++ b/tarragonway/versions/resumption.py
@@ -13,6 +13,7 @@
     """Why the origin of a stream is not known."""
 
     CONTRADICTORY_RECORDS = "contradictory_records"
+    RECORD_MISSING = "record_missing"
     SEVERAL_VERSIONS = "several_versions"
     HISTORY_UNKNOWN = "history_unknown"
     OTHER_ROUTE = "other_route"
@@ -29,6 +30,8 @@
     services: Collection[ServiceName],
     history: Mapping[ServiceName, Iterable[SoftwareVersion]] | None,
     listed: Iterable[SoftwareVersion],
+    *,
+    is_recorded_only: bool = False,
 ) -> StreamOrigin | UnknownOrigin:
     """Return what began a stream, from the records and the versions in service.
 
@@ -45,6 +48,9 @@
         Versions whose streams can still be resumed; None if it is not known.
     listed : iterable of SoftwareVersion
         Versions of the listed endpoints of ``services``, which the history may lack.
+    is_recorded_only : bool
+        Whether the stream may have begun at a version that the history lacks
+        (:func:`~tarragonway.versions.history.needs_record`).
 
     Examples
     --------
@@ -63,6 +69,8 @@
         if origin.service in services:
             return origin
         return UnknownOrigin(UnknownOriginReason.OTHER_ROUTE)
+    if is_recorded_only:
+        return UnknownOrigin(UnknownOriginReason.RECORD_MISSING)
     if history is None:
         return UnknownOrigin(UnknownOriginReason.HISTORY_UNKNOWN)
     candidates = {
--- a/tarragonway/versions/tests/fleet.py
+++ b/tarragonway/versions/tests/fleet.py
@@ -1,8 +1,10 @@
 """Gateways, coordinators and endpoints on virtual time, for tests without network.
 
 Load pattern: callers read streams that break off, and take them up at any gateway.
-Meanwhile releases replace endpoints by others of further versions, gateways and
-coordinators are killed one by one or all at once, and messages are late or lost.
+Meanwhile releases replace endpoints by others of further versions, which may crash for
+good. Gateways and coordinators are killed one by one or all at once, there is no leader
+for some time, gateways are out of touch with all coordinators, and messages are late or
+lost. A gateway whose list is old reads the platform's list itself.
 """
 
 import heapq
@@ -18,11 +20,14 @@
     count_by_version,
     decide_origin,
     is_in_history,
+    list_beginnable,
+    needs_record,
 )
 
 SERVICE = "s"
 ENDPOINTS = 12
 COORDINATORS = 3
+MAX_LIST_AGE_S = 1.5
 LIST_INTERVAL_S = 0.4
 LIST_LAG_S = 0.8
 FLUSH_S = 0.1
@@ -43,6 +48,12 @@
     gateway_kills: tuple[tuple[float, float], ...] = ()
     coordinator_kills: tuple[tuple[float, float], ...] = ()
     leader_changes: tuple[float, ...] = ()
+    # Times at which the endpoints of the newest version are lost for good.
+    losses: tuple[float, ...] = ()
+    # Starts and durations of the times without a leader or any other coordinator.
+    outages: tuple[tuple[float, float], ...] = ()
+    # Starts, durations and shares of the gateways that reach no coordinator.
+    cuts: tuple[tuple[float, float, float], ...] = ()
     loss: float = 0.0
     max_delay_s: float = 0.05
     is_guarded: bool = True
@@ -62,6 +73,7 @@
     is_up: bool = True
     rows: dict = field(default_factory=dict)
     list_read_at: float = 0.0
+    cut_until: float = 0.0
     revision: int = 0
     history: dict | None = None
     records: OriginRecords = field(default_factory=OriginRecords)
@@ -87,6 +99,7 @@
         self.listed = [(0.0, list(self.endpoints))]
         self.coordinators = [Coordinator() for _ in range(COORDINATORS)]
         self.leader = 0
+        self.outage_until = 0.0
         # What the replicated log holds, which no kill removes.
         self.committed = {}
         self.revision = 0
@@ -112,20 +125,32 @@
     def play(self):
         spec = self.spec
         self.at(0.0, self.read_list)
+        self.plan_faults()
+        for gateway in self.gateways:
+            self.at(self.random.random(), self.check_list_age, gateway)
+        for number in range(int(spec.end * spec.streams_per_s)):
+            self.at(2.0 + number / spec.streams_per_s, self.begin_stream, number)
+        while self.queue:
+            self.now, _, action, arguments = heapq.heappop(self.queue)
+            action(*arguments)
+        return self
+
+    def plan_faults(self):
+        spec = self.spec
         for number, (time, share) in enumerate(spec.releases, 2):
             self.at(time, self.release, f"v{number}", share)
         for time, share in spec.gateway_kills:
             self.at(time, self.kill_gateways, share)
         for time, share in spec.coordinator_kills:
             self.at(time, self.kill_coordinators, share)
+        for time in spec.losses:
+            self.at(time, self.lose_newest_version)
+        for time, duration_s in spec.outages:
+            self.at(time, self.begin_outage, duration_s)
+        for time, duration_s, share in spec.cuts:
+            self.at(time, self.cut_gateways, duration_s, share)
         for time in spec.leader_changes:
             self.at(time, self.change_leader)
-        for number in range(int(spec.end * spec.streams_per_s)):
-            self.at(2.0 + number / spec.streams_per_s, self.begin_stream, number)
-        while self.queue:
-            self.now, _, action, arguments = heapq.heappop(self.queue)
-            action(*arguments)
-        return self
 
     # Platform and coordinators
 
@@ -135,13 +160,29 @@
             self.endpoints[index] = self.make_endpoint(version)
         self.listed.append((self.now + LIST_LAG_S, list(self.endpoints)))
 
+    def lose_newest_version(self):
+        newest = max(row.version for row in self.endpoints)
+        kept = [row for row in self.endpoints if row.version != newest]
+        if kept:
+            self.endpoints = kept
+            self.listed.append((self.now + LIST_LAG_S, list(kept)))
+
+    def get_listed(self):
+        return next(rows for time, rows in reversed(self.listed) if time <= self.now)
+
+    def begin_outage(self, duration_s):
+        self.outage_until = max(self.outage_until, self.now + duration_s)
+
+    def has_leader(self):
+        return self.coordinators[self.leader].is_up and self.now >= self.outage_until
+
     def read_list(self):
         if self.now < self.spec.end + STREAM_LIFETIME_S:
             self.at(self.now + LIST_INTERVAL_S, self.read_list)
-        leader = self.coordinators[self.leader]
-        if not leader.is_up:
+        if not self.has_leader():
             return
-        rows = next(rows for time, rows in reversed(self.listed) if time <= self.now)
+        leader = self.coordinators[self.leader]
+        rows = self.get_listed()
         leader.history.observe(rows, self.now)
         if leader.history.versions != self.committed:
             self.committed = leader.history.versions
@@ -160,11 +201,12 @@
             )
 
     def take_list(self, gateway, incarnation, rows, read_at, revision, history):
-        if gateway.incarnation != incarnation or read_at < gateway.list_read_at:
+        if gateway.incarnation != incarnation or self.now < gateway.cut_until:
             return
         if revision > gateway.revision:
             gateway.revision, gateway.history = revision, history
-        gateway.rows, gateway.list_read_at = rows, read_at
+        if read_at >= gateway.list_read_at:
+            gateway.rows, gateway.list_read_at = rows, read_at
 
     def change_leader(self):
         up = [n for n, c in enumerate(self.coordinators) if c.is_up]
@@ -191,11 +233,24 @@
 
     def store(self, number, key, origin, lifetime_s):
         coordinator = self.coordinators[number]
-        if coordinator.is_up:
+        if coordinator.is_up and self.now >= self.outage_until:
             coordinator.records.add(key, origin, lifetime_s, self.now)
 
     # Gateways and callers
 
+    def cut_gateways(self, duration_s, share):
+        for gateway in self.gateways:
+            if self.random.random() < share:
+                gateway.cut_until = self.now + duration_s
+
+    def check_list_age(self, gateway):
+        """Read the platform's list at a gateway whose list is too old."""
+        if self.now < self.spec.end + STREAM_LIFETIME_S:
+            self.at(self.now + LIST_INTERVAL_S, self.check_list_age, gateway)
+        if gateway.is_up and self.now - gateway.list_read_at > MAX_LIST_AGE_S:
+            gateway.rows = {row.key: row for row in self.get_listed()}
+            gateway.list_read_at = self.now
+
     def kill_gateways(self, share):
         for gateway in self.gateways:
             if self.random.random() < share:
@@ -227,6 +282,9 @@
                 self.retry(stream)
                 return
             rows = [row for row in rows if origin.matches(row)]
+        elif self.spec.is_guarded:
+            history = gateway.history or {}
+            rows = list_beginnable(rows, rows, history, stream.key)
         # An endpoint that is listed but gone does not answer.
         rows = [row for row in rows if row in self.endpoints]
         if not rows:
@@ -245,11 +303,21 @@
 
     def find_origin(self, gateway, stream):
         records = set(gateway.records.find(stream.key, self.now))
+        is_in_touch = self.now >= max(gateway.cut_until, self.outage_until)
         for coordinator in self.coordinators:
-            if coordinator.is_up and self.random.random() >= self.spec.loss:
+            is_heard = is_in_touch and self.random.random() >= self.spec.loss
+            if coordinator.is_up and is_heard:
                 records.update(coordinator.records.find(stream.key, self.now))
         listed = count_by_version(gateway.rows.values(), SERVICE)
-        return decide_origin(records, [SERVICE], gateway.history, listed)
+        is_confirmed = is_in_touch and self.has_leader()
+        history = self.committed if is_confirmed else None
+        return decide_origin(
+            records,
+            [SERVICE],
+            history,
+            listed,
+            is_recorded_only=needs_record(stream.key),
+        )
 
     def get_events(self, stream, gateway, incarnation, row):
         if gateway.incarnation != incarnation or row not in self.endpoints:
@@ -273,7 +341,8 @@
     def flush(self, gateway, incarnation, key, origin):
         if gateway.incarnation == incarnation:
             for number in range(COORDINATORS):
-                self.send(self.store, number, key, origin, STREAM_LIFETIME_S)
+                if self.now >= gateway.cut_until:
+                    self.send(self.store, number, key, origin, STREAM_LIFETIME_S)
 
     def retry(self, stream):
         if stream.tries < MAX_TRIES:
--- a/tarragonway/versions/tests/test_fleet.py
+++ b/tarragonway/versions/tests/test_fleet.py
@@ -4,6 +4,7 @@
 from tarragonway.versions.tests.fleet import Fleet, FleetSpec
 
 TIMES = st.floats(2.0, 30.0)
+DURATIONS_S = st.sampled_from([0.5, 2.0, 7.0])
 SHARES = st.sampled_from([0.1, 0.5, 1.0])
 EVENTS = st.lists(st.tuples(TIMES, SHARES), max_size=4).map(sorted).map(tuple)
 SPECS = st.builds(
@@ -14,6 +15,9 @@
     gateway_kills=EVENTS,
     coordinator_kills=EVENTS,
     leader_changes=st.lists(TIMES, max_size=3).map(tuple),
+    losses=st.lists(TIMES, max_size=2).map(tuple),
+    outages=st.lists(st.tuples(TIMES, DURATIONS_S), max_size=2).map(tuple),
+    cuts=st.lists(st.tuples(TIMES, DURATIONS_S, SHARES), max_size=3).map(tuple),
     loss=st.sampled_from([0.0, 0.05, 0.5]),
     max_delay_s=st.sampled_from([0.05, 1.0]),
 )
@@ -23,11 +27,32 @@
     releases=((6.0, 0.5), (14.0, 1.0), (20.0, 0.5)),
     gateway_kills=((8.0, 1.0), (21.0, 1.0)),
 )
+# Endpoints of a new version join and crash while there is no leader.
+JOINED_WITHOUT_LEADER = FleetSpec(
+    seed=1,
+    gateways=8,
+    streams_per_s=100.0,
+    breaks=0.6,
+    releases=((8.0, 0.5),),
+    losses=(11.0,),
+    outages=((7.0, 7.0),),
+)
+# Endpoints of a new version join while some gateways are out of touch.
+JOINED_WHILE_CUT = FleetSpec(
+    seed=1,
+    gateways=8,
+    streams_per_s=100.0,
+    breaks=0.6,
+    releases=((8.0, 0.5),),
+    cuts=((8.6, 2.0, 0.5),),
+)
 
 
 @settings(max_examples=30, deadline=None)
 @given(SPECS)
 @example(TOTAL_KILL)
+@example(JOINED_WITHOUT_LEADER)
+@example(JOINED_WHILE_CUT)
 # Guards against streams joined from versions under any history of faults.
 def test_no_stream_goes_on_at_another_version(spec):
     assert not Fleet(spec).play().list_mixed()
