Admit voters again that were removed while out of touch

Cause: with four voters the leader removes the silent one, which nobody tells so, and which finds itself in the last membership of its own log, so it never asks to join. The stopped machine then stays one of three voters. Ruled out: a lost entry (the new machine has the acknowledged version) and the removal itself, which raises what the group bears in those seconds.

A voter that hears of no leader now asks to be admitted. The drawn histories of the test found two faults of handing over the lead on the way: to a voter that does not answer, and to one that lacks a change of the membership.

--- a/tarragonway/consensus/members.py
+++ b/tarragonway/consensus/members.py
@@ -36,6 +36,14 @@
         """Number of voters in a majority."""
         return len(self.voters) // 2 + 1
 
+    @property
+    def has_spare_voter(self) -> bool:
+        """Whether one voter fewer tolerates as many losses.
+
+        An even number of voters tolerates no more losses than one voter fewer.
+        """
+        return len(self.voters) > 2 and len(self.voters) % 2 == 0
+
     @property
     def voter_ids(self) -> frozenset[MemberId]:
         """Ids of the voters."""
--- a/tarragonway/consensus/messages.py
+++ b/tarragonway/consensus/messages.py
@@ -120,8 +120,27 @@
     term: int
 
 
+class LeaveRequest(msgspec.Struct, frozen=True, tag=True):
+    """Request of a voter that is about to stop to be removed from the group."""
+
+    term: int
+
+
+class LeaveReply(msgspec.Struct, frozen=True, tag=True):
+    """Confirmation by the leader that the recipient is no voter any more."""
+
+    term: int
+
+
 Message = (
-    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | ElectNow
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+    | ElectNow
+    | LeaveRequest
+    | LeaveReply
 )
 
 
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from tarragonway.consensus.departures import Departures
 from tarragonway.consensus.log import RaftLog
 from tarragonway.consensus.members import Membership
 from tarragonway.consensus.messages import (
@@ -25,6 +26,8 @@
     Entry,
     EntryKind,
     HardState,
+    LeaveReply,
+    LeaveRequest,
     LogTail,
     Message,
     Snapshot,
@@ -138,6 +141,9 @@
         )
         self._votes: set[MemberId] = set()
         self._progress = ProgressTable(own_id)
+        self._departures = Departures(2 * parameters.election_ticks)
+        self._has_left = False
+        self._transfer_wait_ticks = 0
         self._round = 0
         self._term_start_index = 0
         self._first_entry_term: int | None = None
@@ -157,6 +163,11 @@
         """Latest membership in the log, committed or not."""
         return self._memberships[-1][1]
 
+    @property
+    def has_uncommitted_membership(self) -> bool:
+        """Whether the latest membership may still be replaced by a former one."""
+        return self._memberships[-1][0] > self.commit
+
     @property
     def last_index(self) -> int:
         """Index of the last entry in the log."""
@@ -182,11 +193,42 @@
         first_entry_term = self._log.get_term(1) or self._first_entry_term
         return self.is_ready_leader and first_entry_term == self.term
 
+    def get_silent_ticks(self, member_id: MemberId) -> int:
+        """Return the ticks since a follower has replied; 0 if it is not a follower."""
+        row = self._progress.get(member_id)
+        return row.ticks_since_reply if row else 0
+
     def is_unresponsive(self, member_id: MemberId) -> bool:
         """Return whether a follower has not replied for several election timeouts."""
-        row = self._progress.get(member_id)
         limit = MAX_SILENT_ELECTION_TIMEOUTS * self._parameters.election_ticks
-        return row is not None and row.ticks_since_reply > limit
+        return self.get_silent_ticks(member_id) > limit
+
+    @property
+    def departing(self) -> set[MemberId]:
+        """Members that have asked this leader to leave, as they are about to stop."""
+        return self._departures.members
+
+    @property
+    def has_left(self) -> bool:
+        """Whether the leader has confirmed that this member is no voter any more."""
+        return self._has_left
+
+    @property
+    def seeks_admission(self) -> bool:
+        """Whether this member should ask the others to admit it to the group.
+
+        A voter that hears of no leader may have been removed while it was out of touch.
+        Nobody sends it the entry that says so.
+        """
+        is_voter = self.own_id in self.membership.voter_ids
+        return not self._has_left and (not is_voter or self.leader is None)
+
+    @property
+    def can_leave(self) -> bool:
+        """Whether the group bears as many losses without this voter as with it."""
+        membership = self.membership
+        is_voter = self.own_id in membership.voter_ids
+        return is_voter and membership.has_spare_voter
 
     @property
     def unreachable_after_ticks(self) -> int:
@@ -242,6 +284,10 @@
                 self._handle_append_reply(source, message)
             case ElectNow():
                 self._handle_elect_now(message)
+            case LeaveRequest():
+                self._handle_leave_request(source)
+            case LeaveReply():
+                self._has_left = True
 
     def propose(self, payload: bytes) -> int | None:
         """Append a command; return its index, or None if not the leader."""
@@ -252,15 +298,18 @@
     def propose_membership(self, membership: Membership) -> int | None:
         """Append a membership that differs in at most one voter; return its index.
 
-        Return None if this replica is not a ready leader, or if the previous change
-        is not committed yet.
+        Return None if this replica is not a ready leader, if the previous change is not
+        committed yet, or if another voter has just been asked to take over, which would
+        not know of the change.
 
         Raises
         ------
         InvariantError
             If more than one voter would change.
         """
-        if not self.is_ready_leader or self._memberships[-1][0] > self.commit:
+        if not self.is_ready_leader or self.has_uncommitted_membership:
+            return None
+        if self._transfer_wait_ticks:
             return None
         changed = self.membership.voter_ids ^ membership.voter_ids
         if len(changed) > 1:
@@ -282,15 +331,34 @@
     def transfer_leadership(self) -> MemberId | None:
         """Ask the most up-to-date voter to take over leadership; return its id.
 
-        Return None if this replica is not the leader or there is no other voter.
+        A voter that does not answer is asked only if none does. Return None if this
+        replica is not the leader, if there is no other voter, or if the best one does
+        not store the latest membership yet: it would count other voters than the rest.
         """
         voters = self.membership.voter_ids - {self.own_id}
         if self.role is not Role.LEADER or not voters:
             return None
-        target = max(sorted(voters), key=self.get_match_index)
+
+        def rank(member_id: MemberId) -> tuple[bool, int]:
+            silent_ticks = self.get_silent_ticks(member_id)
+            is_reachable = silent_ticks <= self.unreachable_after_ticks
+            return is_reachable, self.get_match_index(member_id)
+
+        target = max(sorted(voters), key=rank)
+        if self.get_match_index(target) < self._memberships[-1][0]:
+            return None
+        self._transfer_wait_ticks = self._parameters.election_ticks
         self._send(target, ElectNow(self.term))
         return target
 
+    def request_leave(self) -> None:
+        """Ask the leader to remove this member, which is about to stop.
+
+        The request may be lost, so it has to be repeated until :attr:`has_left`.
+        """
+        if self.leader is not None and self.leader != self.own_id:
+            self._send(self.leader, LeaveRequest(self.term))
+
     def compact(self, index: int, state: bytes, keep: int = 0) -> Snapshot:
         """Replace the log up to ``index`` by a snapshot of the applied state.
 
@@ -451,6 +519,8 @@
         self.role = Role.LEADER
         self.leader = self.own_id
         self._elapsed_ticks = 0
+        self._departures.clear()
+        self._transfer_wait_ticks = 0
         self._progress = ProgressTable(self.own_id)
         self._progress.update_members(self.membership, self.last_index + 1)
         self._term_start_index = self.last_index + 1
@@ -459,6 +529,8 @@
     # Leader
 
     def _tick_leader(self) -> None:
+        self._departures.tick()
+        self._transfer_wait_ticks = max(0, self._transfer_wait_ticks - 1)
         for _, row in self._progress.rows():
             row.snapshot_wait_ticks = max(0, row.snapshot_wait_ticks - 1)
             row.ticks_since_reply += 1
@@ -532,6 +604,14 @@
             self._send_append(source, row)
         self._complete_reads()
 
+    def _handle_leave_request(self, source: MemberId) -> None:
+        if not self.is_ready_leader:
+            return
+        if source in self.membership.voter_ids:
+            self._departures.record(source)
+        elif not self.has_uncommitted_membership:
+            self._send(source, LeaveReply(self.term))
+
     def _advance_commit(self) -> None:
         quorum_match = self._progress.compute_quorum_match(
             self.membership, self.last_index
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -312,10 +312,13 @@
         self._mailbox.send(ProcessName(name), packet)
 
     async def _send_join_requests(self) -> None:
-        """Send join requests to the other control processes while not a voter."""
+        """Send join requests to the other control processes while not a member.
+
+        A voter that hears of no leader may have been removed.
+        """
         own = self._driver.own_member
         while True:
-            if own.id not in self._driver.replica.membership.voter_ids:
+            if self._driver.replica.seeks_admission:
                 for peer in self._settings.cluster.control:
                     if peer.name != self._name:
                         self._mailbox.send(ProcessName(peer.name), JoinRequest(own))
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -269,19 +269,21 @@
     async def _maintain_member_links(self) -> None:
         """Maintain links to all members and seeds.
 
-        Join requests are sent until this process is a voter. Only the leader can admit
-        it and may be no seed, so it also connects to the members that others name.
+        Join requests are sent until this process is a voter that hears of a leader.
+        Only the leader can admit it and may be no seed, so it also connects to the
+        members that others name.
         """
         own = self._driver.own_member
         while True:
             membership = self._driver.replica.membership
             known = {member.name for member in membership.members}
-            if own.id in membership.voter_ids:
+            seeks_admission = self._driver.replica.seeks_admission
+            if not seeks_admission:
                 self._named_members.clear()
             self._link_pool.connect_to(
                 {*known, *self._seeds, *self._named_members} - {self._address}
             )
-            if own.id not in membership.voter_ids:
+            if seeks_admission:
                 for link in self._link_pool.links.values():
                     link.send(Join(own))
             await asyncio.sleep(JOIN_INTERVAL_S)
@@ -355,7 +357,7 @@
             link.send(self._make_status())
 
     def _record_named_members(self, status: Status) -> None:
-        if self._driver.own_member.id not in self._driver.replica.membership.voter_ids:
+        if self._driver.replica.seeks_admission:
             named = {*status.coordinators, status.leader} - {""}
             self._named_members = set(sorted(named)[:MAX_NAMED_MEMBERS])
 
--- a/tarragonway/coordinator/tests/test_daemon.py
+++ b/tarragonway/coordinator/tests/test_daemon.py
@@ -43,7 +43,10 @@
             own_member=Member(MemberId(f"{own}#1"), ProcessName(own)),
             record_join_request=lambda member: None,
             replica=SimpleNamespace(
-                term=4, leader=f"{leader}#1" if leader else None, membership=membership
+                term=4,
+                leader=f"{leader}#1" if leader else None,
+                membership=membership,
+                seeks_admission=own not in voters or not leader,
             ),
         ),
     )
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -215,18 +215,46 @@
         most half of ``limit_s``. The transfer request may be lost, so it is repeated.
         A former leader then waits for :data:`ANSWER_FLUSH_DELAY_S`, so that pending
         answers are sent before the caller closes its sockets.
+
+        A group with a spare voter removes this member instead of waiting for others:
+        it may be stopped for good, and would then count against the majority. If it is
+        started again, it asks to be admitted.
         """
         loop = asyncio.get_running_loop()
-        end = loop.time() + limit_s
-        await self._wait_until_safe_to_stop(limit_s / 2)
-        was_leader = self.replica.role is Role.LEADER
-        while self.replica.role is Role.LEADER and loop.time() < end:
-            self._enqueue(self._transfer_leadership)
+        started = loop.time()
+        if not self.replica.can_leave:
+            await self._wait_until_safe_to_stop(limit_s / 2)
+        was_leader = False
+        while self._is_bound_to_group and loop.time() - started < limit_s:
+            was_leader = was_leader or self.replica.role is Role.LEADER
+            self._enqueue(self._depart)
             await asyncio.sleep(TRANSFER_RETRY_INTERVAL_TICKS * self._config.tick_s)
+        _log.info(
+            "group informed of the planned stop",
+            was_leader=was_leader,
+            has_left=self.replica.has_left,
+            waited_s=round(loop.time() - started, 2),
+        )
         if was_leader:
             await asyncio.sleep(ANSWER_FLUSH_DELAY_S)
         return self.replica.role is not Role.LEADER
 
+    @property
+    def _is_bound_to_group(self) -> bool:
+        """Whether this member leads, or counts although the group can spare it."""
+        replica = self.replica
+        if replica.role is Role.LEADER:
+            return True
+        if replica.has_left:
+            return False
+        return replica.can_leave or replica.has_uncommitted_membership
+
+    def _depart(self) -> None:
+        if self.replica.role is Role.LEADER:
+            self.replica.transfer_leadership()
+        elif self.replica.can_leave:
+            self.replica.request_leave()
+
     async def _wait_until_safe_to_stop(self, limit_s: float) -> None:
         # A member that has just stopped still counts as reachable for this time, and a
         # follower receives the number of reachable voters one heartbeat later.
@@ -292,9 +320,6 @@
             names = [member.id for member in change.voters]
             _log.info("membership change proposed", voters=names)
 
-    def _transfer_leadership(self) -> None:
-        self.replica.transfer_leadership()
-
     def _handle_packet(self, packet: Packet) -> None:
         is_target = packet.target == self._config.own.id
         if is_target and packet.cluster == self._cluster:
--- a/tarragonway/replication/membership_changes.py
+++ b/tarragonway/replication/membership_changes.py
@@ -14,14 +14,15 @@
 
     A new incarnation joins as a learner and becomes a voter once it has caught up. Only
     then is the incarnation that it replaces removed, so that at every step each quorum
-    stores every acknowledged entry.
+    stores every acknowledged entry. A voter that was removed while it was out of touch
+    joins again in the same way.
 
     Parameters
     ----------
     replica : Replica
         The leader.
     present : sequence of Member
-        Declared members that have recently asked to join.
+        Members that have recently asked to join.
     """
     membership = replica.membership
     replaced = _find_replaced(membership)
@@ -31,8 +32,7 @@
     if removable is not None:
         return membership.remove(removable.id)
     for learner in membership.learners:
-        behind = replica.last_index - replica.get_match_index(learner.id)
-        if behind <= MAX_PROMOTION_LAG_ENTRIES:
+        if _can_be_promoted(replica, learner):
             return membership.promote(learner.id)
     for member in present:
         if membership.find(member.id) is None and not _is_joining(
@@ -49,15 +49,30 @@
 
 
 def _find_removable(replica: Replica, membership: Membership) -> Member | None:
-    """Return an unresponsive voter that a voter of another name makes unnecessary.
+    """Return the voter to remove if the group has one more than it needs.
 
-    An even number of voters tolerates no more failures than one voter fewer. If a
-    single one of an even number above two is unresponsive, it can be removed.
+    A voter that has announced its stop goes first, then the one that has been silent
+    for longest. A voter that was only out of touch asks to be admitted again once it
+    is back, so its removal costs nothing but a few entries.
     """
-    if len(membership.voters) % 2 or len(membership.voters) <= 2:
+    if not membership.has_spare_voter:
         return None
+    for voter in membership.voters:
+        if voter.id in replica.departing:
+            return voter
     unresponsive = [m for m in membership.voters if replica.is_unresponsive(m.id)]
-    return unresponsive[0] if len(unresponsive) == 1 else None
+    return max(unresponsive, key=lambda m: replica.get_silent_ticks(m.id), default=None)
+
+
+def _can_be_promoted(replica: Replica, learner: Member) -> bool:
+    """Return whether a learner answers and stores nearly the whole log.
+
+    A learner that has never answered stores nothing, however short the log is.
+    """
+    match_index = replica.get_match_index(learner.id)
+    behind = replica.last_index - match_index
+    is_current = match_index > 0 and behind <= MAX_PROMOTION_LAG_ENTRIES
+    return is_current and not replica.is_unresponsive(learner.id)
 
 
 def _is_joining(
