Plan a service's endpoints without trying each number up to its bound

Cause: the planner built a plan for each number of endpoints from 1 to the bound of a zone, in the event loop. Ruled out: the log and the decoding (the version is stored and read back). The price is linear in the cap while the need fills the same number of zones, so only the ends of these ranges are tried, whose number depends on the zones alone; the need is bounded too, as callers state the sizes it comes from.

--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -17,6 +17,8 @@
 # Zones that may lose all reclaimable endpoints at once, since reclaims come in waves.
 MAX_LOST_ZONES = 2
 MIN_ENDPOINTS = 2
+# A higher need is not planned for, whatever callers say of the size of their requests.
+MAX_ENDPOINTS = 10**9
 
 
 class EndpointKind(msgspec.Struct, frozen=True, order=True):
@@ -62,7 +64,8 @@
 
 def compute_needed_endpoints(offered_load: float, policy: FleetPolicy) -> int:
     """Return how many endpoints carry ``offered_load`` seconds of work per second."""
-    return max(policy.min_endpoints, math.ceil(offered_load / policy.utilization))
+    needed = min(offered_load / policy.utilization, MAX_ENDPOINTS)
+    return max(policy.min_endpoints, math.ceil(needed))
 
 
 def count_lost_endpoints(
@@ -263,15 +266,41 @@
     if not traits.reclaimable_price:
         return dict.fromkeys(zones, 0)
     lost_zones = min(MAX_LOST_ZONES, len(zones) - 1)
+    kept_zones = len(zones) - lost_zones
     plans = (
         _fill_zones(zones, needed + lost_zones * cap, cap)
-        for cap in range(1, traits.max_endpoints + 1)
-        if len(zones) * cap >= needed + lost_zones * cap
+        for cap in _list_caps(needed, kept_zones, traits.max_endpoints)
     )
     largest = dict.fromkeys(zones, traits.max_endpoints)
     return min(plans, key=lambda plan: _compute_price(traits, plan), default=largest)
 
 
+def _list_caps(needed: int, kept_zones: int, max_cap: int) -> list[int]:
+    """Return the numbers of endpoints in a zone among which the cheapest plan is.
+
+    While ``needed`` fills the same number of zones, the price is linear in the cap. So
+    only the ends of these ranges can be cheapest, and their number depends neither on
+    the bound of a zone nor on the need. Beyond ``needed``, a larger cap only adds spare
+    endpoints.
+
+    Examples
+    --------
+    >>> _list_caps(needed=10, kept_zones=3, max_cap=2**31)
+    [4, 5, 6, 10]
+    >>> _list_caps(needed=10, kept_zones=3, max_cap=3)
+    []
+    """
+    if needed <= 0:
+        return [1] if max_cap >= 1 else []
+    caps = set()
+    for filled_zones in range(1, kept_zones + 1):
+        caps.add(needed // filled_zones)
+        caps.add(needed // (filled_zones + 1) + 1)
+    caps.add(min(max_cap, needed))
+    least = -(-needed // kept_zones)
+    return sorted(cap for cap in caps if max(1, least) <= cap <= max_cap)
+
+
 def _fill_zones(zones: list[ZoneName], count: int, cap: int) -> dict[ZoneName, int]:
     """Return ``count`` endpoints, at most ``cap`` in a zone, the first zones first."""
     plan: dict[ZoneName, int] = {}
--- a/tarragonway/capacity/tests/test_fleet.py
+++ b/tarragonway/capacity/tests/test_fleet.py
@@ -1,6 +1,7 @@
 import collections
 import math
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,8 +10,13 @@
     MAX_LOST_ZONES,
     MIN_ENDPOINTS,
     EndpointKind,
+    FleetPolicy,
     FleetState,
+    _compute_price,
+    _fill_zones,
+    _spread_reclaimable,
     compute_max_shortfall,
+    compute_needed_endpoints,
     plan_fleet,
 )
 from tarragonway.routes.model import ScalingTraits
@@ -168,3 +174,44 @@
         n * zone_prices[kind.zone] for kind, n in plan.items() if kind.reclaimable
     )
     assert price <= equal * sum(prices) + 1e-9
+
+
+def spread_by_trying_all_caps(traits, zones, needed):
+    """Return the cheapest plan, by its definition."""
+    lost_zones = min(MAX_LOST_ZONES, len(zones) - 1)
+    plans = [
+        _fill_zones(zones, needed + lost_zones * cap, cap)
+        for cap in range(1, traits.max_endpoints + 1)
+        if len(zones) * cap >= needed + lost_zones * cap
+    ]
+    return min(plans, key=lambda plan: _compute_price(traits, plan), default=None)
+
+
+@given(
+    st.lists(st.floats(0.1, 3.0), min_size=1, max_size=6).map(sorted),
+    st.integers(0, 30),
+    st.integers(0, 60),
+)
+# Guards against a plan that is not the cheapest, as only a few caps are tried.
+def test_few_caps_hold_the_cheapest_plan(prices, max_endpoints, needed):
+    zones = [f"z{n}" for n in range(len(prices))]
+    zone_prices = dict(zip(zones, prices, strict=True))
+    traits = ScalingTraits(1, max_endpoints, 4.0, 0.2, zone_prices)
+    plan = _spread_reclaimable(traits, zones, needed)
+    best = spread_by_trying_all_caps(traits, zones, needed)
+    if best is None:
+        assert plan == dict.fromkeys(zones, max_endpoints)
+    else:
+        price = _compute_price(traits, plan)
+        assert price == pytest.approx(_compute_price(traits, best))
+
+
+@pytest.mark.parametrize("max_endpoints", [2**31 - 1, 10**25])
+@pytest.mark.parametrize("offered_load", [1.0, 1e30, math.inf])
+@pytest.mark.timeout(5)
+# Guards against a leader that plans for each number up to the bound of a zone.
+def test_plan_takes_no_longer_with_a_high_bound(max_endpoints, offered_load):
+    traits = msgspec.structs.replace(TRAITS, max_endpoints=max_endpoints)
+    needed = compute_needed_endpoints(offered_load, FleetPolicy())
+    plan = plan_fleet(traits, ZONES, needed, FleetState({}, {}))
+    assert sum(plan.values()) >= needed
