Bound the numbers that operators, callers, endpoints and the platform state

A version of over 64 bits ended each coordinator that led, an entry of the list with a slot count of over 64 bits the leader, and a caller's deadline of 1e300 ms lost the records of all streams that began in the same moment; large sizes, loads and event ids ended requests without an answer.

Cause: numbers of any size in encodings of 64 bits and in floating point. New configurations are refused where a number or text cannot be in force; accepted ones are taken with clamped numbers, so that nothing in a log stops a new leader; versions of over 64 bits are stored as text; a command without an encoding fails alone.

Before: OverflowError in each of the new tests' cases. After: they pass.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -33,6 +33,7 @@
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId, ProcessName, ZoneName
+from tarragonway.core.numbers import encode_integer
 from tarragonway.endpoints.endpoint_list import EndpointView
 from tarragonway.endpoints.reader import ListReader
 from tarragonway.http1 import CallClient, HttpServer
@@ -182,7 +183,7 @@
         interface = OperatorInterface(
             self._driver,
             self._machine,
-            configuration.decode_configuration,
+            configuration.decode_submitted,
             (names.PUT_CONFIGURATION_PATH, names.GET_CONFIGURATION_PATH),
             self._find_leader_operator_address,
             self._counters,
@@ -337,7 +338,8 @@
             case StreamsBegan() | OriginRequest() | VersionsRequest():
                 self._origins.handle(link, message)
             case FetchConfiguration():
-                link.send(ConfigurationText(self._machine.revision, self._machine.data))
+                revision = encode_integer(self._machine.revision)
+                link.send(ConfigurationText(revision, self._machine.data))
             case GatewayReport():
                 self._handle_report(link, message)
             case QuotaRequest():
@@ -406,7 +408,7 @@
             leader,
             self._driver.is_leader,
             members,
-            self._machine.revision,
+            encode_integer(self._machine.revision),
         )
 
     async def _publish_status_periodically(self) -> None:
--- a/tarragonway/coordinator/machine.py
+++ b/tarragonway/coordinator/machine.py
@@ -6,15 +6,19 @@
 import msgspec
 
 from tarragonway.core.ids import AccountId, PartId, ServiceName, SoftwareVersion
+from tarragonway.core.numbers import EncodedInteger, decode_integer
 from tarragonway.quarantine import HeldPart
 
 RETAINED_WINDOWS = 64
 
 
 class PutConfiguration(msgspec.Struct, frozen=True, tag=True):
-    """Replaces the configuration, unless the one in force is as new or newer."""
+    """Replaces the configuration, unless the one in force is as new or newer.
 
-    revision: int
+    ``revision`` is an integer of any size.
+    """
+
+    revision: EncodedInteger
     data: bytes
 
 
@@ -61,7 +65,7 @@
 
 
 class _Content(msgspec.Struct):
-    revision: int = -1
+    revision: EncodedInteger = -1
     data: bytes = b""
     usage: dict[int, dict[AccountId, int]] = {}
     reported: dict[int, bool] = {}
@@ -96,7 +100,7 @@
     @property
     def revision(self) -> int:
         """Revision of the configuration in force, -1 if there is none."""
-        return self._content.revision
+        return decode_integer(self._content.revision)
 
     @property
     def data(self) -> bytes:
@@ -158,10 +162,10 @@
         content = self._content
         match command:
             case PutConfiguration(revision, data):
-                if revision > content.revision:
+                if decode_integer(revision) > self.revision:
                     content.revision = revision
                     content.data = data
-                return ConfigurationStored(content.revision)
+                return ConfigurationStored(self.revision)
             case DecideUsage(window, counts):
                 decided = content.usage.setdefault(window, counts)
                 while len(content.usage) > RETAINED_WINDOWS:
--- a/tarragonway/coordinator/operators.py
+++ b/tarragonway/coordinator/operators.py
@@ -14,6 +14,7 @@
     compress_configuration,
 )
 from tarragonway.core.counters import Counters
+from tarragonway.core.numbers import encode_integer
 from tarragonway.http1.client import Headers
 from tarragonway.http1.server import Request, ResponseWriter
 from tarragonway.replication import LogDriver, NotLeader
@@ -85,7 +86,8 @@
             await self._redirect_to_leader(request, writer)
             return
         command = PutConfiguration(
-            configuration.revision, compress_configuration(request.body)
+            encode_integer(configuration.revision),
+            compress_configuration(request.body),
         )
         result = await self._await_confirmation(self._driver.propose(command))
         match result:
--- a/tarragonway/entry/fetch.py
+++ b/tarragonway/entry/fetch.py
@@ -7,6 +7,7 @@
 
 from tarragonway.core.hashes import compute_mac, verify_mac
 from tarragonway.core.ids import ProcessName, RequestId
+from tarragonway.core.numbers import parse_bounded_count
 from tarragonway.core.outcomes import Outcome, Refusal, RefusalReason
 from tarragonway.entry.problems import make_problem_response
 from tarragonway.entry.request_checks import RequestChecker
@@ -21,6 +22,8 @@
 FIND_TIMEOUT_S = 8.0
 FIND_RETRY_DELAY_S = 0.2
 
+MAX_EVENT_NUMBER = 2**53
+
 
 class FetchHandler:
     """Handlers of ``GET /v1/requests/{id}``.
@@ -189,7 +192,7 @@
 async def _respond(request: web.Request, live: LiveRequest) -> web.StreamResponse:
     if "text/event-stream" in request.headers.get("Accept", ""):
         text = request.headers.get("Last-Event-ID", "0")
-        start = int(text) if text.isdigit() else 0
+        start = parse_bounded_count(text, MAX_EVENT_NUMBER) or 0
         return await StreamWriter(live).write(request, start)
     if not live.is_over:
         headers = {"Retry-After": "1", "Location": f"/v1/requests/{live.record.id}"}
--- a/tarragonway/exchange/__init__.py
+++ b/tarragonway/exchange/__init__.py
@@ -7,6 +7,8 @@
     limit_rise,
 )
 from tarragonway.exchange.model import (
+    MAX_REQUESTS,
+    MAX_TOKENS,
     CallerRequest,
     ForwardContext,
     Load,
@@ -16,6 +18,8 @@
 )
 
 __all__ = [
+    "MAX_REQUESTS",
+    "MAX_TOKENS",
     "PRIOR_SPEED",
     "CallerRequest",
     "EngineSpeed",
--- a/tarragonway/exchange/engine_speed.py
+++ b/tarragonway/exchange/engine_speed.py
@@ -53,6 +53,8 @@
 # Waiting inflates the measured times while engines are overloaded, so an estimate may
 # rise only by this factor per second. It may fall at once.
 MAX_RISE_PER_S = 1.03
+# After a longer time, a rise counts as one during this time.
+MAX_RISE_S = 3600.0
 
 
 def combine_speeds(speeds: Iterable[EngineSpeed]) -> EngineSpeed:
@@ -81,7 +83,7 @@
     >>> limited.prompt_token_ms, limited.running_request_ms
     (0.0103, 2.0)
     """
-    factor = MAX_RISE_PER_S**elapsed_s
+    factor = MAX_RISE_PER_S ** min(elapsed_s, MAX_RISE_S)
     return msgspec.structs.replace(
         current,
         prompt_token_ms=min(current.prompt_token_ms, previous.prompt_token_ms * factor),
--- a/tarragonway/exchange/model.py
+++ b/tarragonway/exchange/model.py
@@ -4,6 +4,10 @@
 
 from tarragonway.core.ids import AccountId, AttemptId, PartId
 
+# Larger numbers of tokens or of requests count as these.
+MAX_TOKENS = 10**12
+MAX_REQUESTS = 10**9
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt; parts with equal ids have equal texts."""
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -10,6 +10,7 @@
 from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import Fingerprint, ProcessName
+from tarragonway.core.numbers import decode_integer
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.origin_guard import OriginGuard
@@ -232,7 +233,7 @@
             case Status():
                 self._handle_status(link, message)
             case ConfigurationText(revision, data):
-                self._handle_configuration(link, revision, data)
+                self._handle_configuration(link, decode_integer(revision), data)
             case EndpointUpdate():
                 self._handle_endpoints(message)
             case GatewayReportReply():
@@ -264,7 +265,7 @@
             _log.info("leader is lost", leader=link.peer, term=status.term)
             self._leader = ""
         self._update_coordinators(status)
-        if status.revision > self._state.revision:
+        if decode_integer(status.revision) > self._state.revision:
             self._fetch(link)
 
     def _report_everything(self) -> None:
--- a/tarragonway/gateway/events.py
+++ b/tarragonway/gateway/events.py
@@ -81,10 +81,16 @@
     if event_id is None:
         return False
     if event_id.isdecimal() and previous.isdecimal():
-        return int(event_id) > int(previous)
+        return _make_sort_key(event_id) > _make_sort_key(previous)
     return event_id != previous
 
 
+def _make_sort_key(digits: str) -> tuple[int, str]:
+    """Return a key in the order of the numbers, which may have any number of digits."""
+    significant = digits.lstrip("0")
+    return len(significant), significant
+
+
 class PauseMeter:
     """Measures the pauses between the first events of a stream.
 
--- a/tarragonway/gateway/origin_guard.py
+++ b/tarragonway/gateway/origin_guard.py
@@ -25,6 +25,7 @@
 )
 from tarragonway.routes.model import Route
 from tarragonway.versions import (
+    MAX_LIFETIME_S,
     OriginRecords,
     ServiceVersions,
     StreamOrigin,
@@ -182,6 +183,7 @@
             return
         loop = asyncio.get_running_loop()
         key = compute_stream_key(account, attempt)
+        lifetime_s = min(max(0.0, lifetime_s), MAX_LIFETIME_S)
         if not self._records.add(key, origin, lifetime_s, loop.time()):
             self._counters.increment("origins.dropped")
             return
--- a/tarragonway/gateway/tests/test_mixed_versions.py
+++ b/tarragonway/gateway/tests/test_mixed_versions.py
@@ -356,6 +356,16 @@
     assert await asyncio.gather(*others) == [{"s": ("v1", "v2")}] * 3
 
 
+# Guards against a caller's deadline that keeps all records of that moment from leaving.
+async def test_records_are_sent_beside_one_with_an_endless_deadline(harness):
+    coordinators = FakeCoordinators(harness, "c1")
+    origin = StreamOrigin("s", "v1")
+    harness.origins.record_began("acct", "a1", origin, 1e300)
+    harness.origins.record_began("acct", "a2", origin, 15.0)
+    harness.origins.flush()
+    assert len(coordinators.records["c1"]) == 2
+
+
 # Guards against records that a restarted coordinator has lost.
 async def test_records_are_sent_again_to_a_coordinator_that_connects(harness):
     choose = answer_in_parts(make_events(1, 2), make_events(3, 4))
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -12,6 +12,7 @@
     SoftwareVersion,
     StreamKey,
 )
+from tarragonway.core.numbers import EncodedInteger
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
 from tarragonway.versions import StreamOrigin
@@ -41,7 +42,7 @@
     leader: str
     is_leader: bool
     coordinators: tuple[str, ...]
-    revision: int
+    revision: EncodedInteger
 
 
 class FetchConfiguration(msgspec.Struct, frozen=True, tag=True):
@@ -51,7 +52,7 @@
 class ConfigurationText(msgspec.Struct, frozen=True, tag=True):
     """Text of a configuration as the operator sent it, compressed with zlib."""
 
-    revision: int
+    revision: EncodedInteger
     data: bytes
 
 
--- a/tarragonway/platform/configuration.py
+++ b/tarragonway/platform/configuration.py
@@ -6,6 +6,7 @@
 from tarragonway.core.ids import AccountId, ServiceName, ZoneName
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
+    MAX_REVISION_DIGITS,
     Account,
     Configuration,
     ConfigurationError,
@@ -17,8 +18,12 @@
     Service,
     WeightedService,
     check_configuration,
+    check_submitted,
 )
 
+# Larger whole numbers count as this one: each is beyond what can be in use.
+MAX_COUNT = 10**15
+
 _REPEATABILITY_BY_KIND = {
     "safe": Repeatability.SAFE,
     "unsafe": Repeatability.UNSAFE,
@@ -104,18 +109,44 @@
 _decoder = msgspec.json.Decoder(_Configuration)
 
 
+def decode_submitted(data: bytes) -> Configuration:
+    """Return an operator's new configuration after all checks.
+
+    Raises
+    ------
+    ConfigurationError
+        If the text can't be decoded, is inconsistent, or can't be put into force.
+    """
+    raw_configuration = _decode(data)
+    configuration = _convert(raw_configuration)
+    if len(str(abs(raw_configuration.version))) > MAX_REVISION_DIGITS:
+        raise ConfigurationError(
+            f"version has over {MAX_REVISION_DIGITS} digits; state a smaller number"
+        )
+    for field in ("routes", "services", "limits", "tenants"):
+        check_submitted(field, getattr(raw_configuration, field))
+    return configuration
+
+
 def decode_configuration(data: bytes) -> Configuration:
-    """Return the configuration after checking it.
+    """Return a configuration that a coordinator has accepted.
 
     Raises
     ------
     ConfigurationError
         If the text can't be decoded or is inconsistent.
     """
+    return _convert(_decode(data))
+
+
+def _decode(data: bytes) -> _Configuration:
     try:
-        raw_configuration = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
         raise ConfigurationError(f"cannot be read: {error}") from error
+
+
+def _convert(raw_configuration: _Configuration) -> Configuration:
     accounts = None
     if raw_configuration.tenants is not None:
         accounts = tuple(
@@ -126,8 +157,8 @@
         tuple(_convert_route(route) for route in raw_configuration.routes),
         tuple(_convert_service(service) for service in raw_configuration.services),
         ConnectionLimits(
-            raw_configuration.limits.max_header_bytes,
-            raw_configuration.limits.max_body_bytes,
+            _clamp_count(raw_configuration.limits.max_header_bytes),
+            _clamp_count(raw_configuration.limits.max_body_bytes),
             raw_configuration.limits.header_timeout_ms / 1000,
             raw_configuration.limits.idle_timeout_ms / 1000,
         ),
@@ -156,8 +187,8 @@
         kind,
         route.timeout_ms / 1000,
         route.slo_ms / 1000,
-        route.priority,
-        max(1, route.max_attempts),
+        _clamp_count(route.priority),
+        max(1, _clamp_count(route.max_attempts)),
         shares,
         route.public,
         route.sticky,
@@ -170,21 +201,27 @@
     engine = scaling = None
     if service.engine is not None:
         engine = EngineTraits(
-            service.engine.slots,
-            service.engine.kv_capacity_tokens,
-            max(1, service.engine.stride),
+            _clamp_count(service.engine.slots),
+            _clamp_count(service.engine.kv_capacity_tokens),
+            max(1, _clamp_count(service.engine.stride)),
         )
     if service.scaling is not None:
         prices = service.scaling.zone_prices.items()
         scaling = ScalingTraits(
-            service.scaling.min,
-            service.scaling.max,
+            _clamp_count(service.scaling.min),
+            _clamp_count(service.scaling.max),
             service.scaling.boot_s,
             service.scaling.spot_price,
             {ZoneName(zone): price for zone, price in prices},
         )
     name = ServiceName(service.name)
-    return Service(name, service.health_path, service.max_conns, engine, scaling)
+    max_connections = _clamp_count(service.max_conns)
+    return Service(name, service.health_path, max_connections, engine, scaling)
+
+
+def _clamp_count(number: int) -> int:
+    """Return a number as it can be used; earlier releases accepted any number."""
+    return max(0, min(number, MAX_COUNT))
 
 
 def _convert_account(account: _Account) -> Account:
--- a/tarragonway/platform/listing.py
+++ b/tarragonway/platform/listing.py
@@ -8,11 +8,14 @@
 
 from tarragonway.core.ids import ServiceName, SoftwareVersion, ZoneName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.exchange import MAX_REQUESTS
 from tarragonway.http1.call import Call
 from tarragonway.platform import names
 
 # Longer texts that name a version are shortened; different ones stay different.
 MAX_VERSION_LENGTH = 64
+# Longer announced times count as this one.
+MAX_DURATION_S = 86_400.0
 
 # Whether an endpoint in this state is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -94,15 +97,19 @@
         ServiceName(entry.service),
         entry.address,
         ZoneName(entry.zone),
-        entry.slots,
+        max(0, min(entry.slots, MAX_REQUESTS)),
         leaving or entry.leaves_ms is not None,
         entry.spot,
-        -1.0 if entry.leaves_ms is None else round(entry.leaves_ms / 1000),
-        float(round(entry.cold_left_ms / 1000)),
+        -1.0 if entry.leaves_ms is None else _round_to_seconds(entry.leaves_ms),
+        _round_to_seconds(entry.cold_left_ms),
         _shorten_version(entry.version),
     )
 
 
+def _round_to_seconds(duration_ms: float) -> float:
+    return float(round(min(max(0.0, duration_ms / 1000), MAX_DURATION_S)))
+
+
 def _shorten_version(version: str) -> SoftwareVersion:
     if len(version) <= MAX_VERSION_LENGTH:
         return SoftwareVersion(version)
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -3,7 +3,10 @@
 import math
 
 from tarragonway.core.ids import AttemptId, PartId
+from tarragonway.core.numbers import parse_bounded_count
 from tarragonway.exchange import (
+    MAX_REQUESTS,
+    MAX_TOKENS,
     CallerRequest,
     ForwardContext,
     Load,
@@ -112,31 +115,35 @@
     if token_counts is None:
         return None
     first, _, second = token_counts.partition(",")
-    try:
-        input_tokens, output_tokens = int(first), int(second or 0)
-        parts = _parse_prompt_parts(_parse_text(request.get(names.PROMPT_PARTS)) or "")
-    except ValueError:
+    input_tokens = parse_bounded_count(first, MAX_TOKENS)
+    output_tokens = parse_bounded_count(second or "0", MAX_TOKENS)
+    parts = _parse_prompt_parts(_parse_text(request.get(names.PROMPT_PARTS)) or "")
+    if input_tokens is None or output_tokens is None or parts is None:
         return None
-    return Prompt(max(0, input_tokens), max(0, output_tokens), parts)
+    return Prompt(input_tokens, output_tokens, parts)
 
 
-def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
+def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...] | None:
     parts = []
     for item in text.split(","):
-        part, _, tokens = item.strip().partition(":")
+        part, _, count = item.strip().partition(":")
         if part:
+            tokens = parse_bounded_count(count, MAX_TOKENS)
+            if tokens is None:
+                return None
             # Ids are hexadecimal numbers, so their case has no meaning.
-            parts.append(PromptPart(PartId(part.lower()), int(tokens)))
+            parts.append(PromptPart(PartId(part.lower()), tokens))
     return tuple(parts)
 
 
 def _parse_load(value: bytes | None) -> Load | None:
     numbers = (value or b"").split(b",")
-    try:
-        running, waiting, slots = (int(number) for number in numbers)
-    except ValueError:
-        return None
-    return Load(running, waiting, slots)
+    counts = [parse_bounded_count(number, MAX_REQUESTS) for number in numbers]
+    match counts:
+        case [int(running), int(waiting), int(slots)]:
+            return Load(running, waiting, slots)
+        case _:
+            return None
 
 
 def _parse_keep_alive_s(value: bytes | None) -> float | None:
--- a/tarragonway/quarantine/parts.py
+++ b/tarragonway/quarantine/parts.py
@@ -30,6 +30,8 @@
 # Delay after a failed probe; each further failure multiplies it.
 PROBE_BACKOFF_S = 2.0
 PROBE_BACKOFF_FACTOR = 4
+# Bounds the exponent of a long series of failed probes.
+MAX_BACKOFF_EXPONENT = 32
 # A probe whose outcome is not reported in this time counts as failed.
 PROBE_TIMEOUT_S = 3.0
 # Delay until a caller may return while another request is the probe.
@@ -380,4 +382,8 @@
 
 
 def _compute_backoff_s(failures: int) -> float:
-    return PROBE_BACKOFF_S * PROBE_BACKOFF_FACTOR ** (failures - 1) if failures else 0.0
+    if not failures:
+        return 0.0
+    return PROBE_BACKOFF_S * PROBE_BACKOFF_FACTOR ** min(
+        failures - 1, MAX_BACKOFF_EXPONENT
+    )
--- a/tarragonway/quarantine/store.py
+++ b/tarragonway/quarantine/store.py
@@ -13,6 +13,8 @@
 # Time for which a message is held. A later crash on it multiplies the time.
 MESSAGE_HOLD_MS = 60_000
 MESSAGE_HOLD_FACTOR = 4
+# Bounds the exponent for a message with very many harmful contents.
+MAX_HOLD_EXPONENT = 32
 MAX_MESSAGES = 4096
 
 
@@ -196,7 +198,8 @@
         row.crashed_at_ms = now_ms
         excess = len(row.contents) - MIN_HARMFUL_CONTENTS
         if excess >= 0:
-            hold_ms = MESSAGE_HOLD_MS * MESSAGE_HOLD_FACTOR**excess
+            exponent = min(excess, MAX_HOLD_EXPONENT)
+            hold_ms = MESSAGE_HOLD_MS * MESSAGE_HOLD_FACTOR**exponent
             row.held_until_ms = now_ms + min(hold_ms, QUARANTINE_RETENTION_MS)
         if len(self.messages) > MAX_MESSAGES:
             weakest = min(
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -185,6 +185,7 @@
         """Append a command to the log; return its result once it is applied.
 
         Return :class:`NotLeader` if this replica is not, or no longer, the leader.
+        Raise the encoder's error if the command has no encoding.
         """
         future = asyncio.get_running_loop().create_future()
         self._enqueue(lambda: self._propose(command, future))
@@ -331,7 +332,13 @@
         if not self.is_leader:
             _set_result(future, NotLeader("not the leader, or the group is forming"))
             return
-        payload = self.machine.encode_command(command, read_wall_clock_ms())
+        try:
+            payload = self.machine.encode_command(command, read_wall_clock_ms())
+        except (OverflowError, TypeError, ValueError) as error:
+            # The error concerns the one who proposed, not the task that runs the log.
+            if not future.done():
+                future.set_exception(error)
+            return
         index = self.replica.propose(payload)
         assert index is not None
         self._proposals[index] = _PendingProposal(self.replica.term, future)
--- a/tarragonway/replication/tests/test_restored_log.py
+++ b/tarragonway/replication/tests/test_restored_log.py
@@ -1,5 +1,6 @@
 """What a process that has just started knows of the log that it has stored."""
 
+import asyncio
 import random
 
 import pytest
@@ -9,14 +10,16 @@
     Entry,
     EntryKind,
     Member,
+    Membership,
     Parameters,
     RaftLog,
     Replica,
 )
 from tarragonway.consensus.files import FolderFiles
-from tarragonway.coordinator.machine import CoordinatorMachine
+from tarragonway.coordinator.machine import CoordinatorMachine, PutConfiguration
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
+from tarragonway.core.numbers import encode_integer
 from tarragonway.replication import DriverConfig, LogDriver
 
 
@@ -50,3 +53,19 @@
     assert not driver.has_applied_restored_log
     driver.replica._log.truncate(3)
     assert driver.has_applied_restored_log
+
+
+# Guards against a command without an encoding that ends the task which runs the log.
+async def test_command_that_cannot_be_encoded_fails_alone(tmp_path):
+    driver = make_driver(tmp_path, 0)
+    members = (Member(MemberId("a#1"), ProcessName("a")),)
+    driver.replica._memberships = [(0, Membership(members))]
+    driver.replica._start_election(pre=False)
+    task = asyncio.create_task(driver.run())
+    with pytest.raises(OverflowError):
+        await driver.propose(PutConfiguration(10**30, b""))
+    stored = await driver.propose(PutConfiguration(encode_integer(10**30), b"a"))
+    assert stored.revision == 10**30
+    assert not task.done()
+    task.cancel()
+    await asyncio.wait([task])
--- a/tarragonway/routes/model.py
+++ b/tarragonway/routes/model.py
@@ -1,6 +1,7 @@
 """Types of the routing configuration, and its consistency checks."""
 
 import enum
+import math
 
 import msgspec
 
@@ -11,6 +12,11 @@
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 
 
+# Largest number in a configuration, but for its revision.
+MAX_NUMBER = 1e30
+MAX_REVISION_DIGITS = 100
+
+
 class ConfigurationError(TarragonwayError):
     """A configuration is invalid; the message states the first fault."""
 
@@ -137,6 +143,59 @@
     accounts: tuple[Account, ...] | None = None
 
 
+def check_submitted(name: str, value: object) -> None:
+    """Check that a new configuration's numbers and texts can be put into force.
+
+    Parameters
+    ----------
+    name : str
+        Place of the value in the operator's text.
+    value : object
+        The decoded value. Structures and lists are checked with all that they hold.
+
+    Raises
+    ------
+    ConfigurationError
+        If a number is negative or over :data:`MAX_NUMBER`, or if a text has control
+        characters, which headers cannot carry.
+
+    Examples
+    --------
+    >>> check_submitted("limits.idle_timeout_ms", 15_000)
+    >>> check_submitted("services[0].max_conns", -1)  # doctest: +ELLIPSIS
+    Traceback (most recent call last):
+        ...
+    tarragonway.routes.model.ConfigurationError: services[0].max_conns is -1; state ...
+    """
+    match value:
+        case list():
+            for index, item in enumerate(value):
+                check_submitted(f"{name}[{index}]", item)
+        case dict():
+            for key, item in value.items():
+                check_submitted(f"{name} (a key)", key)
+                check_submitted(f"{name}[{key!r}]", item)
+        case msgspec.Struct():
+            for field in value.__struct_fields__:
+                check_submitted(f"{name}.{field}", getattr(value, field))
+        case _:
+            _check_scalar(name, value)
+
+
+def _check_scalar(name: str, value: object) -> None:
+    match value:
+        case bool():
+            return
+        case int() | float() if not 0 <= value <= MAX_NUMBER:
+            raise ConfigurationError(
+                f"{name} is {str(value)[:40]}; state a number from 0 to {MAX_NUMBER}"
+            )
+        case str() if any(ord(character) < ord(" ") for character in value):
+            raise ConfigurationError(
+                f"{name} is {value[:40]!r}; remove its control characters"
+            )
+
+
 def check_configuration(configuration: Configuration) -> None:
     """Check that a configuration is consistent.
 
@@ -170,8 +229,10 @@
             )
         if share.weight < 0:
             raise ConfigurationError(f"route {route.name} has a negative weight")
-    if not sum(share.weight for share in route.shares) > 0:
-        raise ConfigurationError(f"the weights of route {route.name} add up to 0")
+    if not 0 < sum(share.weight for share in route.shares) < math.inf:
+        raise ConfigurationError(
+            f"the weights of route {route.name} add up to 0 or infinity"
+        )
     if not route.timeout_s > 0:
         raise ConfigurationError(f"the timeout of route {route.name} must be over 0")
     if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
--- a/tarragonway/versions/__init__.py
+++ b/tarragonway/versions/__init__.py
@@ -8,7 +8,7 @@
     needs_record,
 )
 from tarragonway.versions.model import StreamOrigin, count_by_version
-from tarragonway.versions.records import OriginRecords
+from tarragonway.versions.records import MAX_LIFETIME_S, OriginRecords
 from tarragonway.versions.resumption import (
     UnknownOrigin,
     UnknownOriginReason,
@@ -16,6 +16,7 @@
 )
 
 __all__ = [
+    "MAX_LIFETIME_S",
     "OriginRecords",
     "ServiceVersions",
     "StreamOrigin",
