Compare and report every shared part of a prompt

Cause: gateways compared and reported the first 128 parts only, as the leader kept a record for each part of each broken request and had 512 of them watched. Ruled out: a release by sound answers, since the part is in no report. All parts are compared now; at the leader, a part seen at one crashed endpoint takes a small entry, and a record begins with the second one, so that the parts beside it do not push it out. A part is held only while it is watched, so that answers can clear the sound ones.

--- a/tarragonway/entry/crashes.py
+++ b/tarragonway/entry/crashes.py
@@ -24,7 +24,7 @@
 
 LEAVING_NOTICE_GRACE_S = 1.5
 # Further messages of a chat are not recorded after a crash.
-MAX_SHARED_MESSAGES = 64
+MAX_SHARED_MESSAGES = 1024
 CONTROL_TIMEOUT_S = 3.0
 
 
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -12,10 +12,6 @@
 from tarragonway.routes.model import Account, Route
 from tarragonway.versions import StreamOrigin
 
-# Further parts of a prompt are not compared with the held ones. A report on a crash has
-# them all, so their number must be bounded.
-MAX_SHARED_PARTS = 128
-
 
 class Attempt(msgspec.Struct):
     """An admitted request and the progress of its sends.
@@ -163,9 +159,12 @@
 
 
 def list_compared_parts(facts: CallerRequest) -> tuple[PartId, ...]:
-    """Return the first parts of the prompt that other requests may share."""
+    """Return the parts of the prompt that other requests may share.
+
+    Any of them may crash engines. The size of a request's head bounds their number.
+    """
     prompt = facts.prompt
-    return prompt.shared_parts[:MAX_SHARED_PARTS] if prompt is not None else ()
+    return prompt.shared_parts if prompt is not None else ()
 
 
 SendOutcome = (
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -62,6 +62,8 @@
 FETCH_TIMEOUT_S = 0.3
 # Number of the latest crash reports that are sent again to a new leader.
 MAX_CRASH_REPORTS = 64
+# Prompt parts in the crash reports that are sent again to a new leader.
+MAX_REPORTED_PARTS = 20_000
 # Smaller corrections of the wall clock are not applied.
 MIN_CLOCK_CORRECTION_S = 0.02
 
@@ -393,10 +395,15 @@
                 del self._sent_at[next(iter(self._sent_at))]
 
     def _list_crashes(self, now: float) -> tuple[CrashReport, ...]:
-        return tuple(
-            msgspec.structs.replace(crash, age_s=now - reported_at)
-            for crash, reported_at in self._crashes
-        )
+        """Return the latest crash reports, as far as their parts fit in a message."""
+        reports: list[CrashReport] = []
+        parts = 0
+        for crash, reported_at in reversed(self._crashes):
+            parts += len(crash.parts)
+            if reports and parts > MAX_REPORTED_PARTS:
+                break
+            reports.append(msgspec.structs.replace(crash, age_s=now - reported_at))
+        return tuple(reversed(reports))
 
     def _handle_report_reply(self, reply: GatewayReportReply) -> None:
         sent_at = self._sent_at.pop(reply.sequence, None)
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -49,6 +49,7 @@
 # latency objective by this factor.
 OVERLOAD_FACTOR = 1.5
 MAX_PRIORITY = 9
+MAX_LOGGED_PARTS = 16
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
 # section 15.5.20).
 STATUS_MISDIRECTED = 421
@@ -288,7 +289,8 @@
                 version=endpoint.version,
                 outcome=repr(outcome),
                 began=began,
-                parts=attempt.shared_parts,
+                parts=attempt.shared_parts[:MAX_LOGGED_PARTS],
+                parts_count=len(attempt.shared_parts),
                 sends=attempt.sends,
                 list_age_s=round(self._compute_list_age(), 2),
             )
--- a/tarragonway/gateway/tests/test_held_parts.py
+++ b/tarragonway/gateway/tests/test_held_parts.py
@@ -56,6 +56,22 @@
     assert len(endpoint.heads) == 1
 
 
+# Guards against a held part, and a crash on one, that is far back in a prompt.
+@pytest.mark.parametrize("position", [129, 300, 900])
+async def test_any_part_of_a_prompt_may_be_held_or_crash(harness, position):
+    endpoint = await harness.add(harness.ports())
+    sound = [f"{number:04x}" for number in range(position)]
+    endpoint.choose = lambda head: []
+    await harness.ask("/stream/", TOKENS, make_parts(*sound, "dd"))
+    assert harness.crashes[0].parts == (*sound, "dd")
+    harness.guard.set_held(HeldParts(1, ("dd",)))
+    FakeLeader(harness, 1.5)
+    sends = len(endpoint.heads)
+    received = await harness.ask("/stream/", TOKENS, make_parts(*sound, "dd"))
+    assert b"quarantined" in received
+    assert len(endpoint.heads) == sends
+
+
 async def test_without_a_leader_no_held_part_is_sent(harness):
     endpoint = await harness.add(harness.ports())
     harness.guard.set_held(HeldParts(1, ("dd",)))
--- a/tarragonway/quarantine/begun_parts.py
+++ b/tarragonway/quarantine/begun_parts.py
@@ -5,7 +5,7 @@
 
 from tarragonway.core.ids import PartId
 
-MAX_PARTS = 4096
+MAX_PARTS = 16_384
 
 
 class BegunParts:
--- a/tarragonway/quarantine/parts.py
+++ b/tarragonway/quarantine/parts.py
@@ -6,6 +6,7 @@
 begins, while the sound parts beside it soon begin at other engines.
 """
 
+import itertools
 from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
@@ -41,7 +42,13 @@
 EXPIRY_INTERVAL_S = 1.0
 MAX_RECORDS = 8192
 MAX_HELD = 256
+# Parts of which gateways report begun answers: suspects, and others if there are few
+# suspects. A part is held only while it is watched.
+MAX_WATCHED_SUSPECTS = 4096
 MAX_WATCHED = 512
+# Parts that were in requests at one crashed endpoint only. The requests that a crash
+# breaks off may have many thousand parts, of which the next crash tells few apart.
+MAX_SIGHTINGS = 200_000
 
 _log = structlog.get_logger()
 
@@ -79,6 +86,14 @@
         return self.failed_probes >= MIN_PROBES_ALONE and self.crashes >= MAX_CRASHES
 
 
+class _Sighting(msgspec.Struct, frozen=True):
+    """One crash of one endpoint, shared by the parts of all requests that it broke."""
+
+    endpoint: str
+    crashed_at: float
+    reported_at: float
+
+
 class ProbeId(msgspec.Struct, frozen=True):
     """The gateway that sends a probe, and the gateway's number for it."""
 
@@ -115,6 +130,8 @@
 
     def __init__(self) -> None:
         self._records: dict[PartId, _Record] = {}
+        # Parts without a record, in the order of the reports.
+        self._sightings: dict[PartId, _Sighting] = {}
         self._probes: dict[ProbeId, _Probe] = {}
         self._failed_sets: list[_FailedSet] = []
         self._explained: dict[str, float] = {}
@@ -136,7 +153,10 @@
         """Parts of which gateways report begun answers; held ones come first."""
         if self._watched[0] != self.watch_version:
             ranked = sorted(self._records, key=self._rank, reverse=True)
-            self._watched = (self.watch_version, tuple(ranked[:MAX_WATCHED]))
+            watched = ranked[:MAX_WATCHED_SUSPECTS]
+            room = max(0, MAX_WATCHED - len(watched))
+            watched += itertools.islice(reversed(self._sightings), room)
+            self._watched = (self.watch_version, tuple(watched))
         return self._watched[1]
 
     def restore(self, held: Mapping[PartId, HeldPart], now: float) -> None:
@@ -147,6 +167,7 @@
         self._probes.clear()
         self._failed_sets.clear()
         self._explained.clear()
+        self._sightings.clear()
         self._records = {
             part: _Record(
                 crashed_at=dict.fromkeys(row.endpoints, now),
@@ -190,9 +211,10 @@
         harmful = [part for part in parts if self._is_proved(part)]
         if harmful:
             self._explain(endpoint, harmful, now)
+        sighting = _Sighting(endpoint, crashed_at, now)
         for part in harmful or parts:
             if harmful or endpoint not in self._explained:
-                self._add_crash(part, endpoint, crashed_at, now)
+                self._add_crash(part, sighting)
         if len(self._records) > MAX_RECORDS:
             self._evict()
 
@@ -204,6 +226,7 @@
         """
         record = self._records.get(part)
         if record is None:
+            self._end_sighting(part, began_at)
             return
         later = {e: at for e, at in record.crashed_at.items() if at >= began_at}
         if record.is_held and (later or record.last_crash_at >= began_at):
@@ -256,6 +279,9 @@
             and record.crashes >= MIN_CRASHES
             and now - record.suspected_at >= HOLD_DELAY_S
         ]
+        if len(self._records) > MAX_WATCHED_SUSPECTS:
+            watched = frozenset(self.watched)
+            suspects = [row for row in suspects if row[0] in watched]
         suspects.sort(key=lambda row: self._rank(row[0]), reverse=True)
         room = MAX_HELD - sum(record.is_held for record in self._records.values())
         for part, record in suspects[:room]:
@@ -269,19 +295,42 @@
             )
         return bool(suspects[:room])
 
-    def _add_crash(
-        self, part: PartId, endpoint: str, crashed_at: float, now: float
-    ) -> None:
+    def _add_crash(self, part: PartId, sighting: _Sighting) -> None:
+        """Add a crash to a part's record, which begins with the second endpoint."""
         record = self._records.get(part)
         if record is None:
-            record = self._records[part] = _Record()
+            first = self._sightings.get(part)
+            if first is None or first.endpoint in self._explained:
+                self._add_sighting(part, sighting)
+                return
+            if first.endpoint == sighting.endpoint:
+                return
+            del self._sightings[part]
             self.watch_version += 1
-        if endpoint in record.crashed_at:
+            record = self._records[part] = _Record(
+                crashed_at={first.endpoint: first.crashed_at},
+                last_crash_at=first.crashed_at,
+            )
+        if sighting.endpoint in record.crashed_at:
             return
-        record.crashed_at[endpoint] = crashed_at
-        record.last_crash_at = max(record.last_crash_at, crashed_at)
+        record.crashed_at[sighting.endpoint] = sighting.crashed_at
+        record.last_crash_at = max(record.last_crash_at, sighting.crashed_at)
         if record.crashes == MIN_CRASHES:
-            record.suspected_at = now
+            record.suspected_at = sighting.reported_at
+
+    def _add_sighting(self, part: PartId, sighting: _Sighting) -> None:
+        # Moves a part that was seen before to the end.
+        self._sightings.pop(part, None)
+        self._sightings[part] = sighting
+        self.watch_version += 1
+        if len(self._sightings) > MAX_SIGHTINGS:
+            del self._sightings[next(iter(self._sightings))]
+
+    def _end_sighting(self, part: PartId, began_at: float) -> None:
+        sighting = self._sightings.get(part)
+        if sighting is not None and sighting.crashed_at < began_at:
+            del self._sightings[part]
+            self.watch_version += 1
 
     def _explain(self, endpoint: str, harmful: Collection[PartId], now: float) -> None:
         """Remove an endpoint's crash from the parts that did not cause it."""
@@ -365,6 +414,11 @@
         for endpoint, at in list(self._explained.items()):
             if now - at > RETENTION_S:
                 del self._explained[endpoint]
+        for part, sighting in list(self._sightings.items()):
+            if now - sighting.reported_at <= RETENTION_S:
+                break
+            del self._sightings[part]
+            self.watch_version += 1
         for part, record in list(self._records.items()):
             if now - max(record.last_crash_at, record.requested_at) > RETENTION_S:
                 if record.is_held:
