Hold signals that arrive during a program's start

Operators saw processes end by themselves: a SIGHUP within the first 300 ms ended a gateway or coordinator (10 of 10 at 20 to 200 ms), though the platform may send it at any moment; a SIGTERM then looked like a crash.

Cause: the handlers are installed after all imports, and the default action until then is to end.

Before: the 4 cases of soak/tests/test_start.py fail with status -1 and -15.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -188,6 +188,13 @@
         """Delete a coordinator's data folder, as if its disk were lost."""
         shutil.rmtree(self.folder / f"{process.name}.data", ignore_errors=True)
 
+    def find_listen_address(self, name: str) -> str:
+        """Return the address at which a coordinator or gateway itself is reached."""
+        kind, _, number = name.partition("-")
+        if kind == "gateway":
+            return self.client_addresses[int(number) - 1]
+        return self._get_address(f"127.0.1.{number}", PEER_PORT_OFFSET)
+
     def _coordinator_hosts(self) -> list[str]:
         return [f"127.0.1.{n}" for n in range(1, COORDINATOR_COUNT + 1)]
 
--- /dev/null
+++ b/soak/tests/test_start.py
@@ -0,0 +1,98 @@
+"""Signals and faults during the start of the real programs."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+import pytest
+
+from soak.deployment import Deployment
+
+SIGNAL_DEADLINE_S = 10.0
+ROOT = pathlib.Path(__file__).parents[2]
+# Stands in for a library whose import takes long, and then for the library itself.
+SLOW_LIBRARY = """
+import importlib, pathlib, sys, time
+print("import begins", flush=True)
+time.sleep(0.5)
+sys.path.remove(str(pathlib.Path(__file__).parent))
+del sys.modules[__name__]
+sys.modules[__name__] = importlib.import_module(__name__)
+"""
+
+
+@pytest.fixture
+def deployment(tmp_path, unused_tcp_port):
+    return Deployment(tmp_path, 21000 + unused_tcp_port % 800 * 10, 1)
+
+
+async def start_program(deployment, kind, paths=(), **options):
+    """Start one program without the others, as the platform does.
+
+    Libraries in ``paths`` go before others of the same name.
+    """
+    name = f"{kind}-1"
+    path = os.pathsep.join([*map(str, paths), *sys.path])
+    environment = {**os.environ, "PYTHONPATH": path}
+    return await asyncio.create_subprocess_exec(
+        *(sys.executable, "-S", "-m", f"tarragonway.{kind}"),
+        *("--settings", str(deployment.folder / f"{name}.toml")),
+        **{"stdout": asyncio.subprocess.PIPE, "cwd": ROOT, **options},
+        env=environment,
+    )
+
+
+async def start_slowly(deployment, kind):
+    """Start a program, and return it while it imports a library."""
+    folder = deployment.folder / "slow"
+    folder.mkdir()
+    (folder / "msgspec.py").write_text(SLOW_LIBRARY, encoding="utf-8")
+    process = await start_program(deployment, kind, [folder])
+    await read_events(process, "import begins")
+    return process
+
+
+async def read_events(process, *wanted):
+    """Read log lines until each of these events was written; return all lines."""
+    text = b""
+    async with asyncio.timeout(SIGNAL_DEADLINE_S):
+        while not all(event.encode() in text for event in wanted):
+            line = await process.stdout.readline()
+            assert line, text
+            text += line
+    return text
+
+
+async def end(process):
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
+# Guards against a hangup during the imports that ends the process: its settings may
+# change at any moment.
+@pytest.mark.parametrize("kind", ["gateway", "coordinator"])
+async def test_hangups_during_the_start_reload_the_settings(deployment, kind):
+    process = await start_slowly(deployment, kind)
+    try:
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+        await read_events(process, '"started"', "settings reloaded")
+        assert process.returncode is None
+    finally:
+        await end(process)
+
+
+# Guards against a stop during the imports that looks like a crash.
+@pytest.mark.parametrize("kind", ["gateway", "coordinator"])
+async def test_stop_during_the_start_is_orderly(deployment, kind):
+    process = await start_slowly(deployment, kind)
+    try:
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(SIGNAL_DEADLINE_S):
+            assert await process.wait() == 0
+    finally:
+        await end(process)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -178,7 +178,7 @@
     def start_daemon(self, name: str, *options: str) -> subprocess.Popen:
         """Start a control or entry process."""
         kind = "control" if name.startswith("control") else "entry"
-        code = f"from tarragonway.{kind}.daemon import main; main()"
+        code = f"from tarragonway.{kind}.program import main; main()"
         settings = str(self.folder / f"{name}.toml")
         return self.start_process(name, ["-c", code, "--settings", settings, *options])
 
--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import errno
 import os
 import pathlib
 import signal
@@ -12,14 +13,28 @@
 import msgspec
 import structlog
 
+from tarragonway.consensus.files import DataFolderLockedError
 from tarragonway.core.errors import SettingsError, TarragonwayError
 from tarragonway.core.logs import LogFormat, configure_logs
+from tarragonway.signals import release_signals
 
 SETTINGS_VARIABLE = "TARRAGONWAY_SETTINGS"
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
 EXIT_STOP_INCOMPLETE = 3
 HAND_OVER_TIMEOUT_S = 3.0
+# Time for which a start is tried again, and the pause between two tries.
+START_TIMEOUT_S = 60.0
+START_RETRY_INTERVAL_S = 0.2
+PASSING_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EDQUOT,
+        errno.EIO,
+        errno.ENOSPC,
+    }
+)
 
 _log = structlog.get_logger()
 
@@ -81,6 +96,8 @@
 
     SIGTERM or SIGINT starts a graceful stop; a second one, or the deadline, ends it.
     SIGHUP reads the settings again; SIGUSR1 writes the state dump to standard error.
+    Signals that arrive before these handlers are installed are not lost if the program
+    has called :func:`~tarragonway.signals.hold_signals`.
 
     Parameters
     ----------
@@ -154,28 +171,86 @@
     stop_deadline_s: float,
     reload: Callable[[Daemon], None],
 ) -> int:
-    daemon = build()
     loop = asyncio.get_running_loop()
     signals: asyncio.Queue[int] = asyncio.Queue()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
-    loop.add_signal_handler(signal.SIGUSR1, _print_dump, daemon)
-    loop.add_signal_handler(signal.SIGHUP, reload, daemon)
-    await daemon.start()
+    requests: asyncio.Queue[Callable[[Daemon], None]] = asyncio.Queue()
+    loop.add_signal_handler(signal.SIGUSR1, requests.put_nowait, _print_dump)
+    loop.add_signal_handler(signal.SIGHUP, requests.put_nowait, reload)
+    release_signals()
+    daemon = await _start(build, signals)
+    if daemon is None:
+        _log.info("stopped before the start was complete")
+        return 0
     _log.info("started")
+    serving = asyncio.create_task(_serve_requests(requests, daemon))
     first = asyncio.ensure_future(signals.get())
     await asyncio.wait([first, daemon.failure], return_when=asyncio.FIRST_COMPLETED)
     if daemon.failure.done():
         _log.error("task failed", error=repr(daemon.failure.exception()))
+        serving.cancel()
         await daemon.close()
         return EXIT_FAILED
     _log.info("stopping")
     code = await _drain(daemon, signals, stop_deadline_s)
+    serving.cancel()
     await daemon.close()
     _log.info("stopped", whole=code == 0)
     return code
 
 
+async def _start(
+    build: Callable[[], Daemon], signals: asyncio.Queue[int]
+) -> Daemon | None:
+    """Build and start the process, again while what it needs is not available yet.
+
+    Returns
+    -------
+    Daemon or None
+        None if a signal has ended the start.
+
+    Raises
+    ------
+    OSError or DataFolderLockedError
+        If the fault does not pass, or has lasted for :data:`START_TIMEOUT_S`.
+    """
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while signals.empty():
+        daemon = None
+        try:
+            daemon = build()
+            await daemon.start()
+            return daemon
+        except (OSError, DataFolderLockedError) as error:
+            if daemon is not None:
+                await daemon.close()
+            if not _may_pass(error) or loop.time() - began > START_TIMEOUT_S:
+                raise
+            _log.warning("start failed; trying again", error=str(error))
+            await asyncio.sleep(START_RETRY_INTERVAL_S)
+    return None
+
+
+def _may_pass(error: OSError | DataFolderLockedError) -> bool:
+    """Return whether a start may succeed a little later.
+
+    The process before may still be ending, a disk may be full for some time.
+    """
+    if isinstance(error, DataFolderLockedError):
+        return True
+    return error.errno in PASSING_ERRORS
+
+
+async def _serve_requests(
+    requests: asyncio.Queue[Callable[[Daemon], None]], daemon: Daemon
+) -> None:
+    """Carry out what signals ask of the process, those during its start first."""
+    while True:
+        (await requests.get())(daemon)
+
+
 async def _drain(daemon: Daemon, signals: asyncio.Queue, deadline_s: float) -> int:
     drain = asyncio.ensure_future(daemon.drain())
     second = asyncio.ensure_future(signals.get())
