Close the data folder of a start that is tried again

Operators saw a coordinator or gateway that does not start: a port still in use, a data folder held by the process before, or a full disk ended it with status 1.

Cause: the first OSError of a start was final. Other errors still end the start at once.

--- a/soak/tests/test_start.py
+++ b/soak/tests/test_start.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 
 import pytest
@@ -96,3 +97,37 @@
             assert await process.wait() == 0
     finally:
         await end(process)
+
+
+# Guards against a start that ends since the process before has not ended yet.
+@pytest.mark.parametrize("kind", ["gateway", "coordinator"])
+async def test_start_waits_for_a_port_that_is_in_use(deployment, kind):
+    host, _, port = deployment.find_listen_address(f"{kind}-1").rpartition(":")
+    with socket.create_server((host, int(port))):
+        process = await start_program(deployment, kind)
+        try:
+            await read_events(process, "start failed; trying again")
+        except BaseException:
+            await end(process)
+            raise
+    try:
+        await read_events(process, '"started"')
+    finally:
+        await end(process)
+
+
+# Guards against a coordinator that ends since its disk is full when it starts.
+async def test_start_waits_for_a_full_disk(deployment):
+    folder = deployment.folder / "coordinator-1.data"
+    folder.mkdir()
+    full = [folder / f"{name}.new" for name in ("snapshot", "identity")]
+    for path in full:
+        path.symlink_to("/dev/full")
+    process = await start_program(deployment, "coordinator")
+    try:
+        await read_events(process, "start failed; trying again")
+        for path in full:
+            path.unlink()
+        await read_events(process, '"started"')
+    finally:
+        await end(process)
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -78,7 +78,12 @@
         super().__init__(settings, peer)
         self._files = FolderFiles(folder)
         self._folder = DataFolder(self._files)
-        self._driver = self._make_driver()
+        try:
+            self._driver = self._make_driver()
+        except OSError:
+            # The start is tried again, and takes the folder's lock again.
+            self._files.close()
+            raise
         self._watch = WatchServer(
             self._driver, self.confirm, self._mailbox.send, self._counters
         )
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -97,14 +97,19 @@
         self._files = FolderFiles(pathlib.Path(settings.data_folder))
         self._folder = DataFolder(self._files)
         self._machine = CoordinatorMachine()
-        self._driver = make_driver(
-            settings,
-            self._files,
-            self._folder,
-            self._machine,
-            self._send_packet,
-            self._counters,
-        )
+        try:
+            self._driver = make_driver(
+                settings,
+                self._files,
+                self._folder,
+                self._machine,
+                self._send_packet,
+                self._counters,
+            )
+        except OSError:
+            # The start is tried again, and takes the folder's lock again.
+            self._files.close()
+            raise
         self._link_pool = LinkPool(
             self._handle_message, self._handle_link_opened, self._handle_link_closed
         )
