Drop log lines that cannot be written

Operators saw processes end whose log had lost its reader: a write raised in whatever task logged, and a closed standard output ended the start.

Cause: only a full pipe was expected. Any error of a write now drops and counts the line, and a closed descriptor is replaced, since its number would be given to the next file.

Before: both cases fail with BrokenPipeError and status 1. After: they pass.

--- a/soak/tests/test_start.py
+++ b/soak/tests/test_start.py
@@ -131,3 +131,34 @@
         await read_events(process, '"started"')
     finally:
         await end(process)
+
+
+# Guards against a log line that ends the process, or lands in a data file.
+@pytest.mark.parametrize("is_closed", [True, False])
+async def test_process_runs_without_a_reader_of_its_logs(deployment, is_closed):
+    process = await start_program(
+        deployment,
+        "coordinator",
+        stdout=None if is_closed else asyncio.subprocess.PIPE,
+        preexec_fn=(lambda: os.close(1)) if is_closed else None,
+    )
+    try:
+        if not is_closed:
+            process._transport.get_pipe_transport(1).close()
+        address = deployment.find_listen_address("coordinator-1")
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(SIGNAL_DEADLINE_S):
+            while True:
+                assert process.returncode is None
+                try:
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    break
+                except OSError:
+                    await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(1.5)
+        assert process.returncode is None
+        for path in (deployment.folder / "coordinator-1.data").iterdir():
+            assert b'"event"' not in path.read_bytes()
+    finally:
+        await end(process)
--- a/tarragonway/core/logs.py
+++ b/tarragonway/core/logs.py
@@ -2,7 +2,7 @@
 
 import enum
 import logging
-import sys
+import os
 from typing import Any, TextIO, cast
 
 import msgspec
@@ -10,6 +10,8 @@
 
 from tarragonway.core.output import BoundedOutput
 
+STANDARD_OUTPUT = 1
+
 
 class LogFormat(enum.Enum):
     """Format of the log lines on standard output."""
@@ -34,7 +36,7 @@
             renderer = structlog.processors.JSONRenderer(serializer=_encode)
         case LogFormat.CONSOLE:
             renderer = structlog.dev.ConsoleRenderer(colors=False)
-    output = cast(TextIO, BoundedOutput(sys.stdout.fileno()))
+    output = cast(TextIO, BoundedOutput(open_standard_output()))
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -49,6 +51,22 @@
     structlog.contextvars.bind_contextvars(process=process)
 
 
+def open_standard_output() -> int:
+    """Return the descriptor of standard output, or one that drops all if it is closed.
+
+    The number of a closed descriptor would else be given to the next file that the
+    process opens, and log lines would go there.
+    """
+    try:
+        os.fstat(STANDARD_OUTPUT)
+    except OSError:
+        null = os.open(os.devnull, os.O_WRONLY)
+        if null != STANDARD_OUTPUT:
+            os.dup2(null, STANDARD_OUTPUT)
+            os.close(null)
+    return STANDARD_OUTPUT
+
+
 def _encode(line: dict[str, Any], **options: Any) -> str:
     """Return a log line as JSON; values of unsupported types are written by repr."""
     return msgspec.json.encode(line, enc_hook=repr).decode()
--- a/tarragonway/core/output.py
+++ b/tarragonway/core/output.py
@@ -67,7 +67,8 @@
     def _write(self, data: bytes) -> bool:
         try:
             written = os.write(self._descriptor, data)
-        except BlockingIOError:
+        except OSError:
+            # The pipe is full or nobody reads it any more, or the disk is full.
             return False
         self._line_truncated = written < len(data)
         return not self._line_truncated
