Take requests for a part of the grace period of a stop

Callers saw calls that came late in a planned stop taken, passed on and cut at its end, among them calls that must not be repeated.

Cause: a gateway takes requests for 3 s after SIGTERM whatever its grace period is. The intake is now three eighths of the grace, 3 s at most; later requests are refused as not run.

Before: with a grace of 3 s, soak/tests/test_planned_stop.py has calls that ran and were reset. After: it passes.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -86,6 +86,8 @@
         Seed of the endpoints' failures.
     endpoint_counts : dict of str to int, optional
         Number of endpoints of each service.
+    grace_s : int
+        Seconds that a process may take to stop.
     """
 
     def __init__(
@@ -94,9 +96,11 @@
         base_port: int,
         seed: int,
         endpoint_counts: dict[str, int] | None = None,
+        grace_s: int = 6,
     ) -> None:
         self.folder = folder
         self._base_port = base_port
+        self._grace_s = grace_s
         self.observations = Observations()
         address = self._get_address("127.0.3.1", PLATFORM_PORT_OFFSET)
         self.platform = StubPlatform(address, self.observations)
@@ -226,7 +230,11 @@
                 f'readiness = "{self._get_address(host, READY_PORT_OFFSET)}"',
             ]
         platform = [f'address = "{self.platform.address}"', 'duties = ["usage"]']
-        bounds = ["lease_ms = 1500", "grace_s = 6", "report_window_s = 2"]
+        bounds = [
+            "lease_ms = 1500",
+            f"grace_s = {self._grace_s}",
+            "report_window_s = 2",
+        ]
         text = "\n".join(
             [*lines, "[listen]", *listen, "[platform]", *platform, "[bounds]", *bounds]
         )
--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -75,6 +75,10 @@
         Version of its software, which the endpoint list and each event state.
     event_interval_s : float
         Seconds between the events of a stream.
+    service_time_s : float
+        Seconds that a request which is no stream takes.
+    answer_bytes : int
+        Least length of such an answer's body.
     request_limit : str
         Requests a second that the endpoint states in its answers; empty for none.
     arrived_at : list of float
@@ -100,6 +104,8 @@
         self.on_harmful: Callable[[], None] = lambda: None
         self.version = "v1"
         self.event_interval_s = EVENT_INTERVAL_S
+        self.service_time_s = SERVICE_TIME_S
+        self.answer_bytes = 0
         self.request_limit = ""
         self.arrived_at: list[float] = []
         self.crashed_at: list[float] = []
@@ -146,11 +152,12 @@
         if path.startswith("/stream/"):
             await self._stream(request, writer, echo)
             return
-        await asyncio.sleep(SERVICE_TIME_S)
+        await asyncio.sleep(self.service_time_s)
         if self._random.random() < self.failure_probability:
             writer.abort()
             return
-        await writer.send(200, [*echo, SIGNATURE_HEADER], f"done {attempt}".encode())
+        body = f"done {attempt}".encode().ljust(self.answer_bytes, b".")
+        await writer.send(200, [*echo, SIGNATURE_HEADER], body)
 
     async def _stream(
         self, request: Request, writer: ResponseWriter, echo: list[tuple[bytes, bytes]]
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -43,8 +43,10 @@
 # safety margin.
 RETRY_BUDGET_FRACTION = 0.7
 STOP_MARGIN_S = 0.6
-# Time for which arriving requests are still served after the drain has begun.
-DRAIN_GRACE_S = 3.0
+# Time for which arriving requests are still served after the drain has begun: this
+# fraction of the grace period, so that the rest suffices to answer them.
+INTAKE_FRACTION = 0.375
+MAX_INTAKE_S = 3.0
 IDLE_POLL_INTERVAL_S = 0.05
 
 _log = structlog.get_logger()
@@ -131,13 +133,14 @@
     async def drain(self) -> None:
         """Report unready, then wait until all requests have ended.
 
-        Requests that arrive within a grace time after the start of the drain are still
-        served, later ones are refused.
+        Requests that arrive early in the grace period are still served, later ones are
+        refused.
         """
         loop = asyncio.get_running_loop()
+        intake_s = compute_intake_s(self._settings.bounds.grace_s)
         self._callers.announce_close()
-        self._state.intake_ends_at = loop.time() + DRAIN_GRACE_S
-        await asyncio.sleep(DRAIN_GRACE_S)
+        self._state.intake_ends_at = loop.time() + intake_s
+        await asyncio.sleep(intake_s)
         while True:
             self._callers.close_idle()
             if not self._callers.active_requests:
@@ -249,3 +252,14 @@
         self._chooser.forget_unlisted(set(rows))
         self._forwarder.pool.prune(rows)
         self._link.limit_guard.retain(rows)
+
+
+def compute_intake_s(grace_s: float) -> float:
+    """Return for how long a gateway that stops takes requests, in seconds.
+
+    Examples
+    --------
+    >>> [compute_intake_s(grace_s) for grace_s in (2.0, 8.0, 60.0)]
+    [0.75, 3.0, 3.0]
+    """
+    return min(MAX_INTAKE_S, INTAKE_FRACTION * grace_s)
