Close connections once callers have received their responses

Cause: a timer reset the connection 1 s after the last byte was given to the operating system, which discards what it has not sent; a request did not count as active any more by then, so the stop did not wait. A request now counts until the caller's system has acknowledged the response, as long as the caller reads, within the grace period. Only incomplete responses are reset at its end. The own interface's processes wait likewise.

--- a/soak/tests/test_planned_stop.py
+++ b/soak/tests/test_planned_stop.py
@@ -14,7 +14,9 @@
 
 SERVICE_TIME_S = 1.0
 CALL_INTERVAL_S = 0.1
+ANSWER_BYTES = 300_000
 READ_BYTES = 10_000
+READ_BYTES_PER_S = 150_000.0
 
 
 @dataclass
@@ -105,6 +107,8 @@
     [
         # Calls that come late in a short grace period must not be taken and then cut.
         (3, 0, 1e9),
+        # Callers on slow lines still read when the gateway has written its answers.
+        (8, ANSWER_BYTES, READ_BYTES_PER_S),
     ],
 )
 # Guards against calls that ran, must not be repeated, and whose answers a planned stop
--- a/tarragonway/http1/server.py
+++ b/tarragonway/http1/server.py
@@ -9,11 +9,19 @@
 import structlog
 
 from tarragonway.http1.client import Headers, reset_on_close
+from tarragonway.http1.delivery import count_unacknowledged, count_undelivered
 from tarragonway.routes.model import ConnectionLimits
 
 MAX_PIPELINED_BYTES = 256 * 1024
 BODY_TIMEOUT_S = 20.0
+# A connection that is closed after a response stays open for this time once the caller
+# has received it, so that the caller closes first.
 CLOSE_TIMEOUT_S = 1.0
+# The same if the operating system does not tell what the caller has received.
+UNKNOWN_CLOSE_TIMEOUT_S = 3.0
+# A caller that receives nothing for this time while bytes are left does not get them.
+DELIVERY_STALL_TIMEOUT_S = 10.0
+DELIVERY_CHECK_INTERVAL_S = 0.05
 LISTEN_BACKLOG = 1024
 
 _log = structlog.get_logger()
@@ -114,7 +122,10 @@
 
     @property
     def active_requests(self) -> int:
-        """Number of requests that are being received or answered."""
+        """Number of requests that are being received or answered.
+
+        A request counts until its caller has received the whole response.
+        """
         return sum(connection.is_busy for connection in self.connections)
 
     def announce_close(self) -> None:
@@ -130,11 +141,15 @@
             connection.close_if_idle()
 
     def close(self) -> None:
-        """Stop listening and reset all connections."""
+        """Stop listening and end all connections.
+
+        A connection is reset if its response is incomplete, so that it cannot look
+        complete. Complete ones are still delivered by the operating system.
+        """
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
-            connection.abort()
+            connection.end()
 
 
 class ServerConnection(asyncio.Protocol):
@@ -154,6 +169,10 @@
         self._pending_bytes = 0
         self._receiving = False
         self._is_closing = False
+        # Bytes that the caller had not received at the last check, and the loop's time
+        # at which they last became fewer.
+        self._undelivered_bytes = 0
+        self._delivered_at = 0.0
 
     def _make_state(self) -> h11.Connection:
         return h11.Connection(
@@ -162,8 +181,10 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being received or answered."""
-        return self._task is not None or self._receiving
+        """Whether a request is being received, answered or delivered."""
+        if self._task is not None or self._receiving:
+            return True
+        return self._transport is not None and count_undelivered(self._transport) > 0
 
     # Protocol
 
@@ -240,10 +261,19 @@
         reset_on_close(self._transport)
         self._transport.abort()
 
+    def end(self) -> None:
+        """Close the connection, or reset it if a response on it is incomplete."""
+        if self._transport is None:
+            return
+        if self._task is not None or self._transport.get_write_buffer_size():
+            self.abort()
+        else:
+            self._transport.close()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        if not self.is_busy and self._transport is not None:
-            self._transport.close()
+        if self._task is None and not self._receiving and not self._is_closing:
+            self._close_gracefully()
 
     # Requests
 
@@ -367,19 +397,43 @@
         self._close_gracefully()
 
     def _close_gracefully(self) -> None:
-        """Close for writing first, and completely within :data:`CLOSE_TIMEOUT_S`.
+        """Close for writing first, and completely once the caller has the response.
 
         Closing completely with unread bytes would reset the connection, and the caller
-        could lose the response.
+        could lose the response. So would the end of this process.
         """
         if self._transport is None or self._transport.is_closing():
             return
         self._is_closing = True
         self._body.clear()
         self._cancel_timer()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-            self._set_timer(CLOSE_TIMEOUT_S, self.abort)
+        if not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        self._undelivered_bytes = count_undelivered(self._transport)
+        self._delivered_at = asyncio.get_running_loop().time()
+        self._set_timer(DELIVERY_CHECK_INTERVAL_S, self._check_delivery)
+
+    def _check_delivery(self) -> None:
+        """Close the connection when the caller has the response, or does not read."""
+        if self._transport is None:
+            return
+        now = asyncio.get_running_loop().time()
+        undelivered = count_undelivered(self._transport)
+        if undelivered < self._undelivered_bytes:
+            self._undelivered_bytes, self._delivered_at = undelivered, now
+        if undelivered:
+            timeout_s = DELIVERY_STALL_TIMEOUT_S
+        elif count_unacknowledged(self._transport) is None:
+            timeout_s = UNKNOWN_CLOSE_TIMEOUT_S
+        else:
+            timeout_s = CLOSE_TIMEOUT_S
+        if now - self._delivered_at < timeout_s:
+            self._set_timer(DELIVERY_CHECK_INTERVAL_S, self._check_delivery)
+        elif undelivered:
+            _log.info("caller does not read its response", bytes=undelivered)
+            self.abort()
         else:
             self._transport.close()
 
--- a/tarragonway/process/base.py
+++ b/tarragonway/process/base.py
@@ -1,16 +1,21 @@
 """Base of control and entry processes: mailbox, counters, tasks and HTTP server."""
 
+import asyncio
 from typing import Any
 
 from aiohttp import web
 
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ProcessName
+from tarragonway.http1.delivery import wait_delivered
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.settings import Peer, Settings
 from tarragonway.transport import Mailbox
 from tarragonway.wire import WireMessage
 
+# Longest time for which a process that stops waits until callers have its responses.
+DELIVERY_TIMEOUT_S = 5.0
+
 
 class ProcessBase(BackgroundTasks):
     """Base class of control and entry processes.
@@ -52,8 +57,16 @@
         host, _, port = self._peer.http.partition(":")
         await web.TCPSite(self._runner, host, int(port)).start()
 
+    def _list_transports(self) -> list[asyncio.Transport]:
+        """Return the transports of the HTTP server's open connections."""
+        server = self._runner.server if self._runner is not None else None
+        connections = server.connections if server is not None else ()
+        transports = (connection.transport for connection in connections)
+        return [t for t in transports if isinstance(t, asyncio.Transport)]
+
     async def _stop_serving(self) -> None:
-        """Stop the HTTP server, then all tasks."""
+        """Stop the HTTP server once its responses are delivered, then all tasks."""
         if self._runner is not None:
+            await wait_delivered(self._list_transports, DELIVERY_TIMEOUT_S)
             await self._runner.cleanup()
         await self._end_tasks()
