Answer 502 for a call that ran and failed with a status that promises otherwise

Cause: a complete answer was passed on whatever its status. Requests that may be repeated get the answer unchanged.

--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -53,6 +53,8 @@
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
 # section 15.5.20).
 STATUS_MISDIRECTED = 421
+# With these, callers are told that a request has not run.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 
 _log = structlog.get_logger()
 
@@ -384,7 +386,7 @@
         if writer.started:
             writer.abort()
             return
-        if isinstance(outcome, Answered):
+        if isinstance(outcome, Answered) and not _is_false_promise(attempt, outcome):
             headers = self._codec.drop_hop_by_hop_headers(outcome.head)
             await writer.send(outcome.head.status, headers, outcome.body)
             return
@@ -435,6 +437,15 @@
         )
 
 
+def _is_false_promise(attempt: Attempt, outcome: Answered) -> bool:
+    """Return whether an answer would tell that a request that ran has not run.
+
+    An endpoint's own failure may have such a status. Callers repeat after it even what
+    must run at most once.
+    """
+    return not attempt.route.is_repeatable and outcome.head.status in PROMISING_STATUSES
+
+
 def _is_endpoint_failure(outcome: SendOutcome) -> bool:
     match outcome:
         case Unsent() | Broken() | NotContinued():
