Heed what endpoints say of themselves: leaves, pauses, refusals

Cause: no header was read, and an endpoint that refuses at once looks idle to each measure of load; a refusal even cleared its marks of failure. One module without network, routing/notices.py, now decides on pauses and on a backoff after refusals, for gateways and for the own interface's entry processes. A leave that an answer announces counts as if the list showed it, and the leader publishes it.

--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -79,6 +79,11 @@
         Seconds that a request which is no stream takes.
     answer_bytes : int
         Least length of such an answer's body.
+    leaving : bool
+        Whether each answer says that the endpoint leaves.
+    pause_s : str
+        Seconds for which the endpoint refuses each request and asks for a pause; empty
+        if it does not.
     request_limit : str
         Requests a second that the endpoint states in its answers; empty for none.
     arrived_at : list of float
@@ -106,6 +111,8 @@
         self.event_interval_s = EVENT_INTERVAL_S
         self.service_time_s = SERVICE_TIME_S
         self.answer_bytes = 0
+        self.leaving = False
+        self.pause_s = ""
         self.request_limit = ""
         self.arrived_at: list[float] = []
         self.crashed_at: list[float] = []
@@ -144,6 +151,12 @@
         self.arrived_at.append(asyncio.get_running_loop().time())
         if self.request_limit:
             echo.append((names.REQUEST_LIMIT, self.request_limit.encode()))
+        if self.leaving:
+            echo.append((names.LEAVING, b"1"))
+        if self.pause_s:
+            pause = (b"retry-after", self.pause_s.encode())
+            await writer.send(503, [*echo, pause, (names.NOT_RUN, b"1")])
+            return
         if self._random.random() < self.failure_probability / 3:
             await writer.send(503, [*echo, (names.NOT_RUN, b"1")])
             return
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -40,6 +40,7 @@
 from tarragonway.links import Link, LinkPool
 from tarragonway.links.messages import (
     ConfigurationText,
+    EndpointLeaving,
     FetchConfiguration,
     GatewayReport,
     Hello,
@@ -351,6 +352,8 @@
                 self._handle_quota_request(link, message)
             case QuotaReturn():
                 self._quotas.return_units(message)
+            case EndpointLeaving(endpoint):
+                self._publisher.mark_leaving((endpoint,))
             case message if isinstance(message, EndpointMessage):
                 gateway = self._gateways.get(link, ProcessName(""))
                 self._endpoint_messages.handle(link, gateway, message)
@@ -374,6 +377,7 @@
             return
         now = asyncio.get_running_loop().time()
         self._part_holds.restore()
+        self._publisher.mark_leaving(gateway_report.leaving)
         self._publisher.refresh_gateway(
             link, (gateway_report.list_term, gateway_report.list_version), now
         )
--- a/tarragonway/coordinator/list_publisher.py
+++ b/tarragonway/coordinator/list_publisher.py
@@ -1,7 +1,7 @@
 """Publication of the platform's endpoint list by the leader to the gateways."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 
@@ -135,10 +135,21 @@
             self._encoded_full_list = (version, encode_message(update))
         return self._encoded_full_list[1]
 
+    def mark_leaving(self, keys: Iterable[str]) -> None:
+        """As the leader, publish that endpoints leave by their own account."""
+        if not self._driver.is_leader:
+            return
+        marked = [key for key in keys if self._view.mark_leaving(key)]
+        changed = [self._view.rows[key] for key in marked if key in self._view.rows]
+        if changed and self.list_version:
+            self._send_delta(changed, [])
+
     def _publish(self, rows: list[ListedEndpoint]) -> None:
         changed, removed = self._view.apply_full_list(rows)
-        if not changed and not removed and self.list_version:
-            return
+        if changed or removed or not self.list_version:
+            self._send_delta(changed, removed)
+
+    def _send_delta(self, changed: list[ListedEndpoint], removed: list[str]) -> None:
         self.list_version += 1
         self._notify_changed()
         term = self._driver.replica.term
--- a/tarragonway/endpoints/endpoint_list.py
+++ b/tarragonway/endpoints/endpoint_list.py
@@ -36,6 +36,9 @@
 class EndpointView:
     """The latest endpoint list, in which a leaving endpoint never becomes active again.
 
+    An endpoint may also say itself that it leaves (:meth:`mark_leaving`), before the
+    list shows it; ``self_announced`` holds the keys of those.
+
     ``leaving_since`` holds the times of :func:`read_monotonic`, in seconds, at which
     listed endpoints were first seen as leaving. It lacks those that were never seen
     active.
@@ -53,6 +56,7 @@
     def __init__(self) -> None:
         self.rows: dict[str, ListedEndpoint] = {}
         self.leaving_since: dict[str, float] = {}
+        self.self_announced: dict[str, None] = {}
         self._leaving: dict[str, None] = {}
 
     def apply_full_list(
@@ -79,14 +83,30 @@
             self.rows.pop(key, None)
             self.leaving_since.pop(key, None)
 
+    def mark_leaving(self, key: str) -> bool:
+        """Mark an endpoint that leaves by its own account; return whether it is new."""
+        if key in self._leaving:
+            return False
+        self.self_announced[key] = None
+        while len(self.self_announced) > MAX_LEAVING_MARKS:
+            del self.self_announced[next(iter(self.self_announced))]
+        self._add_mark(key)
+        row = self.rows.get(key)
+        if row is not None:
+            self.rows[key] = self._mark(msgspec.structs.replace(row, leaving=True))
+        return True
+
+    def _add_mark(self, key: str) -> None:
+        self._leaving[key] = None
+        while len(self._leaving) > MAX_LEAVING_MARKS:
+            del self._leaving[next(iter(self._leaving))]
+
     def _mark(self, row: ListedEndpoint) -> ListedEndpoint:
         if row.leaving:
             known = self.rows.get(row.key)
             if known is not None and not known.leaving:
                 self.leaving_since[row.key] = read_monotonic()
-            self._leaving[row.key] = None
-            while len(self._leaving) > MAX_LEAVING_MARKS:
-                del self._leaving[next(iter(self._leaving))]
+            self._add_mark(row.key)
             return row
         if row.key in self._leaving:
             return msgspec.structs.replace(row, leaving=True)
--- a/tarragonway/engines/client.py
+++ b/tarragonway/engines/client.py
@@ -11,8 +11,11 @@
 import aiohttp
 import msgspec
 
+from tarragonway.core.numbers import parse_bounded_number
 from tarragonway.endpoints import Endpoint
+from tarragonway.routing.notices import MAX_PAUSE_S
 
+STATUS_UNAVAILABLE = 503
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
 CONTROL_REQUEST_TIMEOUT_S = 1.5
@@ -47,12 +50,14 @@
     """Last event of a stream that the engine did not start.
 
     ``leaving`` is set if the engine is leaving; ``permanent`` is set if a retry on
-    another engine cannot succeed.
+    another engine cannot succeed. ``pause_s`` are the seconds for which the engine
+    wants no request, 0 if it names none.
     """
 
     reason: str
     leaving: bool = False
     permanent: bool = False
+    pause_s: float = 0.0
 
 
 class EngineInterrupted(msgspec.Struct, frozen=True):
@@ -212,7 +217,11 @@
     text = (await response.text())[:200]
     leaving = response.headers.get("X-Endpoint-State") == "leaving"
     permanent = 400 <= response.status < 500 and response.status != 429
-    return EngineRefused(f"{response.status}: {text}", leaving, permanent)
+    pause_s = 0.0
+    if response.status == STATUS_UNAVAILABLE:
+        pause = response.headers.get("Retry-After", "")
+        pause_s = parse_bounded_number(pause, MAX_PAUSE_S) or 0.0
+    return EngineRefused(f"{response.status}: {text}", leaving, permanent, pause_s)
 
 
 async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[EngineEvent]:
--- a/tarragonway/entry/dispatch.py
+++ b/tarragonway/entry/dispatch.py
@@ -25,6 +25,7 @@
     select_endpoint,
     select_subset,
 )
+from tarragonway.routing.notices import EndpointNotices
 from tarragonway.watch.client import WatchClient
 
 # Requests of this priority or a lower number count as urgent.
@@ -95,6 +96,7 @@
         self._load_tracker = LoadTracker()
         self._queues: dict[ServiceName, FairQueue[_Waiter]] = {}
         self._known_leaving: set[EndpointId] = set()
+        self._notices = EndpointNotices()
         self._subsets: dict[ServiceName, list[Endpoint]] = {}
         self._queue_changed = asyncio.Event()
 
@@ -125,6 +127,7 @@
         rows = self._watch.view.endpoints
         self._load_tracker.discard_unlisted(set(rows))
         self._known_leaving &= set(rows)
+        self._notices.retain(rows)
         self._subsets = {}
         for service in self._watch.lists.services:
             active = [e for e in rows.values() if e.service == service]
@@ -140,6 +143,13 @@
         self._known_leaving.add(endpoint)
         self._counters.increment("dispatch.refused_leaving")
 
+    def record_pause(self, endpoint: EndpointId, pause_s: float) -> None:
+        """Record that an endpoint wants no request for ``pause_s`` seconds."""
+        if pause_s > 0:
+            now = asyncio.get_running_loop().time()
+            self._notices.record_pause(endpoint, pause_s, now)
+            self._counters.increment("dispatch.paused")
+
     def is_leaving(self, endpoint: EndpointId) -> bool:
         """Return whether an endpoint is leaving or removed."""
         row = self._watch.view.endpoints.get(endpoint)
@@ -247,7 +257,9 @@
         usable = [
             endpoint
             for endpoint in self._subsets.get(service, [])
-            if not self.is_leaving(endpoint.id) and endpoint.id not in avoid
+            if not self.is_leaving(endpoint.id)
+            and endpoint.id not in avoid
+            and self._notices.get_pause(endpoint.id, now) <= 0
         ]
         speeds = self._load_tracker.compute_speeds([endpoint.id for endpoint in usable])
         return [
--- a/tarragonway/entry/runner.py
+++ b/tarragonway/entry/runner.py
@@ -143,13 +143,14 @@
             record.fingerprint, record.body
         )
         match end:
-            case EngineRefused(_, _, True) if quarantine is not None:
+            case EngineRefused(_, _, True, _) if quarantine is not None:
                 return quarantine
-            case EngineRefused(reason, _, True):
+            case EngineRefused(reason, _, True, _):
                 return Refusal(RefusalReason.BAD_REQUEST, reason)
-            case EngineRefused(_, leaving, _):
+            case EngineRefused(_, leaving, _, pause_s):
                 if leaving:
                     self._dispatcher.record_leaving(endpoint.id)
+                self._dispatcher.record_pause(endpoint.id, pause_s)
                 return None
             case EngineInterrupted():
                 return await self._crash_reporter.report_broken_stream(live, endpoint)
--- a/tarragonway/exchange/model.py
+++ b/tarragonway/exchange/model.py
@@ -101,7 +101,9 @@
     time in seconds for which the endpoint keeps an idle connection open.
     ``closes_connection`` means that it closes the connection after this answer.
     ``limits`` are the texts, as they were sent, with which the endpoint states how many
-    requests a second it takes from all gateways together.
+    requests a second it takes from all gateways together. ``is_leaving`` means that the
+    endpoint is about to stop. ``pause_text`` is the text, as it was sent, with which an
+    endpoint that is not available says for how many seconds it wants no request.
     """
 
     attempt: AttemptId | None
@@ -110,5 +112,6 @@
     load: Load | None
     keep_alive_s: float | None
     closes_connection: bool
-    retry_after_s: float | None
     limits: tuple[str, ...] = ()
+    is_leaving: bool = False
+    pause_text: str | None = None
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -86,7 +86,15 @@
     """The endpoint promised that the request did not run and will not."""
 
     status: int
-    retry_after_s: float | None
+
+
+class Paused(msgspec.Struct, frozen=True):
+    """All endpoints that are left want no request now; nothing was sent.
+
+    The first of them takes requests again after ``return_s`` seconds.
+    """
+
+    return_s: float
 
 
 class Answered(msgspec.Struct, frozen=True):
@@ -170,6 +178,7 @@
 SendOutcome = (
     Unsent
     | Refused
+    | Paused
     | Answered
     | Streamed
     | Broken
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -149,7 +149,7 @@
         backlog = self._backlogs.get(key)
         if not began and backlog is not None:
             backlog.pending_ms = max(0.0, backlog.pending_ms - choice.work_ms)
-        if not failed:
+        if began and not failed:
             self._health.pop(key, None)
 
     def record_unreachable(self, key: str, now: float) -> None:
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -22,6 +22,7 @@
 from tarragonway.links.messages import (
     ConfigurationText,
     CrashReport,
+    EndpointLeaving,
     EndpointUpdate,
     FetchConfiguration,
     GatewayReport,
@@ -163,6 +164,10 @@
         self._crashes.append((crash, asyncio.get_running_loop().time()))
         self.send_to_leader(crash)
 
+    def report_leaving(self, endpoint: str) -> None:
+        """Report to the leader that an endpoint has said that it leaves."""
+        self.send_to_leader(EndpointLeaving(endpoint))
+
     @property
     def quota(self) -> QuotaClient:
         """Client that requests quota units from the leader."""
@@ -197,7 +202,8 @@
         | PartsBegan
         | LimitStated
         | PermitRequest
-        | VersionsRequest,
+        | VersionsRequest
+        | EndpointLeaving,
     ) -> bool:
         """Send a message; return False if no leader is known or its link is closed."""
         return bool(self._leader) and self._link_pool.send(self._leader, message)
@@ -387,6 +393,7 @@
             self._offered_load.request_rates
             if has_speeds or self._full_report
             else None,
+            self._list_self_announced() if self._full_report else (),
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -394,6 +401,10 @@
             while len(self._sent_at) > 32:
                 del self._sent_at[next(iter(self._sent_at))]
 
+    def _list_self_announced(self) -> tuple[str, ...]:
+        view = self._state.endpoints
+        return tuple(key for key in view.self_announced if key in view.rows)
+
     def _list_crashes(self, now: float) -> tuple[CrashReport, ...]:
         """Return the latest crash reports, as far as their parts fit in a message."""
         reports: list[CrashReport] = []
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -250,7 +250,7 @@
     def _forget_removed(self) -> None:
         rows = self._state.endpoints.rows
         self._chooser.forget_unlisted(set(rows))
-        self._forwarder.pool.prune(rows)
+        self._forwarder.forget_unlisted(rows)
         self._link.limit_guard.retain(rows)
 
 
--- a/tarragonway/gateway/error_responses.py
+++ b/tarragonway/gateway/error_responses.py
@@ -22,6 +22,7 @@
     NO_ENDPOINT = (503, "no_endpoint")
     OVERLOADED = (503, "overloaded")
     ENDPOINTS_FULL = (503, "endpoints_full")
+    ENDPOINTS_PAUSED = (503, "endpoints_paused")
     ENDPOINTS_LIMITED = (503, "endpoints_limited")
     VERSION_UNKNOWN = (503, "version_unknown")
     VERSION_GONE = (503, "version_gone")
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -1,7 +1,7 @@
 """Forwarding of admitted requests: choice of endpoints, retries and final answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 import structlog
@@ -19,6 +19,7 @@
     Limited,
     NotContinued,
     Overloaded,
+    Paused,
     Refused,
     SendOutcome,
     Streamed,
@@ -34,6 +35,7 @@
 from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.resumption import StreamResumption
 from tarragonway.gateway.selection import EndpointSelector
+from tarragonway.gateway.self_reports import SelfReports
 from tarragonway.gateway.sender import Codec, Sender
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
@@ -42,12 +44,16 @@
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import EngineTraits, Repeatability
 from tarragonway.routing.engine_speed import EngineSpeeds
+from tarragonway.routing.notices import EndpointNotices
 
 # Number of endpoints to which a request may fail to connect before it is given up.
 MAX_FAILED_CONNECTS = 3
 # A request is refused at once if the estimated delay until its first event exceeds the
 # latency objective by this factor.
 OVERLOAD_FACTOR = 1.5
+# Fraction of the latency objective within which a request may wait until an endpoint's
+# pause ends.
+PAUSE_WAIT_FRACTION = 0.5
 MAX_PRIORITY = 9
 MAX_LOGGED_PARTS = 16
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
@@ -55,12 +61,14 @@
 STATUS_MISDIRECTED = 421
 # With these, callers are told that a request has not run.
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+# Why a request was not sent although endpoints are listed.
+REFUSALS = Limited | Paused | VersionUnregistered
 
 _log = structlog.get_logger()
 
 
-class CrashReporter(Protocol):
-    """Receiver of reports on content that may crash endpoints."""
+class EndpointReporter(Protocol):
+    """Receiver of reports on endpoints, and on content that may crash them."""
 
     def report_crash(self, crash: CrashReport) -> None:
         """Report that an endpoint failed while it ran this content."""
@@ -70,6 +78,10 @@
         """Report that a suspected content was answered completely."""
         ...
 
+    def report_leaving(self, endpoint: str) -> None:
+        """Report that an endpoint has said in an answer that it leaves."""
+        ...
+
 
 class Forwarder:
     """Forwards callers' requests to endpoints and answers them.
@@ -90,8 +102,8 @@
         Chooses endpoints.
     make_budget : callable
         Returns a new retry budget; called once for each service.
-    crash_reporter : CrashReporter
-        Receives crash reports and cleared suspects.
+    reporter : EndpointReporter
+        Receives crash reports, cleared suspects and endpoints that leave.
     guard : PartGuard
         Keeps requests with held prompt parts from endpoints.
     limit_guard : LimitGuard
@@ -113,7 +125,7 @@
         speeds: EngineSpeeds,
         chooser: EndpointChooser,
         make_budget: Callable[[], RetryBudget],
-        crash_reporter: CrashReporter,
+        reporter: EndpointReporter,
         guard: PartGuard,
         limit_guard: LimitGuard,
         origins: OriginGuard,
@@ -127,7 +139,7 @@
         self._speeds = speeds
         self._chooser = chooser
         self._make_budget = make_budget
-        self._crash_reporter = crash_reporter
+        self._reporter = reporter
         self._guard = guard
         self._limit_guard = limit_guard
         self._resumption = StreamResumption(state, origins, counters)
@@ -135,11 +147,16 @@
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.pool = ConnectionPool()
+        self._notices = EndpointNotices()
+        self._self_reports = SelfReports(
+            state, self._notices, reporter.report_leaving, counters
+        )
         self._selector = EndpointSelector(
             state,
             chooser,
             self.pool,
             limit_guard,
+            self._notices,
             offered_load,
             origins.list_beginnable,
         )
@@ -166,7 +183,8 @@
     def handle_response_info(
         self, attempt: Attempt, endpoint: ListedEndpoint, info: ResponseInfo
     ) -> None:
-        """Record the load and the request limit that an endpoint states."""
+        """Record what an endpoint states of itself."""
+        self._self_reports.record(endpoint, info)
         if info.load is not None:
             self._chooser.record_load(endpoint.key, info.load)
         now = asyncio.get_running_loop().time()
@@ -182,6 +200,7 @@
                 self._speeds.get_fit(attempt.service).record_first_event(
                     attempt.choice.prompt_tokens, attempt.load_at_send, taken_ms
                 )
+            self._notices.record_began(attempt.choice.endpoint.key)
             attempt.choice = None
             attempt.probe = None
             self._guard.record_began(attempt.shared_parts, now)
@@ -195,6 +214,11 @@
         """Bind the stream to the version that begins it."""
         self._resumption.record_first_event(attempt, endpoint)
 
+    def forget_unlisted(self, keys: Collection[str]) -> None:
+        """Remove the state of endpoints whose key is not in ``keys``."""
+        self.pool.prune(keys)
+        self._notices.retain(keys)
+
     # Sends
 
     async def _run(self, attempt: Attempt) -> None:
@@ -214,7 +238,10 @@
         self._selector.record_request(attempt.service, work_s)
         while True:
             choice = await self._selector.select(attempt, work_s)
-            if isinstance(choice, Limited | VersionUnregistered) and outcome is None:
+            if isinstance(choice, Paused) and self._may_wait(attempt, choice):
+                await asyncio.sleep(choice.return_s)
+                continue
+            if isinstance(choice, REFUSALS) and isinstance(outcome, Refused | None):
                 outcome = choice
             if not isinstance(choice, Choice):
                 if attempt.origin is not None:
@@ -233,6 +260,16 @@
         await self._finish(attempt, outcome)
         self._log_end(attempt, type(outcome).__name__.lower(), started)
 
+    def _may_wait(self, attempt: Attempt, paused: Paused) -> bool:
+        """Return whether the request is still served in time after a pause.
+
+        Its caller may have no further try.
+        """
+        now = asyncio.get_running_loop().time()
+        ends_at = now + paused.return_s
+        objective_s = PAUSE_WAIT_FRACTION * attempt.route.latency_objective_s
+        return ends_at < min(attempt.deadline, attempt.request.arrived_s + objective_s)
+
     def _is_overloaded(self, attempt: Attempt, choice: Choice) -> bool:
         """Return whether the estimated delay is too far above the latency objective."""
         if attempt.origin is not None:
@@ -278,6 +315,8 @@
         self._report_content(attempt, outcome, endpoint, began)
         if isinstance(outcome, Broken):
             attempt.broken.add(endpoint.key)
+        if isinstance(outcome, Refused):
+            self._notices.record_refusal(endpoint.key, loop.time())
         if isinstance(outcome, Streamed):
             self._record_stream(attempt, outcome)
         if misdirected or isinstance(outcome, Unsent):
@@ -314,7 +353,7 @@
             case Broken() if not self._is_leaving(endpoint.key):
                 fingerprint = make_fingerprint(attempt.request, attempt.account)
                 probe, attempt.probe = attempt.probe, None
-                self._crash_reporter.report_crash(
+                self._reporter.report_crash(
                     CrashReport(
                         fingerprint,
                         endpoint.key,
@@ -325,7 +364,7 @@
             case Answered() | Streamed() if self._state.suspects:
                 fingerprint = make_fingerprint(attempt.request, attempt.account)
                 if fingerprint in self._state.suspects:
-                    self._crash_reporter.report_cleared(fingerprint)
+                    self._reporter.report_cleared(fingerprint)
 
     def _is_leaving(self, key: str) -> bool:
         row = self._state.endpoints.rows.get(key)
@@ -390,6 +429,8 @@
             headers = self._codec.drop_hop_by_hop_headers(outcome.head)
             await writer.send(outcome.head.status, headers, outcome.body)
             return
+        if isinstance(outcome, Refused):
+            outcome = self._selector.find_common_pause(attempt.service) or outcome
         cause, retry_after_s = choose_error(attempt, outcome)
         self._counters.increment(f"request.failed.{cause.reason}")
         if not attempt.may_have_run:
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -7,7 +7,12 @@
 from tarragonway.core.clock import read_monotonic
 from tarragonway.core.ids import AccountId, AttemptId, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
-from tarragonway.gateway.attempt import Attempt, Limited, VersionUnregistered
+from tarragonway.gateway.attempt import (
+    Attempt,
+    Limited,
+    Paused,
+    VersionUnregistered,
+)
 from tarragonway.gateway.choice import Choice, EndpointChooser
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
@@ -15,6 +20,7 @@
 from tarragonway.http1 import ConnectionPool
 from tarragonway.limits.request_limits import Permit, PermitDenied
 from tarragonway.limits.request_weights import RequestWeights
+from tarragonway.routing.notices import EndpointNotices
 
 # Requests that ask for a permit, for each permit that limited endpoints leave.
 PERMIT_DEMAND_FACTOR = 1.5
@@ -40,6 +46,8 @@
         Source of the number of connections in use.
     guard : LimitGuard
         Request limits of endpoints, and permits for them.
+    notices : EndpointNotices
+        Pauses and refusals of endpoints.
     offered_load : OfferedLoadMeter
         Source of request rates and of the work of requests.
     list_beginnable : callable
@@ -53,6 +61,7 @@
         chooser: EndpointChooser,
         pool: ConnectionPool,
         guard: LimitGuard,
+        notices: EndpointNotices,
         offered_load: OfferedLoadMeter,
         list_beginnable: Callable[
             [list[ListedEndpoint], AccountId, AttemptId], list[ListedEndpoint]
@@ -62,6 +71,7 @@
         self._chooser = chooser
         self._pool = pool
         self._guard = guard
+        self._notices = notices
         self._offered_load = offered_load
         self._list_beginnable = list_beginnable
         self._weights: dict[ServiceName, RequestWeights] = {}
@@ -72,7 +82,7 @@
 
     async def select(
         self, attempt: Attempt, work_s: float
-    ) -> Choice | Limited | VersionUnregistered | None:
+    ) -> Choice | Limited | Paused | VersionUnregistered | None:
         """Return an endpoint that may be sent the request, or why there is none.
 
         A limited endpoint needs a permit. If it gets none, the request goes to one
@@ -84,9 +94,13 @@
             rows = self._list_beginnable(rows, attempt.account_id, facts.attempt)
             if not rows:
                 return VersionUnregistered()
+        now = asyncio.get_running_loop().time()
+        pauses_s = [self._notices.get_pause(row.key, now) for row in rows]
+        if rows and min(pauses_s) > 0:
+            return Paused(min(pauses_s))
+        rows = [row for row, s in zip(rows, pauses_s, strict=True) if s <= 0]
         if not self._guard.has_limits:
             return self._choose_among(attempt, rows)
-        now = asyncio.get_running_loop().time()
         free = [row for row in rows if self._guard.find_limit(row.key) is None]
         limited = [row for row in rows if self._guard.find_limit(row.key) is not None]
         open_rows = [row for row in limited if self._guard.get_wait(row.key, now) <= 0]
@@ -107,6 +121,16 @@
             case PermitDenied(_, return_s):
                 return self._choose_among(attempt, free) or Limited(return_s)
 
+    def find_common_pause(self, service: ServiceName) -> Paused | None:
+        """Return when the first endpoint takes requests again, if none does now."""
+        now = asyncio.get_running_loop().time()
+        pauses_s = [
+            self._notices.get_pause(row.key, now)
+            for row in self._state.endpoints.rows.values()
+            if row.service == service and not row.leaving
+        ]
+        return Paused(min(pauses_s)) if pauses_s and min(pauses_s) > 0 else None
+
     def _deserves_permit(
         self, service: ServiceName, work_s: float, limited: list[ListedEndpoint]
     ) -> bool:
@@ -166,11 +190,12 @@
     def _choose_among(
         self, attempt: Attempt, rows: list[ListedEndpoint]
     ) -> Choice | None:
+        """Choose an endpoint; those that have just refused requests are the last."""
+        now = asyncio.get_running_loop().time()
+        ready = [row for row in rows if not self._notices.backs_off(row.key, now)]
+        has_healthy = any(not self._chooser.is_unhealthy(row.key, now) for row in ready)
         return self._chooser.choose(
-            rows,
-            attempt.service,
-            attempt.facts.prompt,
-            asyncio.get_running_loop().time(),
+            ready if has_healthy else rows, attempt.service, attempt.facts.prompt, now
         )
 
     def _compute_connection_limit(self, service: ServiceName) -> float:
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -168,7 +168,7 @@
             # A faulty endpoint may write a refusal once more, with any id. On another
             # connection that cannot be taken for the answer to a later request.
             connection.idle_limit_s = 0.0
-            return Refused(head.status, info.retry_after_s)
+            return Refused(head.status)
         if head.status < 300 and _is_event_stream(head):
             if not info.signed:
                 return Broken("successful answer without a server signature")
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -130,6 +130,7 @@
         self.state = GatewayState()
         self.crashes = []
         self.cleared = []
+        self.leaving = []
         configuration = Configuration(
             1, ROUTES, (Service("s", "/", 9),), ConnectionLimits(),
             (Account("acct", ("key",), per_s=5.0, burst=5.0),),
@@ -196,6 +197,9 @@
     def report_crash(self, crash):
         self.crashes.append(crash)
 
+    def report_leaving(self, endpoint):
+        self.leaving.append(endpoint)
+
     def report_cleared(self, fingerprint):
         self.cleared.append(fingerprint)
 
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -111,6 +111,12 @@
     fingerprint: Fingerprint
 
 
+class EndpointLeaving(msgspec.Struct, frozen=True, tag=True):
+    """Report that an endpoint has said in an answer that it leaves."""
+
+    endpoint: str
+
+
 class LimitStated(msgspec.Struct, frozen=True, tag=True):
     """Report on the request limit that an endpoint states, None if it states none.
 
@@ -270,6 +276,8 @@
     the request limits of endpoints that the gateway knows, sent with the first report
     to a new leader; ``limits_version`` is the version of those of the leader.
     ``request_rates``, the requests per second for each service, are sent with speeds.
+    ``leaving`` are listed endpoints that have said themselves that they leave, sent
+    with the first report to a new leader.
     """
 
     name: ProcessName
@@ -287,6 +295,7 @@
     limits: tuple[LimitStated, ...] = ()
     limits_version: int = msgspec.field(name="limit", default=-1)
     request_rates: dict[ServiceName, float] | None = None
+    leaving: tuple[str, ...] = ()
 
 
 class GatewayReportReply(
@@ -348,6 +357,7 @@
     | SuspectCleared
     | GatewayReportReply
     | LimitStated
+    | EndpointLeaving
     | PermitRequest
     | PermitReply
     | HeldParts
--- a/tarragonway/platform/names.py
+++ b/tarragonway/platform/names.py
@@ -20,6 +20,7 @@
 LOAD = b"tarragonway-server-load"
 # Requests a second that an endpoint takes from all gateways together.
 REQUEST_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 NOT_RUN = b"tarragonway-not-executed"
 DUTY_HOLDER = b"tarragonway-duty-holder"
 FENCING_TOKEN = b"tarragonway-fencing-token"
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -72,12 +72,13 @@
         _parse_load(head.get(names.LOAD)),
         _parse_keep_alive_s(head.get(b"keep-alive")),
         b"close" in connection,
-        _parse_number(head.get(b"retry-after")),
         tuple(
             value.decode("latin-1")
             for key, value in head.headers
             if key == names.REQUEST_LIMIT
         ),
+        (head.get(names.LEAVING) or b"").strip() == b"1",
+        _parse_text(head.get(b"retry-after")) if head.status == 503 else None,
     )
 
 
