Read the sound entries of a list page that is not JSON as a whole

Cause: the page was split as JSON before its entries were decoded one by one. Ruled out: odd fields and types. A broken page is now searched for entries that are JSON objects; its end must be readable.

Before: the 18 cases of the test are refused as a whole. After: the two sound entries are read.

--- a/tarragonway/platform/listing.py
+++ b/tarragonway/platform/listing.py
@@ -1,6 +1,8 @@
 """Calls and pages of the platform's endpoint list."""
 
 import hashlib
+import json
+import re
 from typing import Any
 from urllib.parse import urlencode
 
@@ -61,6 +63,11 @@
     version: str = ""
 
 
+# Parts of a page in the platform's format, to find the entries of a broken one.
+_LIST_START = re.compile(r'"instances"\s*:\s*\[')
+_LIST_END = re.compile(r'\]\s*,\s*"next"\s*:\s*(?P<next>null|"[^"\\]*")\s*\}\s*$')
+_ENTRY_SEPARATOR = re.compile(r",\s*\{")
+_scanner = json.JSONDecoder()
 _page_decoder = msgspec.json.Decoder(_Page)
 _entry_decoder = msgspec.json.Decoder(_Entry)
 
@@ -76,12 +83,49 @@
     try:
         page = _page_decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return PageError(str(error))
+        salvaged = _salvage_page(body)
+        if salvaged is None:
+            return PageError(str(error))
+        page = salvaged
     rows = [_decode_entry(raw) for raw in page.instances]
     usable = tuple(row for row in rows if row is not None)
     return Page(usable, page.next, len(rows) - len(usable))
 
 
+def _salvage_page(body: bytes) -> _Page | None:
+    """Return the readable entries of a page that is not JSON as a whole.
+
+    An entry may hold bytes that break the page's JSON; the others still hold. Return
+    None if the page's end, which names the next page, cannot be read.
+    """
+    text = body.decode("utf-8", "surrogateescape")
+    start = _LIST_START.search(text)
+    end = _LIST_END.search(text)
+    if start is None or end is None:
+        return None
+    entries, unreadable, position = [], 0, start.end()
+    while (position := text.find("{", position, end.start())) >= 0:
+        try:
+            _, after = _scanner.raw_decode(text, position)
+        except ValueError:
+            # Counts the entry once, by its first brace that begins no object.
+            unreadable += 1
+            after = _find_next_entry(text, position)
+        else:
+            raw = text[position:after].encode("utf-8", "surrogateescape")
+            entries.append(msgspec.Raw(raw))
+        position = after
+    token = _scanner.decode(end["next"])
+    unusable = [msgspec.Raw(b"null")] * max(1, unreadable)
+    return _Page([*entries, *unusable], token)
+
+
+def _find_next_entry(text: str, position: int) -> int:
+    """Return where the entry after an unreadable one may begin."""
+    separator = _ENTRY_SEPARATOR.search(text, position + 1)
+    return separator.end() - 1 if separator is not None else len(text)
+
+
 def _decode_entry(raw: Any) -> ListedEndpoint | None:
     try:
         entry = _entry_decoder.decode(raw)
--- a/tarragonway/platform/tests/test_listing.py
+++ b/tarragonway/platform/tests/test_listing.py
@@ -1,4 +1,5 @@
 import msgspec
+import pytest
 
 from tarragonway.platform.listing import PageError, decode_page
 
@@ -62,3 +63,31 @@
     entries = [{**ROW, "version": 7}, {**ROW, "version": None}, ROW]
     page = decode_page(msgspec.json.encode({"instances": entries}))
     assert (len(page.rows), page.unusable) == (1, 2)
+
+
+# Guards against one entry that is no JSON and hides the sound ones, so that endpoints
+# that leave keep their requests.
+@pytest.mark.parametrize(
+    "broken",
+    [
+        b"\xff\xfe\x00garbage",
+        b'{"id":"i-9","service":',
+        b'{"id":"i-9\xff","models":[{"name":"m"},{]}',
+        b"{{{{",
+        b'{"id":"i-9"}}',
+        b"nonsense",
+    ],
+)
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_entry_that_is_no_json_does_not_hide_the_others(broken, position):
+    sound = [msgspec.json.encode({**ROW, "id": f"i-{n}"}) for n in (1, 2)]
+    entries = [*sound[:position], broken, *sound[position:]]
+    page = decode_page(b'{"instances":[%s],"next":"p"}' % b",".join(entries))
+    assert [row.platform_id for row in page.rows] == ["i-1", "i-2"]
+    assert page.unusable >= 1
+    assert page.next == "p"
+
+
+def test_page_without_a_readable_end_is_an_error():
+    cut = msgspec.json.encode({"instances": [ROW, ROW], "next": None})[:-9]
+    assert isinstance(decode_page(cut), PageError)
