Let endpoints of the soak pause and leave by their own account

The soak had neither, so its callers never met them beside other faults. They come from a random sequence of their own, so that known seeds keep their other faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -52,6 +52,7 @@
         self._deployment = target
         self._random = random.Random(seed)
         self._engine_random = random.Random(f"engines {seed}")
+        self._notice_random = random.Random(f"notices {seed}")
         self._affected: set[str] = set()
         self._stopped: set[str] = set()
         self.history: list[str] = []
@@ -61,6 +62,7 @@
         await asyncio.sleep(FIRST_FAULT_DELAY_S)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._disturb_engines())
+            group.create_task(self._disturb_by_notices())
             while True:
                 group.create_task(self._inject())
                 await asyncio.sleep(self._random.uniform(*FAULT_INTERVAL_S))
@@ -71,6 +73,7 @@
         for endpoint in self._deployment.endpoints:
             endpoint.failure_probability, endpoint.draining = 0.0, False
             endpoint.request_limit = endpoint.harmful_part = ""
+            endpoint.leaving, endpoint.pause_s = False, ""
         for proxy in self._deployment.peer_proxies:
             proxy.mode = Mode.PASS
             proxy.reset()
@@ -178,6 +181,26 @@
             for engine in engines:
                 engine.request_limit = engine.harmful_part = ""
 
+    async def _disturb_by_notices(self) -> None:
+        """Let one endpoint after the other pause, or leave and start again."""
+        source = self._notice_random
+        while True:
+            await asyncio.sleep(source.uniform(*ENGINE_FAULT_INTERVAL_S))
+            endpoint = source.choice(self._deployment.endpoints)
+            duration_s = source.uniform(*ENGINE_FAULT_DURATION_S)
+            if source.random() < 0.5:
+                self.history.append(f"{endpoint.name} pauses {duration_s:.1f} s")
+                endpoint.pause_s = f"{source.uniform(0.2, 3.0):.1f}"
+                await asyncio.sleep(duration_s)
+                endpoint.pause_s = ""
+            else:
+                self.history.append(f"{endpoint.name} leaves {duration_s:.1f} s")
+                endpoint.leaving = True
+                await asyncio.sleep(duration_s)
+                endpoint.leaving = False
+                # The list shows the next incarnation.
+                endpoint.starts += 1
+
     async def _disturb_endpoint(self, kind: str, duration_s: float) -> None:
         endpoint = self._random.choice(self._deployment.endpoints)
         self.history.append(f"{kind} {endpoint.name} {duration_s:.1f} s")
--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -79,6 +79,8 @@
         Seconds that a request which is no stream takes.
     answer_bytes : int
         Least length of such an answer's body.
+    starts : int
+        Number of starts, without those after a crash.
     leaving : bool
         Whether each answer says that the endpoint leaves.
     pause_s : str
@@ -112,6 +114,7 @@
         self.service_time_s = SERVICE_TIME_S
         self.answer_bytes = 0
         self.leaving = False
+        self.starts = 1
         self.pause_s = ""
         self.request_limit = ""
         self.arrived_at: list[float] = []
@@ -141,7 +144,7 @@
             "slots": 16,
             "state": "draining" if self.draining else "ready",
             "cold_left_ms": 0,
-            "born": 1 + len(self.crashed_at),
+            "born": self.starts + len(self.crashed_at),
             "version": self.version,
         }
 
