Reserve the ports of each deployment in tests

Two test runs, or two workers of one, could draw the same ports: seen once, on at a load average of 30 (address already in use at the stub platform of soak/tests/test_planned_stop.py, 1 of 800 for each pair of deployments). A socket at a separate loopback address now reserves each range for its process.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,20 +4,17 @@
 import asyncio
 import contextlib
 import pathlib
-import random
 import sys
 import tempfile
 
 from soak.checks import list_violations
 from soak.clients import AttemptRecord, Client, Operator
-from soak.deployment import Deployment
+from soak.deployment import Deployment, reserve_base_port
 from soak.faults import FaultInjector
 
 CLIENT_COUNT = 12
 RECOVERY_DELAY_S = 3.0
 MAX_READ_ATTEMPTS = 40
-MIN_BASE_PORT = 21000
-MAX_BASE_PORT = 29000
 
 
 class SeedResult:
@@ -70,7 +67,7 @@
     TimeoutError
         If no coordinator acknowledges the first configuration within 20 s.
     """
-    port = random.Random().randrange(MIN_BASE_PORT, MAX_BASE_PORT, 10)
+    port = reserve_base_port()
     deployment = Deployment(folder, port, seed)
     records: list[AttemptRecord] = []
     operator = Operator(deployment, seed)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,13 +3,18 @@
 import asyncio
 import os
 import pathlib
+import random
 import shutil
 import signal
+import socket
 import sys
 
 from soak.proxy import Proxy
 from soak.stubs import Observations, StubEndpoint, StubPlatform
 
+MIN_BASE_PORT = 21000
+MAX_BASE_PORT = 29000
+RESERVATION_HOST = "127.0.6.1"
 COORDINATOR_COUNT = 3
 GATEWAY_COUNT = 3
 ENDPOINT_COUNTS = {"plain": 3, "model": 4}
@@ -23,6 +28,24 @@
 ENDPOINT_PORT_OFFSET = 5
 
 
+# Sockets that keep the port ranges of this process's deployments from others.
+_reservations: list[socket.socket] = []
+
+
+def reserve_base_port() -> int:
+    """Return the first of ten ports that no other process's deployment uses."""
+    while True:
+        port = random.randrange(MIN_BASE_PORT, MAX_BASE_PORT, 10)
+        reservation = socket.socket()
+        try:
+            reservation.bind((RESERVATION_HOST, port))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return port
+
+
 class Process:
     """A program that can be signalled, stopped and restarted.
 
--- a/soak/tests/test_crashing_parts.py
+++ b/soak/tests/test_crashing_parts.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import itertools
-import random
 
 import aiohttp
 import pytest
 
 from soak.clients import API_KEY, Operator
-from soak.deployment import Deployment
+from soak.deployment import Deployment, reserve_base_port
 from tarragonway.platform import names
 
 # The users' ``contact_ms`` of a small deployment.
@@ -67,7 +66,7 @@
 @pytest.mark.timeout(90)
 # Guards against requests of one kind that crash one engine after the other.
 async def test_part_that_crashes_engines_is_contained(tmp_path):
-    port = random.Random().randrange(21000, 29000, 10)
+    port = reserve_base_port()
     deployment = Deployment(tmp_path, port, 1, {"plain": 1, "model": MODEL_ENDPOINTS})
     loop = asyncio.get_running_loop()
     await deployment.start()
--- a/soak/tests/test_mixed_versions.py
+++ b/soak/tests/test_mixed_versions.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import collections
-import random
 import signal
 
 import aiohttp
 import pytest
 
 from soak.clients import API_KEY, Operator
-from soak.deployment import Deployment
+from soak.deployment import Deployment, reserve_base_port
 from tarragonway.platform import names
 
 STREAMS = 24
@@ -75,7 +74,7 @@
 @pytest.mark.timeout(90)
 # Guards against streams joined from two software versions after a kill of all gateways.
 async def test_streams_go_on_at_their_version_after_a_kill_of_all_gateways(tmp_path):
-    port = random.Random().randrange(21000, 29000, 10)
+    port = reserve_base_port()
     deployment = Deployment(tmp_path, port, 1, {"plain": 1, "model": 4})
     engines = [e for e in deployment.endpoints if e.service == "model"]
     for number, engine in enumerate(engines):
--- a/soak/tests/test_planned_stop.py
+++ b/soak/tests/test_planned_stop.py
@@ -1,7 +1,6 @@
 """Planned stop of a gateway in calm, with the real programs: no answer is cut."""
 
 import asyncio
-import random
 import signal
 import socket
 from dataclasses import dataclass
@@ -9,7 +8,7 @@
 import pytest
 
 from soak.clients import API_KEY, Operator
-from soak.deployment import Deployment
+from soak.deployment import Deployment, reserve_base_port
 from tarragonway.platform import names
 
 SERVICE_TIME_S = 1.0
@@ -67,7 +66,7 @@
 
 async def stop_under_load(tmp_path, grace_s, answer_bytes, read_bytes_per_s):
     """Stop a gateway while calls keep coming; return them, and which ones ran."""
-    port = random.Random().randrange(21000, 29000, 10)
+    port = reserve_base_port()
     deployment = Deployment(
         tmp_path, port, 1, {"plain": 4, "model": 1}, grace_s=grace_s
     )
--- a/soak/tests/test_request_limits.py
+++ b/soak/tests/test_request_limits.py
@@ -1,13 +1,12 @@
 """Endpoints that state how many requests a second they take, on the real programs."""
 
 import asyncio
-import random
 
 import aiohttp
 import pytest
 
 from soak.clients import Operator
-from soak.deployment import Deployment
+from soak.deployment import Deployment, reserve_base_port
 from soak.tests.test_crashing_parts import Traffic, compute_served_fraction
 
 # The users' ``contact_ms`` of a small deployment, and their bound on a limit: in any
@@ -33,7 +32,7 @@
 @pytest.mark.timeout(90)
 # Guards against gateways that together send an endpoint more than the limit it states.
 async def test_endpoints_get_no_more_requests_than_they_state(tmp_path):
-    port = random.Random().randrange(21000, 29000, 10)
+    port = reserve_base_port()
     deployment = Deployment(tmp_path, port, 1, {"plain": 1, "model": MODEL_ENDPOINTS})
     loop = asyncio.get_running_loop()
     await deployment.start()
--- a/soak/tests/test_self_reports.py
+++ b/soak/tests/test_self_reports.py
@@ -1,13 +1,12 @@
 """Endpoints that leave, pause or refuse at once, with the real programs."""
 
 import asyncio
-import random
 import time
 
 import pytest
 
 from soak.clients import API_KEY, Operator
-from soak.deployment import Deployment
+from soak.deployment import Deployment, reserve_base_port
 from tarragonway.platform import names
 
 CLIENTS = 10
@@ -55,7 +54,7 @@
     tuple
         The statuses that callers got, the deployment, and the time of the change.
     """
-    port = random.Random().randrange(21000, 29000, 10)
+    port = reserve_base_port()
     deployment = Deployment(tmp_path, port, 1, {"plain": 4, "model": 1})
     statuses = []
     await deployment.start()
--- a/soak/tests/test_start.py
+++ b/soak/tests/test_start.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from soak.deployment import Deployment
+from soak.deployment import Deployment, reserve_base_port
 
 SIGNAL_DEADLINE_S = 10.0
 ROOT = pathlib.Path(__file__).parents[2]
@@ -25,8 +25,8 @@
 
 
 @pytest.fixture
-def deployment(tmp_path, unused_tcp_port):
-    return Deployment(tmp_path, 21000 + unused_tcp_port % 800 * 10, 1)
+def deployment(tmp_path):
+    return Deployment(tmp_path, reserve_base_port(), 1)
 
 
 async def start_program(deployment, kind, paths=(), **options):
