--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -248,7 +248,11 @@
 ) -> None:
     """Carry out what signals ask of the process, those during its start first."""
     while True:
-        (await requests.get())(daemon)
+        request = await requests.get()
+        try:
+            request(daemon)
+        except Exception:
+            _log.exception("request by a signal failed")
 
 
 async def _drain(daemon: Daemon, signals: asyncio.Queue, deadline_s: float) -> int:
