Split the planned stop, the memberships, content reports and deliveries into modules

replication/driver.py, gateway/forward.py and http1/server.py had grown over 450 lines and held more than one job; consensus/replica.py loses its types and the history of memberships. Nothing decides otherwise than before. Tests that set memberships or the stall timeout name the new places.

--- a/tarragonway/consensus/__init__.py
+++ b/tarragonway/consensus/__init__.py
@@ -11,13 +11,8 @@
     Packet,
     Snapshot,
 )
-from tarragonway.consensus.replica import (
-    Output,
-    Parameters,
-    ReadReady,
-    Replica,
-    Role,
-)
+from tarragonway.consensus.model import Output, Parameters, ReadReady, Role
+from tarragonway.consensus.replica import Replica
 from tarragonway.consensus.storage import DataFolder, Recovered
 
 __all__ = [
--- a/tarragonway/consensus/progress.py
+++ b/tarragonway/consensus/progress.py
@@ -90,6 +90,22 @@
         }
         return len((reachable | {self._own_id}) & membership.voter_ids)
 
+    def find_most_current(
+        self, members: Iterable[MemberId], limit_ticks: int
+    ) -> MemberId:
+        """Return the member that stores most, among those that answer if any does.
+
+        A follower answers if it has replied within the last ``limit_ticks``.
+        """
+
+        def rank(member_id: MemberId) -> tuple[bool, int]:
+            row = self._rows.get(member_id)
+            if row is None:
+                return False, 0
+            return row.ticks_since_reply <= limit_ticks, row.match
+
+        return max(sorted(members), key=rank)
+
     def take_active_quorum(self, membership: Membership) -> bool:
         """Return whether a quorum has replied since the last call.
 
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -11,7 +11,6 @@
 membership at a time), 6.4 (reads), 9.6 (pre-vote).
 """
 
-import enum
 import random
 
 import msgspec
@@ -19,6 +18,7 @@
 from tarragonway.consensus.departures import Departures
 from tarragonway.consensus.log import RaftLog
 from tarragonway.consensus.members import Membership
+from tarragonway.consensus.membership_history import MembershipHistory
 from tarragonway.consensus.messages import (
     AppendReply,
     AppendRequest,
@@ -35,6 +35,7 @@
     VoteReply,
     VoteRequest,
 )
+from tarragonway.consensus.model import Output, Parameters, ReadReady, Role
 from tarragonway.consensus.progress import Progress, ProgressTable
 from tarragonway.core.errors import InvariantError
 from tarragonway.core.ids import MemberId
@@ -47,51 +48,6 @@
 MAX_MISSED_HEARTBEATS = 3
 
 
-class Role(enum.Enum):
-    """Role of a replica in its term."""
-
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre_candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-class Parameters(msgspec.Struct, frozen=True):
-    """Timing in ticks.
-
-    A replica starts an election after ``election_ticks`` to ``2 * election_ticks - 1``
-    ticks without a leader. For the first election after a start, ``election_ticks`` is
-    replaced by ``first_ticks`` if it is given. It may be lower, because pre-votes keep
-    an early election from disturbing a leader that other voters can reach.
-    """
-
-    election_ticks: int = 10
-    heartbeat_ticks: int = 2
-    first_ticks: int | None = None
-
-
-class ReadReady(msgspec.Struct, frozen=True):
-    """Linearizable read that may be served once ``index`` is applied."""
-
-    token: int
-    index: int
-
-
-class Output(msgspec.Struct):
-    """Work for the owner of a replica, to be done in the order of the fields."""
-
-    hard_state: HardState | None = None
-    snapshot: Snapshot | None = None
-    entries: list[Entry] = []
-    messages: list[tuple[MemberId, Message]] = []
-    committed: list[Entry] = []
-    reads: list[ReadReady] = []
-
-    def has_writes(self) -> bool:
-        """Return whether something must be made durable."""
-        return bool(self.hard_state or self.snapshot or self.entries)
-
-
 class Replica:
     """One member of the group that replicates the log.
 
@@ -130,9 +86,11 @@
         self._log = log or RaftLog(self.snapshot.index, self.snapshot.term)
         self.commit = self.snapshot.index
         self._applied = self.commit
-        self._memberships = [(self.snapshot.index, self.snapshot.membership)]
+        self._memberships = MembershipHistory(
+            self.snapshot.index, self.snapshot.membership
+        )
         for entry in self._log.read_range(self.commit + 1, self._log.last_index):
-            self._record_membership(entry)
+            self._memberships.record(entry)
         self._first_unsynced = self._log.last_index + 1
         self._elapsed_ticks = 0
         self._reachable_voters = 0
@@ -161,12 +119,12 @@
     @property
     def membership(self) -> Membership:
         """Latest membership in the log, committed or not."""
-        return self._memberships[-1][1]
+        return self._memberships.latest
 
     @property
     def has_uncommitted_membership(self) -> bool:
         """Whether the latest membership may still be replaced by a former one."""
-        return self._memberships[-1][0] > self.commit
+        return self._memberships.latest_index > self.commit
 
     @property
     def last_index(self) -> int:
@@ -338,14 +296,8 @@
         voters = self.membership.voter_ids - {self.own_id}
         if self.role is not Role.LEADER or not voters:
             return None
-
-        def rank(member_id: MemberId) -> tuple[bool, int]:
-            silent_ticks = self.get_silent_ticks(member_id)
-            is_reachable = silent_ticks <= self.unreachable_after_ticks
-            return is_reachable, self.get_match_index(member_id)
-
-        target = max(sorted(voters), key=rank)
-        if self.get_match_index(target) < self._memberships[-1][0]:
+        target = self._progress.find_most_current(voters, self.unreachable_after_ticks)
+        if self.get_match_index(target) < self._memberships.latest_index:
             return None
         self._transfer_wait_ticks = self._parameters.election_ticks
         self._send(target, ElectNow(self.term))
@@ -381,14 +333,10 @@
             raise InvariantError(
                 f"cannot compact to entry {index}: it is not applied or not in the log"
             )
-        membership = self._find_membership(index)
+        membership = self._memberships.compact(index)
         self._first_entry_term = self._log.get_term(1) or self._first_entry_term
         self.snapshot = Snapshot(index, term, membership, state)
         self._log.compact(index - keep)
-        self._memberships = [
-            (0, membership),
-            *((at, value) for at, value in self._memberships if at > index),
-        ]
         return self.snapshot
 
     def read_tail(self) -> LogTail:
@@ -544,7 +492,7 @@
     def _append_as_leader(self, kind: EntryKind, payload: bytes) -> int:
         entry = Entry(self.last_index + 1, self.term, kind, payload)
         self._log.append(entry)
-        self._record_membership(entry)
+        self._memberships.record(entry)
         if kind is EntryKind.MEMBERS:
             self._progress.update_members(self.membership, self.last_index + 1)
         self._broadcast_due = True
@@ -683,9 +631,9 @@
                 )
             self._log.truncate(entry.index)
             self._first_unsynced = min(self._first_unsynced, entry.index)
-            self._memberships = [m for m in self._memberships if m[0] < entry.index]
+            self._memberships.truncate(entry.index)
         self._log.append(entry)
-        self._record_membership(entry)
+        self._memberships.record(entry)
 
     def _handle_snapshot(self, source: MemberId, request: SnapshotRequest) -> None:
         if request.term < self.term:
@@ -700,7 +648,7 @@
 
     def _install_snapshot(self, snapshot: Snapshot) -> None:
         self._log.reset(snapshot.index, snapshot.term)
-        self._memberships = [(0, snapshot.membership)]
+        self._memberships = MembershipHistory(0, snapshot.membership)
         self.snapshot = snapshot
         self.commit = snapshot.index
         self._applied = snapshot.index
@@ -711,11 +659,3 @@
 
     def _send(self, target: MemberId, message: Message) -> None:
         self._output.messages.append((target, message))
-
-    def _record_membership(self, entry: Entry) -> None:
-        if entry.kind is EntryKind.MEMBERS:
-            membership = msgspec.msgpack.decode(entry.payload, type=Membership)
-            self._memberships.append((entry.index, membership))
-
-    def _find_membership(self, index: int) -> Membership:
-        return [value for at, value in self._memberships if at <= index][-1]
--- a/tarragonway/gateway/final_errors.py
+++ b/tarragonway/gateway/final_errors.py
@@ -1,19 +1,25 @@
-"""Error responses to requests that no endpoint has answered."""
+"""Outcomes of sends: failures of endpoints, and error responses without an answer."""
 
 from tarragonway.gateway.attempt import (
+    Answered,
     Attempt,
+    Broken,
     Expired,
     Limited,
+    NotContinued,
     Overloaded,
     Paused,
     Refused,
     SendOutcome,
+    Unsent,
     VersionGone,
     VersionUnregistered,
 )
 from tarragonway.gateway.error_responses import DEFAULT_RETRY_AFTER_S, ErrorCause
 from tarragonway.gateway.origin_guard import OriginNotFound
 
+# With these, callers are told that a request has not run.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 # Time in which a leader reads the endpoint list and registers a new version.
 VERSION_RETURN_S = 0.5
 
@@ -54,3 +60,23 @@
             return ErrorCause.DEADLINE_BEFORE_SEND, DEFAULT_RETRY_AFTER_S
         case _:
             return ErrorCause.NO_ENDPOINT, DEFAULT_RETRY_AFTER_S
+
+
+def is_false_promise(attempt: Attempt, outcome: Answered) -> bool:
+    """Return whether an answer would tell that a request that ran has not run.
+
+    An endpoint's own failure may have such a status. Callers repeat after it even what
+    must run at most once.
+    """
+    return not attempt.route.is_repeatable and outcome.head.status in PROMISING_STATUSES
+
+
+def is_endpoint_failure(outcome: SendOutcome) -> bool:
+    """Return whether an outcome counts as a failure of its endpoint."""
+    match outcome:
+        case Unsent() | Broken() | NotContinued():
+            return True
+        case Expired(in_body):
+            return in_body
+        case _:
+            return False
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -2,20 +2,18 @@
 
 import asyncio
 from collections.abc import Callable, Collection
-from typing import Protocol
 
 import structlog
 
 from tarragonway.core.counters import Counters
-from tarragonway.core.ids import Fingerprint, ServiceName
+from tarragonway.core.ids import ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import ResponseInfo
-from tarragonway.gateway.admission import Admission, count_units, make_fingerprint
+from tarragonway.gateway.admission import Admission, count_units
 from tarragonway.gateway.attempt import (
     Answered,
     Attempt,
     Broken,
-    Expired,
     Limited,
     NotContinued,
     Overloaded,
@@ -27,8 +25,13 @@
     VersionUnregistered,
 )
 from tarragonway.gateway.choice import Choice, EndpointChooser
+from tarragonway.gateway.content_reports import ContentReports, EndpointReporter
 from tarragonway.gateway.error_responses import send_error_response
-from tarragonway.gateway.final_errors import choose_error
+from tarragonway.gateway.final_errors import (
+    choose_error,
+    is_endpoint_failure,
+    is_false_promise,
+)
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.origin_guard import OriginGuard
@@ -40,7 +43,6 @@
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import ConnectionPool, Request, ResponseWriter
-from tarragonway.links.messages import CrashReport
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import EngineTraits, Repeatability
 from tarragonway.routing.engine_speed import EngineSpeeds
@@ -59,30 +61,12 @@
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
 # section 15.5.20).
 STATUS_MISDIRECTED = 421
-# With these, callers are told that a request has not run.
-PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 # Why a request was not sent although endpoints are listed.
 REFUSALS = Limited | Paused | VersionUnregistered
 
 _log = structlog.get_logger()
 
 
-class EndpointReporter(Protocol):
-    """Receiver of reports on endpoints, and on content that may crash them."""
-
-    def report_crash(self, crash: CrashReport) -> None:
-        """Report that an endpoint failed while it ran this content."""
-        ...
-
-    def report_cleared(self, fingerprint: Fingerprint) -> None:
-        """Report that a suspected content was answered completely."""
-        ...
-
-    def report_leaving(self, endpoint: str) -> None:
-        """Report that an endpoint has said in an answer that it leaves."""
-        ...
-
-
 class Forwarder:
     """Forwards callers' requests to endpoints and answers them.
 
@@ -139,7 +123,7 @@
         self._speeds = speeds
         self._chooser = chooser
         self._make_budget = make_budget
-        self._reporter = reporter
+        self._content_reports = ContentReports(state, reporter)
         self._guard = guard
         self._limit_guard = limit_guard
         self._resumption = StreamResumption(state, origins, counters)
@@ -308,11 +292,11 @@
             misdirected = (
                 isinstance(outcome, Refused) and outcome.status == STATUS_MISDIRECTED
             )
-            failed = misdirected or _is_endpoint_failure(outcome)
+            failed = misdirected or is_endpoint_failure(outcome)
         finally:
             began = attempt.choice is None
             self._chooser.record_completion(choice, began, failed, loop.time())
-        self._report_content(attempt, outcome, endpoint, began)
+        self._content_reports.report(attempt, outcome, endpoint, began)
         if isinstance(outcome, Broken):
             attempt.broken.add(endpoint.key)
         if isinstance(outcome, Refused):
@@ -337,39 +321,6 @@
             )
         return outcome
 
-    def _report_content(
-        self,
-        attempt: Attempt,
-        outcome: SendOutcome,
-        endpoint: ListedEndpoint,
-        began: bool,
-    ) -> None:
-        """Report content whose endpoint failed, or a suspect that was answered.
-
-        The parts of a prompt are suspected only if no answer on them had begun. An
-        endpoint whose end the platform had announced did not crash.
-        """
-        match outcome:
-            case Broken() if not self._is_leaving(endpoint.key):
-                fingerprint = make_fingerprint(attempt.request, attempt.account)
-                probe, attempt.probe = attempt.probe, None
-                self._reporter.report_crash(
-                    CrashReport(
-                        fingerprint,
-                        endpoint.key,
-                        () if began else attempt.shared_parts,
-                        probe=probe.sequence if probe is not None else 0,
-                    )
-                )
-            case Answered() | Streamed() if self._state.suspects:
-                fingerprint = make_fingerprint(attempt.request, attempt.account)
-                if fingerprint in self._state.suspects:
-                    self._reporter.report_cleared(fingerprint)
-
-    def _is_leaving(self, key: str) -> bool:
-        row = self._state.endpoints.rows.get(key)
-        return row is not None and row.leaving
-
     def _record_stream(self, attempt: Attempt, outcome: Streamed) -> None:
         engine, prompt = self._find_engine(attempt.service), attempt.facts.prompt
         is_whole = attempt.sends == 1 and attempt.facts.last_event_id is None
@@ -425,7 +376,7 @@
         if writer.started:
             writer.abort()
             return
-        if isinstance(outcome, Answered) and not _is_false_promise(attempt, outcome):
+        if isinstance(outcome, Answered) and not is_false_promise(attempt, outcome):
             headers = self._codec.drop_hop_by_hop_headers(outcome.head)
             await writer.send(outcome.head.status, headers, outcome.body)
             return
@@ -476,22 +427,3 @@
             list_age_s=round(self._compute_list_age(), 2),
             revision=self._state.revision,
         )
-
-
-def _is_false_promise(attempt: Attempt, outcome: Answered) -> bool:
-    """Return whether an answer would tell that a request that ran has not run.
-
-    An endpoint's own failure may have such a status. Callers repeat after it even what
-    must run at most once.
-    """
-    return not attempt.route.is_repeatable and outcome.head.status in PROMISING_STATUSES
-
-
-def _is_endpoint_failure(outcome: SendOutcome) -> bool:
-    match outcome:
-        case Unsent() | Broken() | NotContinued():
-            return True
-        case Expired(in_body):
-            return in_body
-        case _:
-            return False
--- a/tarragonway/http1/server.py
+++ b/tarragonway/http1/server.py
@@ -9,19 +9,16 @@
 import structlog
 
 from tarragonway.http1.client import Headers, reset_on_close
-from tarragonway.http1.delivery import count_unacknowledged, count_undelivered
+from tarragonway.http1.delivery import (
+    CHECK_INTERVAL_S,
+    Delivery,
+    DeliveryWatch,
+    count_undelivered,
+)
 from tarragonway.routes.model import ConnectionLimits
 
 MAX_PIPELINED_BYTES = 256 * 1024
 BODY_TIMEOUT_S = 20.0
-# A connection that is closed after a response stays open for this time once the caller
-# has received it, so that the caller closes first.
-CLOSE_TIMEOUT_S = 1.0
-# The same if the operating system does not tell what the caller has received.
-UNKNOWN_CLOSE_TIMEOUT_S = 3.0
-# A caller that receives nothing for this time while bytes are left does not get them.
-DELIVERY_STALL_TIMEOUT_S = 10.0
-DELIVERY_CHECK_INTERVAL_S = 0.05
 LISTEN_BACKLOG = 1024
 
 _log = structlog.get_logger()
@@ -169,10 +166,7 @@
         self._pending_bytes = 0
         self._receiving = False
         self._is_closing = False
-        # Bytes that the caller had not received at the last check, and the loop's time
-        # at which they last became fewer.
-        self._undelivered_bytes = 0
-        self._delivered_at = 0.0
+        self._delivery: DeliveryWatch | None = None
 
     def _make_state(self) -> h11.Connection:
         return h11.Connection(
@@ -411,31 +405,22 @@
             self._transport.close()
             return
         self._transport.write_eof()
-        self._undelivered_bytes = count_undelivered(self._transport)
-        self._delivered_at = asyncio.get_running_loop().time()
-        self._set_timer(DELIVERY_CHECK_INTERVAL_S, self._check_delivery)
+        self._delivery = DeliveryWatch(self._transport)
+        self._set_timer(CHECK_INTERVAL_S, self._check_delivery)
 
     def _check_delivery(self) -> None:
         """Close the connection when the caller has the response, or does not read."""
-        if self._transport is None:
+        if self._transport is None or self._delivery is None:
             return
-        now = asyncio.get_running_loop().time()
-        undelivered = count_undelivered(self._transport)
-        if undelivered < self._undelivered_bytes:
-            self._undelivered_bytes, self._delivered_at = undelivered, now
-        if undelivered:
-            timeout_s = DELIVERY_STALL_TIMEOUT_S
-        elif count_unacknowledged(self._transport) is None:
-            timeout_s = UNKNOWN_CLOSE_TIMEOUT_S
-        else:
-            timeout_s = CLOSE_TIMEOUT_S
-        if now - self._delivered_at < timeout_s:
-            self._set_timer(DELIVERY_CHECK_INTERVAL_S, self._check_delivery)
-        elif undelivered:
-            _log.info("caller does not read its response", bytes=undelivered)
-            self.abort()
-        else:
-            self._transport.close()
+        match self._delivery.check():
+            case Delivery.UNDER_WAY:
+                self._set_timer(CHECK_INTERVAL_S, self._check_delivery)
+            case Delivery.COMPLETE:
+                self._transport.close()
+            case Delivery.STALLED:
+                undelivered = count_undelivered(self._transport)
+                _log.info("caller does not read its response", bytes=undelivered)
+                self.abort()
 
     # Timers
 
--- a/tarragonway/http1/tests/test_delivery.py
+++ b/tarragonway/http1/tests/test_delivery.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tarragonway.http1 import HttpServer, server
+from tarragonway.http1 import HttpServer, delivery
 from tarragonway.routes import ConnectionLimits
 
 BODY = bytes(range(256)) * 4096
@@ -80,7 +80,7 @@
 
 # Guards against callers that never read and hold their connections.
 async def test_caller_that_does_not_read_is_disconnected(http, monkeypatch):
-    monkeypatch.setattr(server, "DELIVERY_STALL_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(delivery, "DELIVERY_STALL_TIMEOUT_S", 0.3)
     reader, writer = await send(http, "/close")
     await asyncio.sleep(0.2)
     assert http.active_requests == 1
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -25,14 +25,11 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId
 from tarragonway.replication.membership_changes import plan_membership_change
+from tarragonway.replication.planned_stop import MIN_VOTERS, PlannedStop
 
-# A group set up for this number of voters or more accepts no commands with fewer.
-MIN_VOTERS = 3
 KEPT_LOG_ENTRIES = 500
 JOIN_REQUEST_RETENTION_S = 5.0
 DISK_RETRY_DELAY_S = 0.2
-TRANSFER_RETRY_INTERVAL_TICKS = 4
-ANSWER_FLUSH_DELAY_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -209,72 +206,15 @@
         await future
 
     async def step_down(self, limit_s: float) -> bool:
-        """Transfer leadership; return whether this process is no longer the leader.
+        """Prepare the group for the planned stop of this process.
 
-        In a rolling restart, the member that was stopped before may not be back yet.
-        This member therefore waits until a majority is reachable without it, but for at
-        most half of ``limit_s``. The transfer request may be lost, so it is repeated.
-        A former leader then waits for :data:`ANSWER_FLUSH_DELAY_S`, so that pending
-        answers are sent before the caller closes its sockets.
-
-        A group with a spare voter removes this member instead of waiting for others:
-        it may be stopped for good, and would then count against the majority. If it is
-        started again, it asks to be admitted.
+        Returns
+        -------
+        bool
+            Whether this process is not the leader any more.
         """
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        if not self.replica.can_leave:
-            await self._wait_until_safe_to_stop(limit_s / 2)
-        was_leader = False
-        while self._is_bound_to_group and loop.time() - started < limit_s:
-            was_leader = was_leader or self.replica.role is Role.LEADER
-            self._enqueue(self._depart)
-            await asyncio.sleep(TRANSFER_RETRY_INTERVAL_TICKS * self._config.tick_s)
-        _log.info(
-            "group informed of the planned stop",
-            was_leader=was_leader,
-            has_left=self.replica.has_left,
-            waited_s=round(loop.time() - started, 2),
-        )
-        if was_leader:
-            await asyncio.sleep(ANSWER_FLUSH_DELAY_S)
-        return self.replica.role is not Role.LEADER
-
-    @property
-    def _is_bound_to_group(self) -> bool:
-        """Whether this member leads, or counts although the group can spare it."""
-        replica = self.replica
-        if replica.role is Role.LEADER:
-            return True
-        if replica.has_left:
-            return False
-        return replica.can_leave or replica.has_uncommitted_membership
-
-    def _depart(self) -> None:
-        if self.replica.role is Role.LEADER:
-            self.replica.transfer_leadership()
-        elif self.replica.can_leave:
-            self.replica.request_leave()
-
-    async def _wait_until_safe_to_stop(self, limit_s: float) -> None:
-        # A member that has just stopped still counts as reachable for this time, and a
-        # follower receives the number of reachable voters one heartbeat later.
-        if len(self.replica.membership.voters) >= MIN_VOTERS:
-            await asyncio.sleep(
-                (self.replica.unreachable_after_ticks + 2) * self._config.tick_s
-            )
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        while not self.replica.can_stop_safely and loop.time() - started < limit_s:
-            await asyncio.sleep(self._config.tick_s)
-        waited_s = loop.time() - started
-        if waited_s > self._config.tick_s:
-            can_stop = self.replica.can_stop_safely
-            _log.info(
-                "stop delayed to keep a majority reachable",
-                waited_s=round(waited_s, 2),
-                spared=can_stop,
-            )
+        stop = PlannedStop(self.replica, self._enqueue, self._config.tick_s)
+        return await stop.run(limit_s)
 
     # Main loop
 
--- a/tarragonway/replication/tests/test_restored_log.py
+++ b/tarragonway/replication/tests/test_restored_log.py
@@ -16,6 +16,7 @@
     Replica,
 )
 from tarragonway.consensus.files import FolderFiles
+from tarragonway.consensus.membership_history import MembershipHistory
 from tarragonway.coordinator.machine import CoordinatorMachine, PutConfiguration
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
@@ -59,7 +60,7 @@
 async def test_command_that_cannot_be_encoded_fails_alone(tmp_path):
     driver = make_driver(tmp_path, 0)
     members = (Member(MemberId("a#1"), ProcessName("a")),)
-    driver.replica._memberships = [(0, Membership(members))]
+    driver.replica._memberships = MembershipHistory(0, Membership(members))
     driver.replica._start_election(pre=False)
     task = asyncio.create_task(driver.run())
     with pytest.raises(OverflowError):
--- a/tarragonway/replication/tests/test_step_down.py
+++ b/tarragonway/replication/tests/test_step_down.py
@@ -14,6 +14,7 @@
     Role,
 )
 from tarragonway.consensus.files import FolderFiles
+from tarragonway.consensus.membership_history import MembershipHistory
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
@@ -101,7 +102,7 @@
     The previous member still counts as reachable then, so the first check must wait.
     """
     members = tuple(Member(MemberId(f"{n}#1"), ProcessName(n)) for n in "abc")
-    driver.replica._memberships = [(0, Membership(members))]
+    driver.replica._memberships = MembershipHistory(0, Membership(members))
     driver.replica.__class__ = NeededForMajority
     loop = asyncio.get_running_loop()
     started = loop.time()
