Keep contents that crash endpoints in the replicated log

Cause: the counts of crashes by content were in the memory of leaders and gateways only, unlike prompt parts, which are in the log. Ruled out: one change of leader, after which gateways repeat their crash reports.

The leader commits quarantined contents when they change, a new leader takes them over, and each coordinator sends them to gateways with the held parts. A gateway that has heard of no quarantine refuses requests as not run; it has no configuration before that either.

Not played with real processes.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -127,6 +127,7 @@
         self._gateway_reports = GatewayReports(self._driver, self._lease, self._clock)
         self._part_holds = PartHolds(
             self._gateway_reports.parts,
+            self._gateway_reports.suspects,
             self._driver,
             self._machine,
             lambda: list(self._gateways),
@@ -266,6 +267,7 @@
             "windows": sorted(self._machine.usage)[-4:],
             "gateways": list(self._gateways.values()),
             "held_parts": self._machine.held,
+            "held_contents": self._machine.held_contents,
             "versions": self._machine.versions,
             "request_limits": self._gateway_reports.limits.stated,
             "counters": self._counters.snapshot(),
--- a/tarragonway/coordinator/machine.py
+++ b/tarragonway/coordinator/machine.py
@@ -1,11 +1,17 @@
-"""Replicated state of the coordinators: configuration, usage, held parts, versions."""
+"""Replicated state of the coordinators: configuration, usage, quarantine, versions."""
 
 import zlib
 from typing import Any
 
 import msgspec
 
-from tarragonway.core.ids import AccountId, PartId, ServiceName, SoftwareVersion
+from tarragonway.core.ids import (
+    AccountId,
+    Fingerprint,
+    PartId,
+    ServiceName,
+    SoftwareVersion,
+)
 from tarragonway.core.numbers import EncodedInteger, decode_integer
 from tarragonway.quarantine import HeldPart
 
@@ -54,13 +60,26 @@
     held: dict[PartId, HeldPart]
 
 
+class PutHeldContents(msgspec.Struct, frozen=True, tag=True):
+    """Replaces the contents that must not be sent, by the endpoints they crashed."""
+
+    contents: dict[Fingerprint, tuple[str, ...]]
+
+
 class PutVersions(msgspec.Struct, frozen=True, tag=True):
     """Replaces the software versions whose streams can still be resumed."""
 
     versions: dict[ServiceName, tuple[SoftwareVersion, ...]]
 
 
-Command = PutConfiguration | DecideUsage | MarkReported | PutHeldParts | PutVersions
+Command = (
+    PutConfiguration
+    | DecideUsage
+    | MarkReported
+    | PutHeldParts
+    | PutHeldContents
+    | PutVersions
+)
 Result = ConfigurationStored | UsageDecided | None
 
 
@@ -73,6 +92,7 @@
     held_revision: int = 0
     versions: dict[ServiceName, tuple[SoftwareVersion, ...]] = {}
     versions_revision: int = 0
+    held_contents: dict[Fingerprint, tuple[str, ...]] = {}
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -117,9 +137,14 @@
         """Prompt parts that must not be sent to endpoints."""
         return self._content.held
 
+    @property
+    def held_contents(self) -> dict[Fingerprint, tuple[str, ...]]:
+        """Contents that must not be sent, with the endpoints that failed on each."""
+        return self._content.held_contents
+
     @property
     def held_revision(self) -> int:
-        """Number of changes of the held parts."""
+        """Number of changes of the held parts and contents."""
         return self._content.held_revision
 
     @property
@@ -177,6 +202,10 @@
                 content.held = held
                 content.held_revision += 1
                 return None
+            case PutHeldContents(contents):
+                content.held_contents = contents
+                content.held_revision += 1
+                return None
             case PutVersions(versions):
                 content.versions = versions
                 content.versions_revision += 1
--- a/tarragonway/coordinator/part_holds.py
+++ b/tarragonway/coordinator/part_holds.py
@@ -1,4 +1,7 @@
-"""Held prompt parts: the leader decides, the log keeps, all coordinators publish."""
+"""Quarantine: the leader decides, the log keeps, all coordinators publish.
+
+It holds prompt parts and whole contents that crash endpoints.
+"""
 
 import asyncio
 import math
@@ -6,7 +9,12 @@
 
 import structlog
 
-from tarragonway.coordinator.machine import CoordinatorMachine, PutHeldParts
+from tarragonway.coordinator.machine import (
+    CoordinatorMachine,
+    PutHeldContents,
+    PutHeldParts,
+)
+from tarragonway.coordinator.suspects import SuspectedContents
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ProcessName
 from tarragonway.links import Link
@@ -27,16 +35,18 @@
 
 
 class PartHolds:
-    """Connects the decisions on prompt parts to the log and to the gateways.
+    """Connects the decisions on prompt parts and contents to the log and the gateways.
 
     Parameters
     ----------
     quarantine : PartQuarantine
-        The leader's decisions.
+        The leader's decisions on prompt parts.
+    suspects : SuspectedContents
+        The leader's decisions on contents.
     driver : LogDriver
         The replicated log.
     machine : CoordinatorMachine
-        State machine with the held parts that are committed.
+        State machine with the held parts and contents that are committed.
     list_gateways : callable
         Returns the links of the gateways.
     counters : Counters
@@ -46,12 +56,14 @@
     def __init__(
         self,
         quarantine: PartQuarantine,
+        suspects: SuspectedContents,
         driver: LogDriver,
         machine: CoordinatorMachine,
         list_gateways: Callable[[], Iterable[Link]],
         counters: Counters,
     ) -> None:
         self._quarantine = quarantine
+        self._suspects = suspects
         self._driver = driver
         self._machine = machine
         self._list_gateways = list_gateways
@@ -73,17 +85,23 @@
             if held != self._machine.held:
                 self._counters.increment("quarantine.changes")
                 await self._driver.propose(PutHeldParts(held))
+            self._suspects.expire(loop.time())
+            contents = self._suspects.held
+            if contents != self._machine.held_contents:
+                self._counters.increment("quarantine.content_changes")
+                await self._driver.propose(PutHeldContents(contents))
 
     def restore(self) -> None:
-        """As the leader, take over the held parts of former leaders, once a term."""
+        """As the leader, take over the quarantine of former leaders, once a term."""
         term = self._driver.replica.term
         if self._driver.is_leader and self._restored_term != term:
             self._restored_term = term
             now = asyncio.get_running_loop().time()
             self._quarantine.restore(self._machine.held, now)
+            self._suspects.restore(self._machine.held_contents, now)
 
     def send_held(self, link: Link) -> None:
-        """Send the held parts to a gateway.
+        """Send the held parts and contents to a gateway.
 
         A process without a configuration has applied nothing yet and knows of none.
         """
@@ -124,4 +142,8 @@
             link.send_encoded(frame)
 
     def _make_message(self) -> HeldParts:
-        return HeldParts(self._machine.held_revision, tuple(self._machine.held))
+        return HeldParts(
+            self._machine.held_revision,
+            tuple(self._machine.held),
+            tuple(self._machine.held_contents),
+        )
--- a/tarragonway/coordinator/suspects.py
+++ b/tarragonway/coordinator/suspects.py
@@ -1,5 +1,7 @@
 """Contents that crash the endpoints that run them, and their quarantine."""
 
+from collections.abc import Mapping
+
 import msgspec
 import structlog
 
@@ -47,6 +49,24 @@
         """Contents that must not be sent to endpoints any more, the latest last."""
         return self._list_crashed(MIN_CRASHED_ENDPOINTS)
 
+    @property
+    def held(self) -> dict[Fingerprint, tuple[str, ...]]:
+        """Quarantined contents, with the endpoints that failed on each."""
+        return {
+            fingerprint: tuple(sorted(self._suspects[fingerprint].endpoints))
+            for fingerprint in self.quarantined
+        }
+
+    def restore(self, held: Mapping[Fingerprint, tuple[str, ...]], now: float) -> None:
+        """Take over the contents that former leaders have quarantined.
+
+        Their retention starts anew, as it is not known when they last crashed.
+        """
+        for fingerprint, endpoints in held.items():
+            suspect = self._suspects.setdefault(fingerprint, _Suspect(set(), now))
+            suspect.endpoints.update(endpoints)
+            suspect.crashed_at = now
+
     @property
     def suspects(self) -> tuple[Fingerprint, ...]:
         """Contents that a crash of one more endpoint would quarantine."""
--- a/tarragonway/coordinator/tests/test_part_holds.py
+++ b/tarragonway/coordinator/tests/test_part_holds.py
@@ -9,9 +9,16 @@
     PutHeldParts,
 )
 from tarragonway.coordinator.part_holds import PartHolds
+from tarragonway.coordinator.suspects import CRASH_RETENTION_S, SuspectedContents
 from tarragonway.core.counters import Counters
 from tarragonway.links.link import encode_message
-from tarragonway.links.messages import HeldParts, PartsBegan, ProbeReply, ProbeRequest
+from tarragonway.links.messages import (
+    CrashReport,
+    HeldParts,
+    PartsBegan,
+    ProbeReply,
+    ProbeRequest,
+)
 from tarragonway.quarantine import HeldPart, PartQuarantine
 
 
@@ -42,10 +49,16 @@
 def coordinator():
     machine = CoordinatorMachine()
     machine.apply(PutConfiguration(1, b""))
-    quarantine, driver, link = PartQuarantine(), FakeDriver(machine), FakeLink()
-    holds = PartHolds(quarantine, driver, machine, lambda: [link], Counters())
+    quarantine, suspects = PartQuarantine(), SuspectedContents()
+    driver, link = FakeDriver(machine), FakeLink()
+    holds = PartHolds(quarantine, suspects, driver, machine, lambda: [link], Counters())
     return SimpleNamespace(
-        holds=holds, quarantine=quarantine, driver=driver, machine=machine, link=link
+        holds=holds,
+        quarantine=quarantine,
+        suspects=suspects,
+        driver=driver,
+        machine=machine,
+        link=link,
     )
 
 
@@ -92,6 +105,7 @@
 async def test_process_without_a_configuration_tells_no_held_parts(coordinator):
     holds = PartHolds(
         PartQuarantine(),
+        SuspectedContents(),
         FakeDriver(CoordinatorMachine()),
         CoordinatorMachine(),
         lambda: [coordinator.link],
@@ -108,3 +122,40 @@
     restored.restore(machine.encode())
     assert restored.held == {"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}
     assert restored.held_revision == 1
+
+
+def crash_three_endpoints(suspects, fingerprint):
+    for endpoint in ("e1", "e2", "e3"):
+        suspects.record_crash(CrashReport(fingerprint, endpoint), 0.0)
+
+
+# Guards against a content that crashes three more endpoints each time that all
+# processes have been restarted in turn.
+async def test_quarantined_content_outlives_the_memory_of_every_process(coordinator):
+    coordinator.holds.restore()
+    crash_three_endpoints(coordinator.suspects, "f")
+    await run_shortly(coordinator.holds)
+    assert encode_message(HeldParts(1, (), ("f",))) in coordinator.link.sent
+
+    machine, suspects, link = CoordinatorMachine(), SuspectedContents(), FakeLink()
+    machine.restore(coordinator.machine.encode())
+    driver = FakeDriver(machine)
+    holds = PartHolds(
+        PartQuarantine(), suspects, driver, machine, lambda: [link], Counters()
+    )
+    holds.send_held(link)
+    assert link.sent == [HeldParts(1, (), ("f",))]
+    await run_shortly(holds)
+    assert suspects.quarantined == ("f",)
+    assert machine.held_contents == {"f": ("e1", "e2", "e3")}
+
+
+async def test_quarantine_of_a_content_ends_in_the_log_when_it_expires(coordinator):
+    coordinator.holds.restore()
+    crash_three_endpoints(coordinator.suspects, "f")
+    await run_shortly(coordinator.holds)
+    now = asyncio.get_running_loop().time()
+    coordinator.suspects.expire(now + CRASH_RETENTION_S + 1.0)
+    await run_shortly(coordinator.holds)
+    assert coordinator.machine.held_contents == {}
+    assert encode_message(HeldParts(2, ())) in coordinator.link.sent
--- a/tarragonway/gateway/admission.py
+++ b/tarragonway/gateway/admission.py
@@ -138,7 +138,9 @@
             return GatewayRefusal(ErrorCause.UNKNOWN_KEY)
         if self._arrived_after_intake(request):
             return GatewayRefusal(ErrorCause.STOPPING, DEFAULT_RETRY_AFTER_S)
-        if self._compute_fingerprint(request, account) in self._state.quarantined:
+        if not self._state.knows_held_parts:
+            return GatewayRefusal(ErrorCause.QUARANTINE_UNKNOWN, DEFAULT_RETRY_AFTER_S)
+        if self._is_quarantined(request, account):
             return GatewayRefusal(ErrorCause.QUARANTINED)
         return Admitted(route, account)
 
@@ -149,8 +151,6 @@
         parts = list_compared_parts(facts)
         if not parts:
             return admitted
-        if not self._state.knows_held_parts:
-            return GatewayRefusal(ErrorCause.QUARANTINE_UNKNOWN, DEFAULT_RETRY_AFTER_S)
         if not self._guard.has_held(parts):
             return admitted
         match await self._guard.request_probe(parts):
@@ -171,10 +171,12 @@
         ends_at = self._state.intake_ends_at
         return ends_at is not None and request.arrived_s >= ends_at
 
-    def _compute_fingerprint(self, request: Request, account: Account | None) -> str:
-        if not self._state.quarantined:
-            return ""
-        return make_fingerprint(request, account)
+    def _is_quarantined(self, request: Request, account: Account | None) -> bool:
+        state = self._state
+        if not state.quarantined and not state.held_contents:
+            return False
+        fingerprint = make_fingerprint(request, account)
+        return fingerprint in state.quarantined or fingerprint in state.held_contents
 
     async def _take_quota(
         self, admitted: Admitted, facts: CallerRequest
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -223,6 +223,7 @@
             "links": sorted(self._link_pool.links),
             "listing": self._list_version,
             "held_parts": sorted(self._guard.held),
+            "held_contents": sorted(self._state.held_contents),
             "versions": self._origins.history,
             "request_limits": self._limit_guard.limits,
         }
@@ -255,9 +256,7 @@
             case OriginReply() | VersionsInService() | VersionsReply():
                 self._origins.handle(link.peer, message)
             case HeldParts():
-                self._guard.set_held(message)
-                self._state.knows_held_parts = self._guard.is_informed
-                self._state.notify_if_complete()
+                self._handle_held(message)
             case _:
                 self._counters.increment("control.unexpected")
 
@@ -416,6 +415,12 @@
             reports.append(msgspec.structs.replace(crash, age_s=now - reported_at))
         return tuple(reversed(reports))
 
+    def _handle_held(self, message: HeldParts) -> None:
+        if self._guard.set_held(message):
+            self._state.held_contents = frozenset(message.contents)
+        self._state.knows_held_parts = self._guard.is_informed
+        self._state.notify_if_complete()
+
     def _handle_report_reply(self, reply: GatewayReportReply) -> None:
         sent_at = self._sent_at.pop(reply.sequence, None)
         if reply.term < self._term or sent_at is None:
--- a/tarragonway/gateway/part_guard.py
+++ b/tarragonway/gateway/part_guard.py
@@ -77,10 +77,10 @@
         """Parts that may only be sent by a probe."""
         return self._held
 
-    def set_held(self, message: HeldParts) -> None:
-        """Replace the held parts, unless a newer revision is known."""
+    def set_held(self, message: HeldParts) -> bool:
+        """Replace the held parts; return False if this or a newer revision is known."""
         if message.revision <= self._revision:
-            return
+            return False
         held = frozenset(message.parts)
         if held != self._held:
             _log.info(
@@ -91,6 +91,7 @@
             )
         self._revision, self._held = message.revision, held
         self._denied_until.clear()
+        return True
 
     def has_held(self, parts: Sequence[PartId]) -> bool:
         """Return whether one of the parts is held."""
--- a/tarragonway/gateway/state.py
+++ b/tarragonway/gateway/state.py
@@ -18,8 +18,10 @@
 
     The control link writes it and requests read it. ``list_current_at`` is the time
     of the event loop's clock at which the endpoint list was last known to be current.
-    ``knows_held_parts`` is set once a coordinator has sent the prompt parts that must
-    not be sent to endpoints.
+    ``quarantined`` are the contents that the leader has quarantined, ``held_contents``
+    those of which the replicated log knows; neither may be sent to endpoints.
+    ``knows_held_parts`` is set once a coordinator has sent the prompt parts and
+    contents that must not be sent to endpoints.
     ``intake_ends_at`` is the time from which arriving requests are refused, None unless
     the gateway drains.
 
@@ -38,6 +40,7 @@
         self.clock = WallClock()
         self.gateways = DEFAULT_GATEWAYS
         self.quarantined: frozenset[str] = frozenset()
+        self.held_contents: frozenset[str] = frozenset()
         self.suspects: frozenset[str] = frozenset()
         self.knows_held_parts = False
         self.intake_ends_at: float | None = None
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -158,11 +158,12 @@
     """Prompt parts that must not be sent to endpoints, except by a granted probe.
 
     Every coordinator sends them to each gateway that connects, and on each change.
-    ``revision`` grows with each change.
+    ``revision`` grows with each change. ``contents`` must not be sent at all.
     """
 
     revision: int
     parts: tuple[PartId, ...]
+    contents: tuple[Fingerprint, ...] = ()
 
 
 class ProbeRequest(msgspec.Struct, frozen=True, tag=True):
