Share what gateways refill among long prompts of accounts near their quota

Cause: without a leader, each gateway admits a request of any size once its bucket is full, and the bucket of one of 64 holds some 200 units where a prompt counts 12,000. Ruled out: the histories that a new leader restores its buckets from; the excess came from the gaps, 74,300 and 117,200 units where the rate allows 54,000 each.

The leader names the accounts that have used most of their quota. For these, a request beyond the bucket takes the full bucket and is admitted with the probability that this is of its units, so the gateways together admit what they refill in the mean. Other accounts are served as before.

The simulation in test_quotas.py passes on what the leader tells; its bound is unchanged.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -5,6 +5,7 @@
 import pathlib
 from typing import Any
 
+import msgspec
 import structlog
 
 from tarragonway.consensus import DataFolder, Member, Packet
@@ -383,8 +384,8 @@
         self._publisher.refresh_gateway(
             link, (gateway_report.list_term, gateway_report.list_version), now
         )
+        self._read_configuration()
         if gateway_report.history is not None:
-            self._read_configuration()
             self._quotas.record_history(
                 gateway_report.name, gateway_report.history, self._accounts, now
             )
@@ -394,7 +395,8 @@
             min(1e6, now - self._publisher.read_at),
             now,
         )
-        link.send(reply)
+        near_quota = self._quotas.list_near_quota(self._accounts, now)
+        link.send(msgspec.structs.replace(reply, near_quota=near_quota))
 
     def _handle_quota_request(self, link: Link, quota_request: QuotaRequest) -> None:
         if not self._driver.is_leader:
--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -27,6 +27,9 @@
 # bucket is overdrawn.
 SMALL_RATE_FRACTION = 0.03
 SMALL_TOLERANCE_FRACTION = 0.05
+# An account whose bucket holds less than this fraction of its capacity is near its
+# quota.
+NEAR_QUOTA_FRACTION = 0.5
 UNKNOWN_ACCOUNT_RETRY_DELAY_S = 0.2
 
 
@@ -178,6 +181,22 @@
             wait_s = 0.0
         return QuotaReply(quota_request.sequence, wait_s == 0.0, wait_s)
 
+    def list_near_quota(
+        self, accounts: Mapping[AccountId, Account], now: float
+    ) -> tuple[AccountId, ...]:
+        """Return the limited accounts that have used most of their quota."""
+        return tuple(
+            account.id
+            for account in accounts.values()
+            if account.per_s > 0 and self._is_near_quota(account, now)
+        )
+
+    def _is_near_quota(self, account: Account, now: float) -> bool:
+        capacity = self._policy.compute_capacity(account)
+        bucket = self._get_bucket(account, now)
+        bucket.refill(account.per_s, capacity, now)
+        return bucket.level < NEAR_QUOTA_FRACTION * capacity
+
     def _take_small(self, account: Account, units: float, now: float) -> bool:
         """Return whether a small request is admitted despite an overdrawn bucket."""
         if not account.counts_tokens or units > account.per_s * SMALL_REQUEST_FRACTION:
--- a/tarragonway/coordinator/tests/test_quotas.py
+++ b/tarragonway/coordinator/tests/test_quotas.py
@@ -26,13 +26,14 @@
     source = random.Random(seed)
     account = Account("a", (), counts_tokens=True, per_s=rate, burst=rate)
     policy = QuotaPolicy(WINDOW_S, OVERRUN, SLACK)
-    buckets = [LeaderlessBucket() for _ in range(gateways)]
+    buckets = [LeaderlessBucket(source) for _ in range(gateways)]
     quota_buckets = QuotaBuckets(policy)
     window = collections.deque()
     total = max_window_units = 0.0
     # The first request lies a minute before the others, so the bucket is full.
     quota_buckets.handle_request(QuotaRequest(0, "a", 0.0), {"a": account}, -60.0)
     was_without_leader = False
+    is_near_quota = False
     for step in range(int(LENGTH_S / STEP_S)):
         now = step * STEP_S
         without_leader = any(at <= now < at + length for at, length in changes)
@@ -48,7 +49,8 @@
             units = float(source.choice(SIZES))
             bucket = source.choice(buckets)
             if without_leader:
-                admitted = bucket.take(units, rate, gateways, now) == 0.0
+                wait_s = bucket.take(units, rate, gateways, is_near_quota, now)
+                admitted = wait_s == 0.0
                 if admitted:
                     bucket.record_grant(units, now)
             else:
@@ -58,6 +60,8 @@
                 ).granted
                 if admitted:
                     bucket.record_grant(units, now)
+                near = quota_buckets.list_near_quota({"a": account}, now)
+                is_near_quota = bool(near)
             if admitted:
                 window.append((now, units))
                 total += units
@@ -87,8 +91,8 @@
 
 
 # Seed 43805 exceeds the bound if a tenth of the tolerance is added to the refill. With
-# seed 134 many gateways without a leader admit a request beyond their part at once.
-@pytest.mark.parametrize("seed", [43805, 134])
+# the others, many gateways without a leader admitted a request beyond their part.
+@pytest.mark.parametrize("seed", [43805, 134, 507211, 194170])
 def test_account_with_many_gateways_stays_within_quota_for_known_seeds(seed):
     rate, length = 36_000.0, 1.5
     bound = (rate * WINDOW_S + rate) * (1 + OVERRUN) + SLACK
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -428,6 +428,7 @@
         gateway_state = self._state
         if reply.gateways:
             gateway_state.gateways = self._quota.gateways = reply.gateways
+        self._quota.near_quota = frozenset(reply.near_quota)
         gateway_state.quarantined = frozenset(reply.quarantined)
         gateway_state.suspects = frozenset(reply.suspects)
         if reply.speeds is not None:
--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Callable
 
 import structlog
@@ -50,9 +51,15 @@
 
     Its rate follows the leader's recent grants to this gateway, or an equal part of the
     quota if that is more.
+
+    Parameters
+    ----------
+    source : random.Random
+        Decides on requests that count more units than the bucket can hold.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
         self._bucket = OverdraftBucket(0.0, -LEADERLESS_RETENTION_S)
         self._seconds: dict[int, float] = {}
 
@@ -70,9 +77,21 @@
             self._seconds.get(second - age, 0.0) for age in range(GRANT_HISTORY_S)
         )
 
-    def take(self, units: float, per_s: float, gateways: int, now: float) -> float:
+    def take(
+        self,
+        units: float,
+        per_s: float,
+        gateways: int,
+        is_near_quota: bool,
+        now: float,
+    ) -> float:
         """Take units if available; return 0, or the seconds to wait.
 
+        A request may count more units than the bucket can hold, and many gateways may
+        get one at the same moment. If the account has used most of its quota, such a
+        request takes what the full bucket holds, and is admitted with the probability
+        that this is of its units. So all gateways together admit what they refill.
+
         Parameters
         ----------
         units : float
@@ -81,6 +100,9 @@
             The account's quota for all gateways together, in units per second.
         gateways : int
             Number of gateways that share the quota.
+        is_near_quota : bool
+            Whether the account had used most of its quota when the leader was last
+            heard of.
         now : float
             Time of the event loop's clock, in seconds.
         """
@@ -88,7 +110,13 @@
         rate = LEADERLESS_FRACTION * max(per_s / gateways, recent_rate)
         if now - self._bucket.refilled_at > LEADERLESS_RETENTION_S:
             self._bucket = OverdraftBucket(rate * LEADERLESS_INITIAL_S, now)
-        return self._bucket.take_strictly(units, rate, LEADERLESS_WINDOW_S, now)
+        capacity = rate * LEADERLESS_WINDOW_S
+        if not is_near_quota or units <= capacity:
+            return self._bucket.take_strictly(units, rate, LEADERLESS_WINDOW_S, now)
+        wait_s = self._bucket.take_strictly(capacity, rate, LEADERLESS_WINDOW_S, now)
+        if wait_s == 0 and self._random.random() * units > capacity:
+            return LEADERLESS_WINDOW_S
+        return wait_s
 
 
 class QuotaClient:
@@ -100,6 +128,12 @@
         Sends a message to the leader; returns False if there is none.
     counters : Counters
         Receives ``quota.*`` counters.
+
+    Attributes
+    ----------
+    near_quota : frozenset of AccountId or None
+        Accounts that had used most of their quota when the leader was last heard of;
+        None if it has not been heard of.
     """
 
     def __init__(
@@ -112,7 +146,9 @@
         self._unanswered: dict[int, QuotaReturn] = {}
         self._sequence = itertools.count(1)
         self._started = asyncio.get_running_loop().time()
+        self._random = random.Random()
         self.gateways = DEFAULT_GATEWAYS
+        self.near_quota: frozenset[AccountId] | None = None
 
     async def admit(
         self, account: Account, units: float, max_wait_s: float = 0.0
@@ -136,7 +172,8 @@
         self._counters.increment("quota.without_leader")
         now = asyncio.get_running_loop().time()
         leaderless = self._get_leaderless(account.id)
-        wait_s = leaderless.take(units, account.per_s, self.gateways, now)
+        is_near = self.near_quota is None or account.id in self.near_quota
+        wait_s = leaderless.take(units, account.per_s, self.gateways, is_near, now)
         if wait_s <= 0:
             leaderless.record_grant(units, now)
             # A late grant then counts what was admitted, so it is not returned.
@@ -205,4 +242,4 @@
                     del self._unanswered[next(iter(self._unanswered))]
 
     def _get_leaderless(self, account: AccountId) -> LeaderlessBucket:
-        return self._leaderless.setdefault(account, LeaderlessBucket())
+        return self._leaderless.setdefault(account, LeaderlessBucket(self._random))
--- a/tarragonway/gateway/tests/test_quota.py
+++ b/tarragonway/gateway/tests/test_quota.py
@@ -1,9 +1,10 @@
 import asyncio
+import random
 
 import pytest
 
 from tarragonway.core.counters import Counters
-from tarragonway.gateway.quota import QuotaClient
+from tarragonway.gateway.quota import LeaderlessBucket, QuotaClient
 from tarragonway.links.messages import QuotaReply, QuotaRequest, QuotaReturn
 from tarragonway.routes import Account
 
@@ -112,3 +113,25 @@
     await leader.client.admit(ACCOUNT, 1000.0)
     leader.client.handle_reply(QuotaReply(leader.messages[0].sequence, False, 1.0))
     assert len(leader.messages) == 1
+
+
+def take_long_prompts(is_near_quota, gateways=64, per_s=36_000.0, units=12_000.0):
+    """Return the units admitted in one second, with a long prompt at each gateway."""
+    source = random.Random(1)
+    buckets = [LeaderlessBucket(source) for _ in range(gateways)]
+    return sum(
+        units
+        for step in range(50)
+        for bucket in buckets
+        if bucket.take(units, per_s, gateways, is_near_quota, step / 50) == 0
+    )
+
+
+# Guards against a quota that is exceeded while there is no leader, as each of many
+# gateways admits a prompt of many times its part.
+def test_long_prompts_of_an_account_near_its_quota_share_what_all_gateways_refill():
+    assert take_long_prompts(is_near_quota=True) <= 2 * 36_000.0
+
+
+def test_long_prompts_of_an_account_far_from_its_quota_are_admitted_once():
+    assert take_long_prompts(is_near_quota=False) == 64 * 12_000.0
--- a/tarragonway/limits/overdraft.py
+++ b/tarragonway/limits/overdraft.py
@@ -39,7 +39,7 @@
         float
             0 if the units were taken, else the seconds to wait.
         """
-        self._refill(per_s, burst, now)
+        self.refill(per_s, burst, now)
         if self.level > 0:
             self.level -= units
             return 0.0
@@ -55,7 +55,7 @@
         units were taken, else the seconds to wait.
         """
         capacity = per_s * window_s
-        self._refill(per_s, capacity, now)
+        self.refill(per_s, capacity, now)
         needed = min(units, capacity)
         if self.level >= needed:
             self.level -= units
@@ -66,7 +66,8 @@
         """Put back the units of a request that did not run."""
         self.level += units
 
-    def _refill(self, per_s: float, burst: float, now: float) -> None:
+    def refill(self, per_s: float, burst: float, now: float) -> None:
+        """Add what has come since the last refill, up to ``burst`` units."""
         added = max(0.0, now - self.refilled_at) * per_s
         self.level = min(burst, self.level + added)
         self.refilled_at = max(self.refilled_at, now)
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -311,7 +311,8 @@
     ``speeds`` are those that all gateways use, sent in reply to reports with speeds.
     ``watched`` are the parts of which the leader wants to know begun answers; None if
     the gateway has their ``watch_version``. ``limits`` are the request limits of
-    endpoints; None if the gateway has their ``limits_version``.
+    endpoints; None if the gateway has their ``limits_version``. ``near_quota`` are the
+    client accounts that have used most of their quota.
     """
 
     term: int
@@ -327,6 +328,7 @@
     watched: tuple[PartId, ...] | None = None
     limits_version: int = msgspec.field(name="limit", default=-1)
     limits: dict[str, float] | None = None
+    near_quota: tuple[AccountId, ...] = ()
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
