Use the loop's time in tests of quarantined contents

The crashes of two new tests lay at time 0 of the loop's clock, so that they had expired once the machine had run for ten minutes; on a fresh machine the tests passed. A third test calls the handler of reports on a stand-in, which lacked what the handler reads since near_quota; the quota accounts now go to handle_report as an argument.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -5,7 +5,6 @@
 import pathlib
 from typing import Any
 
-import msgspec
 import structlog
 
 from tarragonway.consensus import DataFolder, Member, Packet
@@ -394,9 +393,9 @@
             self._publisher.list_version,
             min(1e6, now - self._publisher.read_at),
             now,
+            self._quotas.list_near_quota(self._accounts, now),
         )
-        near_quota = self._quotas.list_near_quota(self._accounts, now)
-        link.send(msgspec.structs.replace(reply, near_quota=near_quota))
+        link.send(reply)
 
     def _handle_quota_request(self, link: Link, quota_request: QuotaRequest) -> None:
         if not self._driver.is_leader:
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -87,6 +87,7 @@
         list_version: int,
         list_age_s: float,
         now: float,
+        near_quota: tuple[AccountId, ...] = (),
     ) -> GatewayReportReply:
         """Record a gateway's report and return the reply.
 
@@ -100,6 +101,8 @@
             Seconds since that list was read from the platform.
         now : float
             The event loop's time in seconds.
+        near_quota : tuple of AccountId
+            Client accounts that have used most of their quota.
         """
         gateway = self._record_report(gateway_report, now)
         live = self._list_live(now)
@@ -118,6 +121,7 @@
             self._list_watched(gateway_report),
             self.limits.version,
             self._list_limits(gateway_report),
+            near_quota,
         )
 
     def record_crash(
--- a/tarragonway/coordinator/tests/test_part_holds.py
+++ b/tarragonway/coordinator/tests/test_part_holds.py
@@ -125,8 +125,9 @@
 
 
 def crash_three_endpoints(suspects, fingerprint):
+    now = asyncio.get_running_loop().time()
     for endpoint in ("e1", "e2", "e3"):
-        suspects.record_crash(CrashReport(fingerprint, endpoint), 0.0)
+        suspects.record_crash(CrashReport(fingerprint, endpoint), now)
 
 
 # Guards against a content that crashes three more endpoints each time that all
