Treat a reset answer of a plain service as broken off

Callers of the project's own interface got 200 with an empty or short body, framed as whole, when a service's answer had neither a length nor chunks and its connection was reset. A claimed call was recorded as done with that answer.

Cause: aiohttp's client ends such a body in the same way for a close as for a reset, and does not say which it was. The same library asked services for gzip or deflate, whose header the sender dropped, so that callers got encoded bytes as plain ones, and it changed escapes in paths (%2520 became %20).

Plain calls now use the connections of http1, each for one call, as the gateway does. These know a reset from a close and add nothing, and never send a request twice, so the guard that kept aiohttp from doing so is not needed any more. An answer over 64 MiB counts as broken off; it had no bound before.

Evidence: of the 19 cases of entry/tests/test_cut_answers.py and test_sender.py 6 failed on (three kinds of unframed answer, encoding, path, unusable address) and all pass. tests/test_once.py, test_input.py and test_handover.py pass.

Ruled out by the same test, each answer cut at each byte, closed and reset: answers with a length, with chunks, over HTTP/1.0, after a 1xx.

test_repeated_refusals.py no longer opens and closes the sender, which has nothing to open; its checks are as they were.

--- a/tarragonway/entry/daemon.py
+++ b/tarragonway/entry/daemon.py
@@ -165,7 +165,7 @@
     async def start(self) -> None:
         """Open the sockets, start the tasks and register with control."""
         self._watch.on_change = self._apply_view
-        for part in (self._engines, self._plain_calls, self._fetch):
+        for part in (self._engines, self._fetch):
             part.open()
         self._mailbox.open(self._handle_message)
         self._start_permanent_task(self._watch.run())
--- a/tarragonway/entry/plain_calls.py
+++ b/tarragonway/entry/plain_calls.py
@@ -110,15 +110,10 @@
         self._sender = CallSender(timing.call_timeout_s)
         self._tasks: set[asyncio.Task] = set()
 
-    def open(self) -> None:
-        """Create the connection pools; needs a running loop."""
-        self._sender.open()
-
     async def close(self) -> None:
-        """Cancel the background tasks and close all connections."""
+        """Cancel the background tasks."""
         for task in self._tasks:
             task.cancel()
-        await self._sender.close()
 
     async def wait_idle(self) -> None:
         """Wait until no call runs and all results are recorded."""
@@ -284,7 +279,7 @@
                     "the call was not sent within "
                     f"{self._timing.claim_send_limit_s:g} s of its claim"
                 )
-            result = await self._sender.send_once(call, endpoint, key)
+            result = await self._sender.send(call, endpoint, key)
             self._record_leaving(endpoint, result)
             failed = not isinstance(result, Answer)
             self._dispatcher.release(endpoint.id, failed)
--- a/tarragonway/entry/sender.py
+++ b/tarragonway/entry/sender.py
@@ -1,16 +1,25 @@
 """Client for plain services, which reports whether a failed call may have run."""
 
-import aiohttp
+import asyncio
+from urllib.parse import SplitResult, quote, urlsplit
+
+import h11
 import msgspec
 
 from tarragonway.claims import Answer
 from tarragonway.core.ids import AccountId
 from tarragonway.endpoints import Endpoint
-from tarragonway.entry.guard import SendGuard, open_guarded_session
 from tarragonway.entry.request_checks import Caller
+from tarragonway.http1 import ConnectionEnded, EndpointConnection
+from tarragonway.http1.client import Headers
 from tarragonway.lists import Service
 
 CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Characters that stand for themselves, beside letters, digits and ``_.-~``.
+PATH_CHARACTERS = "/!$&'()*+,;=:@"
+# A query is forwarded as it was received, with its escapes.
+QUERY_CHARACTERS = PATH_CHARACTERS + "?%"
 
 
 class PlainCall(msgspec.Struct, frozen=True):
@@ -33,7 +42,7 @@
 class NotExecuted(msgspec.Struct, frozen=True):
     """Sentinel: the service did not run the call.
 
-    No connection was opened, or the endpoint refused the call because it is leaving.
+    Nothing was sent, or the endpoint refused the call because it is leaving.
     """
 
     reason: str
@@ -50,11 +59,11 @@
 
 
 class CallSender:
-    """Sends calls to plain services, each on a connection of its own.
+    """Sends calls to plain services, each at most once on a connection of its own.
 
     An answer has no id, so only its connection ties it to a call: a faulty endpoint may
-    write an earlier answer once more. :mod:`tarragonway.entry.guard` keeps aiohttp from
-    repeating claimed calls.
+    write an earlier answer once more. An answer with neither a length nor chunks ends
+    with its connection, and is complete only if that was closed and not reset.
 
     Parameters
     ----------
@@ -64,69 +73,72 @@
 
     def __init__(self, timeout_s: float) -> None:
         self._timeout_s = timeout_s
-        self._repeatable: aiohttp.ClientSession | None = None
-        self._guarded: aiohttp.ClientSession | None = None
-
-    def open(self) -> None:
-        """Create the client sessions; needs a running loop."""
-        timeout = aiohttp.ClientTimeout(
-            total=self._timeout_s, sock_connect=CONNECT_TIMEOUT_S
-        )
-        self._repeatable = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            timeout=timeout,
-            auto_decompress=False,
-        )
-        self._guarded = open_guarded_session(timeout)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        for session in (self._repeatable, self._guarded):
-            if session is not None:
-                await session.close()
 
-    async def send(self, call: PlainCall, endpoint: Endpoint) -> SendResult:
-        """Send a call that may be repeated."""
-        return await self._send(call, endpoint, self._repeatable, "")
-
-    async def send_once(
-        self, call: PlainCall, endpoint: Endpoint, key: str
-    ) -> SendResult:
-        """Send a claimed call, which must not be repeated."""
-        return await self._send(call, endpoint, self._guarded, key)
-
-    async def _send(
-        self,
-        call: PlainCall,
-        endpoint: Endpoint,
-        session: aiohttp.ClientSession | None,
-        key: str,
+    async def send(
+        self, call: PlainCall, endpoint: Endpoint, key: str = ""
     ) -> SendResult:
-        assert session is not None
-        headers = dict(call.headers)
-        if key:
-            headers["Idempotency-Key"] = key
-        guard = SendGuard()
-        url = endpoint.url + call.path + (f"?{call.query}" if call.query else "")
+        """Send a call and return its result.
+
+        Parameters
+        ----------
+        call : PlainCall
+            Call to send.
+        endpoint : Endpoint
+            Endpoint that should run the call.
+        key : str
+            Idempotency key of a claimed call, "" for one that may be repeated.
+        """
         try:
-            async with session.request(
-                call.method,
-                url,
-                data=call.body or None,
-                headers=headers,
-                allow_redirects=False,
-                trace_request_ctx=guard,
-            ) as response:
-                body = await response.read()
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            # The first connection of a claimed call may have broken after the call was
-            # sent, and this failure may come from aiohttp's repeat.
-            return (
-                MaybeExecuted(str(error)) if guard.opened else NotExecuted(str(error))
-            )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return MaybeExecuted(repr(error))
-        if response.headers.get("X-Endpoint-State") == "leaving":
-            return NotExecuted("the endpoint is leaving", True)
-        content_type = response.headers.get("Content-Type", "")
-        return Answer(response.status, content_type, body)
+            url = urlsplit(endpoint.url)
+            connection = await _open(url)
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            return NotExecuted(repr(error))
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                return await _exchange(connection, call, url, key)
+        except h11.LocalProtocolError as error:
+            return NotExecuted(f"the call cannot be encoded: {error}")
+        except TimeoutError:
+            return MaybeExecuted(f"no complete answer within {self._timeout_s:g} s")
+        except ConnectionEnded as error:
+            return MaybeExecuted(str(error))
+        finally:
+            connection.abort()
+
+
+async def _open(url: SplitResult) -> EndpointConnection:
+    if not url.hostname:
+        raise ValueError(f"{url.geturl()} names no host")
+    port = url.port or (443 if url.scheme == "https" else 80)
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        _, connection = await asyncio.get_running_loop().create_connection(
+            EndpointConnection, url.hostname, port, ssl=url.scheme == "https" or None
+        )
+    return connection
+
+
+async def _exchange(
+    connection: EndpointConnection, call: PlainCall, url: SplitResult, key: str
+) -> SendResult:
+    query = f"?{quote(call.query, QUERY_CHARACTERS)}" if call.query else ""
+    target = f"{url.path}{quote(call.path, PATH_CHARACTERS)}{query}"
+    connection.send(call.method, target, _encode_headers(call, url, key), call.body)
+    head = await connection.read_head(lambda head: True)
+    body = await connection.read_body(MAX_ANSWER_BYTES)
+    connection.close()
+    if head.get(b"x-endpoint-state") == b"leaving":
+        return NotExecuted("the endpoint is leaving", True)
+    content_type = head.get(b"content-type") or b""
+    return Answer(head.status, content_type.decode("utf-8", "surrogateescape"), body)
+
+
+def _encode_headers(call: PlainCall, url: SplitResult, key: str) -> Headers:
+    headers = [("Host", url.netloc), ("Connection", "close"), *call.headers]
+    if key:
+        headers.append(("Idempotency-Key", key))
+    if call.body or call.method not in ("GET", "HEAD"):
+        headers.append(("Content-Length", str(len(call.body))))
+    return [
+        (name.encode(), value.encode("utf-8", "surrogateescape"))
+        for name, value in headers
+    ]
--- a/tarragonway/entry/tests/test_repeated_refusals.py
+++ b/tarragonway/entry/tests/test_repeated_refusals.py
@@ -72,12 +72,8 @@
     caller = SimpleNamespace(account=SimpleNamespace(id="acct"))
     call = PlainCall(caller, SimpleNamespace(), "GET", "/x", "", (), b"")
     sender = CallSender(2.0)
-    sender.open()
-    try:
-        assert isinstance(await sender.send(call, endpoint), NotExecuted)
-        result = await sender.send(call, endpoint)
-    finally:
-        await sender.close()
+    assert isinstance(await sender.send(call, endpoint), NotExecuted)
+    result = await sender.send(call, endpoint)
     assert isinstance(result, Answer)
     assert faulty.runs == 1
 
