Do not take a failed answer of the cloud API for an empty list

On the project's own interface, one answer of the cloud API with an error status and a JSON object as its body (429 with {"error": "rate"}, 500 with {}) removed every endpoint from the replicated table, so that no call had one until the next poll. An engine that answered a read of its orders with a failure got an order.

Cause: the status was not looked at, and every field of these answers had a default, so any JSON object counted as an answer. A status of 400 or more now is a failed poll, and the fields that make a list must be there. The engines' state has its default still, as an engine without a model may leave the field out.

Ruled out: the pages of platform/listing.py (both checked there already; no cut of six pages at any byte is taken for a page), the leader's duties and the engines' other control requests (only 200 counts).

The doctest of compute_changes names the empty list, which has no default any more.

--- a/tarragonway/endpoints/watcher.py
+++ b/tarragonway/endpoints/watcher.py
@@ -24,13 +24,13 @@
 class ReclaimNotices(msgspec.Struct, frozen=True):
     """Reclaim notices: endpoints that the platform has announced that it will stop."""
 
-    leaving: tuple[EndpointId, ...] = ()
+    leaving: tuple[EndpointId, ...]
 
 
 class EndpointList(msgspec.Struct, frozen=True):
     """Full endpoint list of the platform."""
 
-    instances: tuple[Endpoint, ...] = ()
+    instances: tuple[Endpoint, ...]
 
 
 def compute_changes(
@@ -43,7 +43,7 @@
 
     Examples
     --------
-    >>> compute_changes({}, EndpointList()) is None
+    >>> compute_changes({}, EndpointList(())) is None
     True
     """
     seen = [e for e in endpoint_list.instances if _is_change(known.get(e.id), e)]
@@ -112,10 +112,12 @@
         try:
             # Notices are read first, since they show a reclaim earlier than the list.
             async with session.get(f"{self._url}/notices") as response:
+                response.raise_for_status()
                 notices = msgspec.json.decode(
                     await response.read(), type=ReclaimNotices
                 )
             async with session.get(f"{self._url}/instances") as response:
+                response.raise_for_status()
                 endpoint_list = msgspec.json.decode(
                     await response.read(), type=EndpointList
                 )
--- a/tarragonway/fencing/order_sender.py
+++ b/tarragonway/fencing/order_sender.py
@@ -123,6 +123,7 @@
         """Return whether the engine needs no order or its state cannot be read."""
         try:
             async with session.get(f"{desired.endpoint.url}/orders") as response:
+                response.raise_for_status()
                 state = msgspec.json.decode(await response.read(), type=EngineState)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
             self._counters.increment("orders.unreadable")
--- a/tarragonway/fencing/tests/test_order_sender.py
+++ b/tarragonway/fencing/tests/test_order_sender.py
@@ -122,3 +122,20 @@
     snapshot = counters.snapshot()
     assert snapshot.get("orders.failed") == 1
     assert "orders.sent" not in snapshot
+
+
+# Guards against an order to an engine whose failure is taken for its state.
+async def test_engine_that_fails_to_tell_its_state_gets_no_order(monkeypatch):
+    control = Control(checks_fence=False)
+
+    async def fail(request):
+        return web.json_response({"error": "busy"}, status=503)
+
+    control.engine.get_orders = fail
+    server, endpoint = await start(control, monkeypatch)
+    async with aiohttp.ClientSession() as session:
+        await control.make_order_sender("one").reconcile(
+            session, DesiredModel(endpoint, "v1")
+        )
+    assert not control.engine.orders
+    await server.close()
