Read an engine's refusal whatever its bytes are

An engine's refusal whose body is not text in the character set that it states raised UnicodeDecodeError in the task that runs the request. By reading, the caller of a whole answer got a 500 of the HTTP library, and an accepted request had no end; neither was run with the real programs.

Cause: the text, which only goes into a message, was decoded strictly, and with a character set that the engine chooses. It is now UTF-8 with replacement characters.

Ruled out by a probe: endless lines, wrong gzip, malformed cookies, status 101, [DONE] without a line end.

--- a/tarragonway/engines/client.py
+++ b/tarragonway/engines/client.py
@@ -214,7 +214,7 @@
 
 
 async def _describe_refusal(response: aiohttp.ClientResponse) -> EngineRefused:
-    text = (await response.text())[:200]
+    text = (await response.read()).decode(errors="replace")[:200]
     leaving = response.headers.get("X-Endpoint-State") == "leaving"
     permanent = 400 <= response.status < 500 and response.status != 429
     pause_s = 0.0
