Log what the decision of a usage window counted, and show a leader that cannot write

Whether a usage window was decided from all gateways could not be told from the logs, and neither could how long a leader's disk had refused a write.

The proposal of a window's counts now logs how many requests and gateways it counts, how many gateways are live, which of them have not reported since the window's end, how long it has waited, and for how long this process has been leader. A proposal that is not committed is logged and counted (usage.undecided). The counter log.disk_refused_leader counts a leader's refused writes, and the state dump has disk_refusal_s, the time for which the disk has been refusing the current write.

No decision changes.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -261,6 +261,7 @@
             "leader": replica.leader,
             "commit": replica.commit,
             "applied": self._driver.applied,
+            "disk_refusal_s": self._driver.disk_refusal_s,
             "voters": [member.id for member in replica.membership.voters],
             "learners": [member.id for member in replica.membership.learners],
             "revision": self._machine.revision,
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -162,10 +162,18 @@
                 total[account] = total.get(account, 0) + count
         return total
 
-    def have_all_reported_since(self, clock_s: float, now: float) -> bool:
-        """Return whether all live gateways have reported after a wall-clock time."""
-        live = self._list_live(now).values()
-        return all(gateway.clock_s > clock_s for gateway in live)
+    def count_gateways(self, window: int) -> int:
+        """Return how many gateways have reported counts of a usage window."""
+        return sum(window in gateway.windows for gateway in self._gateways.values())
+
+    def list_live(self, now: float) -> list[ProcessName]:
+        """Return the gateways that have reported within the last few seconds."""
+        return sorted(self._list_live(now))
+
+    def list_unreported_since(self, clock_s: float, now: float) -> list[ProcessName]:
+        """Return the live gateways without a report after a wall-clock time."""
+        live = self._list_live(now)
+        return sorted(name for name in live if live[name].clock_s <= clock_s)
 
     def sum_offered_load(self, service: str, now: float) -> float:
         """Return the load on a service, in endpoint-seconds of work per second."""
--- a/tarragonway/coordinator/usage.py
+++ b/tarragonway/coordinator/usage.py
@@ -28,6 +28,7 @@
 MAX_GRACE_FRACTION = 0.4
 # Number of past windows whose reports are still sent if they are missing.
 MAX_CATCH_UP_WINDOWS = 8
+MAX_LOGGED_GATEWAYS = 8
 STATUS_OK = 200
 
 _log = structlog.get_logger()
@@ -113,20 +114,17 @@
         end_s = (window + 1) * self._window_s
         if clock_s < end_s + LAST_REPORT_GRACE_S:
             return False
-        all_reported = self._gateway_reports.have_all_reported_since(
+        unreported = self._gateway_reports.list_unreported_since(
             end_s + LAST_REPORT_GRACE_S / 2, loop_s
         )
-        return all_reported or clock_s > end_s + self._max_grace_s
+        return not unreported or clock_s > end_s + self._max_grace_s
 
     async def _report(self, window: int) -> None:
         counts = self._machine.usage.get(window)
         if counts is None:
-            decided = await self._driver.propose(
-                DecideUsage(window, self._gateway_reports.sum_window(window))
-            )
-            if not isinstance(decided, UsageDecided):
+            counts = await self._decide(window)
+            if counts is None:
                 return
-            counts = decided.counts
         token = await self._lease.confirm()
         if token is None:
             return
@@ -143,3 +141,35 @@
         )
         if done:
             await self._driver.propose(MarkReported(window))
+
+    async def _decide(self, window: int) -> dict[AccountId, int] | None:
+        """Commit the counts of a window; return None if that failed."""
+        counts = self._gateway_reports.sum_window(window)
+        self._log_proposal(window, counts)
+        decided = await self._driver.propose(DecideUsage(window, counts))
+        match decided:
+            case UsageDecided():
+                return decided.counts
+            case _:
+                self._counters.increment("usage.undecided")
+                _log.info(
+                    "usage counts not committed", window=window, reason=repr(decided)
+                )
+                return None
+
+    def _log_proposal(self, window: int, counts: dict[AccountId, int]) -> None:
+        end_s = (window + 1) * self._window_s
+        now = asyncio.get_running_loop().time()
+        unreported = self._gateway_reports.list_unreported_since(
+            end_s + LAST_REPORT_GRACE_S / 2, now
+        )
+        _log.info(
+            "usage counts proposed",
+            window=window,
+            requests=sum(counts.values()),
+            counted_gateways=self._gateway_reports.count_gateways(window),
+            live_gateways=len(self._gateway_reports.list_live(now)),
+            unreported=unreported[:MAX_LOGGED_GATEWAYS],
+            waited_s=round(self._clock.now() - end_s, 2),
+            leader_for_s=round(self._lease.leadership_age_s, 2),
+        )
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -131,6 +131,7 @@
         self._applied_waiters: list[tuple[int, asyncio.Future]] = []
         self._join_requests: dict[Member, float] = {}
         self._role = replica.role
+        self._disk_refuses_since: float | None = None
         self.on_state_change: Callable[[], None] = lambda: None
 
     # Requests from other tasks
@@ -170,6 +171,13 @@
         enough = voters >= min(MIN_VOTERS, self._config.declared)
         return self.replica.is_ready_leader and enough
 
+    @property
+    def disk_refusal_s(self) -> float:
+        """Seconds for which the disk has been refusing a write; 0 if it does not."""
+        if self._disk_refuses_since is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._disk_refuses_since
+
     def handle_packet(self, packet: Packet) -> None:
         """Queue a packet from another replica."""
         self._enqueue(lambda: self._handle_packet(packet))
@@ -320,20 +328,30 @@
         the leader.
         """
         loop = asyncio.get_running_loop()
-        refused = False
         while True:
             try:
                 await loop.run_in_executor(self._disk_executor, self._write, output)
+                break
             except OSError as error:
-                self._counters.increment("log.disk_refused")
-                if not refused:
-                    _log.error("disk write failed; retrying", error=str(error))
-                refused = True
+                self._record_disk_refusal(error)
                 await asyncio.sleep(DISK_RETRY_DELAY_S)
-                continue
-            if refused:
-                _log.info("disk write succeeded after retries")
-            return
+        if self._disk_refuses_since is not None:
+            refused_s = round(self.disk_refusal_s, 2)
+            _log.info("disk write succeeded after retries", refused_s=refused_s)
+            self._disk_refuses_since = None
+
+    def _record_disk_refusal(self, error: OSError) -> None:
+        self._counters.increment("log.disk_refused")
+        if self._role is Role.LEADER:
+            self._counters.increment("log.disk_refused_leader")
+        if self._disk_refuses_since is None:
+            self._disk_refuses_since = asyncio.get_running_loop().time()
+            _log.error(
+                "disk write failed; retrying",
+                error=str(error),
+                role=self._role.value,
+                term=self.replica.term,
+            )
 
     def _write(self, output: Output) -> None:
         if output.snapshot is not None:
