Let a new leader wait for the gateways' reports before it decides a usage window

The platform got reports of usage windows that were empty, or lacked half of the requests, after a change of leader. The counts of a window are final, so they could not be corrected.

Cause: a new leader has no reports. The check for complete counts asked whether all gateways that have reported lately have done so since the window's end, which is true of no gateways, and of the few that have found the leader first.

Without this change, three cases of test_usage.py fail: [{}] == [{'a': 1}] (elected 1 s after the window's end), [{}] == [{'a': 3}] (elected 4.9 s after it), {} == {'a': 2} (leadership lost during a slow call for the window before).

A leader now decides nothing in its first 1.2 s, and then waits for the gateways with an open link as well as for those that report, within bounds. It does so even if the report is late by then. Each window is checked right before its decision, as calls for earlier windows take time.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -30,6 +30,7 @@
 from tarragonway.coordinator.status import StatusPublisher
 from tarragonway.coordinator.stream_origins import StreamOrigins
 from tarragonway.coordinator.usage import UsageReporter
+from tarragonway.coordinator.usage_windows import UsageWindows
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId, ProcessName, ZoneName
@@ -164,13 +165,13 @@
         )
         self._usage = UsageReporter(
             settings.name,
-            bounds.report_window_s,
-            bounds.usage_late_s,
+            UsageWindows(bounds.report_window_s, bounds.usage_late_s),
             self._driver,
             self._machine,
             self._lease,
             self._gateway_reports,
             self._clock,
+            self._gateways.values,
             CallClient(address),
             duties.make_usage_call,
             self._counters,
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -1,13 +1,14 @@
 """Reports of the gateways to the leader: clocks, usage, load, speeds and crashes."""
 
 import statistics
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 import structlog
 
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.coordinator.suspects import SuspectedContents
+from tarragonway.coordinator.usage_windows import NEW_LEADER_GRACE_S
 from tarragonway.core.clock import WallClock
 from tarragonway.core.ids import AccountId, PartId, ProcessName, ServiceName
 from tarragonway.exchange import EngineSpeed, combine_speeds
@@ -23,9 +24,6 @@
 
 # Time after its last report for which a gateway counts as live.
 GATEWAY_TIMEOUT_S = 3.0
-# A new leader waits this long for reports before it sends the number of gateways and
-# clock corrections, as both need the reports of all gateways.
-NEW_LEADER_GRACE_S = 1.2
 # Time after its last report for which a gateway's usage counts are retained.
 GATEWAY_RETENTION_S = 120.0
 # Smaller deviations of this process's clock from the median are not corrected.
@@ -106,6 +104,7 @@
         """
         gateway = self._record_report(gateway_report, now)
         live = self._list_live(now)
+        # The number of gateways and the median clock need the reports of all gateways.
         is_grace_over = self._lease.leadership_age_s >= NEW_LEADER_GRACE_S
         return GatewayReportReply(
             self._driver.replica.term,
@@ -170,10 +169,22 @@
         """Return the gateways that have reported within the last few seconds."""
         return sorted(self._list_live(now))
 
-    def list_unreported_since(self, clock_s: float, now: float) -> list[ProcessName]:
-        """Return the live gateways without a report after a wall-clock time."""
-        live = self._list_live(now)
-        return sorted(name for name in live if live[name].clock_s <= clock_s)
+    def list_unreported_since(
+        self, clock_s: float, connected: Iterable[ProcessName], now: float
+    ) -> list[ProcessName]:
+        """Return the known gateways without a report after a wall-clock time.
+
+        Parameters
+        ----------
+        clock_s : float
+            Wall-clock time in seconds.
+        connected : iterable of ProcessName
+            Gateways with an open link, which are known even before they report.
+        now : float
+            The event loop's time in seconds.
+        """
+        reported = {n for n, g in self._gateways.items() if g.clock_s > clock_s}
+        return sorted({*self._list_live(now), *connected} - reported)
 
     def sum_offered_load(self, service: str, now: float) -> float:
         """Return the load on a service, in endpoint-seconds of work per second."""
--- a/tarragonway/coordinator/usage.py
+++ b/tarragonway/coordinator/usage.py
@@ -1,7 +1,7 @@
 """Usage duty: reports the requests of each window to the platform."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import structlog
 
@@ -13,19 +13,15 @@
     MarkReported,
     UsageDecided,
 )
+from tarragonway.coordinator.usage_windows import UsageWindows
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
-from tarragonway.core.ids import AccountId
+from tarragonway.core.ids import AccountId, ProcessName
 from tarragonway.http1.call import Call, CallClient, CallResponse
 from tarragonway.replication import LogDriver
 
 CHECK_INTERVAL_S = 0.25
 CALL_TIMEOUT_S = 1.0
-# After a window's end, its last counts arrive within two report intervals of a gateway.
-LAST_REPORT_GRACE_S = 1.0
-# If some counts are missing, the wait ends at this fraction of the time until the
-# report is due.
-MAX_GRACE_FRACTION = 0.4
 # Number of past windows whose reports are still sent if they are missing.
 MAX_CATCH_UP_WINDOWS = 8
 MAX_LOGGED_GATEWAYS = 8
@@ -46,13 +42,13 @@
     ----------
     holder : str
         Name of this process in its calls to the platform.
-    window_s : float
-        Length of a window in seconds.
-    late_s : float
-        Seconds after a window's end at which its report is due.
+    windows : UsageWindows
+        Times of the windows.
     driver, machine, lease, gateway_reports, clock
         The replicated log, its state machine, the lease for calls to the platform, the
         gateways' reports, the wall clock.
+    list_connected : callable
+        Returns the names of the gateways with an open link to this process.
     client : CallClient
         Connection to the platform.
     make_call : callable
@@ -64,25 +60,25 @@
     def __init__(
         self,
         holder: str,
-        window_s: float,
-        late_s: float,
+        windows: UsageWindows,
         driver: LogDriver,
         machine: CoordinatorMachine,
         lease: DutyLease,
         gateway_reports: GatewayReports,
         clock: WallClock,
+        list_connected: Callable[[], Iterable[ProcessName]],
         client: CallClient,
         make_call: MakeUsageCall,
         counters: Counters,
     ) -> None:
         self._holder = holder
-        self._window_s = window_s
-        self._max_grace_s = late_s * MAX_GRACE_FRACTION
+        self._windows = windows
         self._driver = driver
         self._machine = machine
         self._lease = lease
         self._gateway_reports = gateway_reports
         self._clock = clock
+        self._list_connected = list_connected
         self._client = client
         self._make_call = make_call
         self._counters = counters
@@ -91,33 +87,38 @@
         """Report the windows that are due until the task is cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._driver.is_leader:
-                for window in self._list_due():
+            for window in self._list_unreported():
+                # Reports and leadership may have been lost during the calls before.
+                if self._driver.is_leader and self._is_decidable(window):
                     await self._report(window)
 
-    def _list_due(self) -> list[int]:
-        """Return the complete windows whose report has not been acknowledged."""
-        clock_s = self._clock.now()
-        current = int(clock_s // self._window_s)
+    def _list_unreported(self) -> list[int]:
+        """Return the windows that are over and have no acknowledged report."""
+        current = int(self._clock.now() // self._windows.window_s)
         first = current - MAX_CATCH_UP_WINDOWS
         if self._machine.last_window < 0:
             first = current - 1
-        loop_s = asyncio.get_running_loop().time()
         return [
             window
             for window in range(first, current)
             if not self._machine.is_reported(window)
-            and self._has_all_counts(window, clock_s, loop_s)
         ]
 
-    def _has_all_counts(self, window: int, clock_s: float, loop_s: float) -> bool:
-        end_s = (window + 1) * self._window_s
-        if clock_s < end_s + LAST_REPORT_GRACE_S:
-            return False
-        unreported = self._gateway_reports.list_unreported_since(
-            end_s + LAST_REPORT_GRACE_S / 2, loop_s
+    def _is_decidable(self, window: int) -> bool:
+        return window in self._machine.usage or self._windows.is_decidable(
+            window,
+            self._clock.now(),
+            self._lease.leadership_age_s,
+            not self._list_missing_gateways(window),
+        )
+
+    def _list_missing_gateways(self, window: int) -> list[ProcessName]:
+        """Return the gateways whose last counts of a window are not known yet."""
+        return self._gateway_reports.list_unreported_since(
+            self._windows.get_last_report(window),
+            self._list_connected(),
+            asyncio.get_running_loop().time(),
         )
-        return not unreported or clock_s > end_s + self._max_grace_s
 
     async def _report(self, window: int) -> None:
         counts = self._machine.usage.get(window)
@@ -158,11 +159,8 @@
                 return None
 
     def _log_proposal(self, window: int, counts: dict[AccountId, int]) -> None:
-        end_s = (window + 1) * self._window_s
         now = asyncio.get_running_loop().time()
-        unreported = self._gateway_reports.list_unreported_since(
-            end_s + LAST_REPORT_GRACE_S / 2, now
-        )
+        unreported = self._list_missing_gateways(window)
         _log.info(
             "usage counts proposed",
             window=window,
@@ -170,6 +168,6 @@
             counted_gateways=self._gateway_reports.count_gateways(window),
             live_gateways=len(self._gateway_reports.list_live(now)),
             unreported=unreported[:MAX_LOGGED_GATEWAYS],
-            waited_s=round(self._clock.now() - end_s, 2),
+            waited_s=round(self._clock.now() - self._windows.get_end(window), 2),
             leader_for_s=round(self._lease.leadership_age_s, 2),
         )
