Refuse configurations that are nested too deeply with 400

Callers saw: an operator's configuration with an unknown field nested some 988 levels or deeper had its connection cut with no answer. One nested up to 980 levels was acknowledged, although processes with less of their stack left could not read it.

Cause: the decoder raises RecursionError, which is none of its own errors and was not expected; at which depth depends on the stack of its caller.

The text is now checked against MAX_DEPTH (64 levels) before it is decoded, so valid has one definition, and a deeper text is refused with 400 and its reason. A text that an earlier release acknowledged is not refused when it is sent again: if it can be decoded without its deep values, the leader confirms that it leads and compares the text with the stored one byte by byte. The same holds for other checks that were added since a text was stored. An overtaken text of this kind is refused, as nothing tells whether it was ever acknowledged. The stored text is decompressed with a bound, and an operator who reads one that cannot be decompressed gets 503 instead of a cut connection.

Ruled out: a higher recursion limit, which would keep two definitions of valid.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -192,6 +192,7 @@
             self._driver,
             self._machine,
             configuration.decode_submitted,
+            configuration.decode_configuration,
             (names.PUT_CONFIGURATION_PATH, names.GET_CONFIGURATION_PATH),
             self._find_leader_operator_address,
             self._counters,
--- a/tarragonway/coordinator/operators.py
+++ b/tarragonway/coordinator/operators.py
@@ -1,7 +1,6 @@
 """HTTP interface for operators: replace and read the configuration."""
 
 import asyncio
-import zlib
 from collections.abc import Callable
 
 import msgspec
@@ -13,12 +12,17 @@
     PutConfiguration,
     compress_configuration,
 )
+from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.counters import Counters
 from tarragonway.core.numbers import encode_integer
 from tarragonway.http1.client import Headers
 from tarragonway.http1.server import Request, ResponseWriter
 from tarragonway.replication import LogDriver, NotLeader
-from tarragonway.routes.model import Configuration, ConfigurationError
+from tarragonway.routes.model import (
+    MAX_CONFIGURATION_BYTES,
+    Configuration,
+    ConfigurationError,
+)
 
 CONFIRMATION_TIMEOUT_S = 0.9
 LEADER_TIMEOUT_S = 0.7
@@ -38,7 +42,10 @@
     machine : CoordinatorMachine
         State machine that the log drives.
     decode : callable
-        Decodes and checks a configuration text; raises :exc:`ConfigurationError`.
+        Decodes and checks a new configuration text; raises
+        :exc:`ConfigurationError`.
+    decode_stored : callable
+        The same for a text that this or an earlier release has accepted.
     paths : tuple of str
         Paths of the calls that replace (POST) and read (GET) the configuration.
     find_leader : callable
@@ -52,6 +59,7 @@
         driver: LogDriver,
         machine: CoordinatorMachine,
         decode: Callable[[bytes], Configuration],
+        decode_stored: Callable[[bytes], Configuration],
         paths: tuple[str, str],
         find_leader: Callable[[], str],
         counters: Counters,
@@ -59,6 +67,7 @@
         self._driver = driver
         self._machine = machine
         self._decode = decode
+        self._decode_stored = decode_stored
         self._put_path, self._get_path = paths
         self._find_leader = find_leader
         self._counters = counters
@@ -77,10 +86,10 @@
         try:
             configuration = self._decode(request.body)
         except ConfigurationError as error:
-            self._counters.increment("operator.invalid")
-            _log.info("configuration rejected", reason=str(error))
-            body = msgspec.json.encode({"error": str(error)})
-            await writer.send(400, JSON_HEADERS, body)
+            if await self._may_be_stored(request.body):
+                await self._answer_repeated(request, writer, error)
+            else:
+                await self._reject(writer, error)
             return
         if not await self._wait_for_leader():
             await self._redirect_to_leader(request, writer)
@@ -103,7 +112,24 @@
             case _:
                 await self._send_unconfirmed(writer, result)
 
-    async def _handle_read(self, request: Request, writer: ResponseWriter) -> None:
+    async def _may_be_stored(self, text: bytes) -> bool:
+        """Return whether an earlier release may have accepted a text.
+
+        Text with very many brackets takes seconds, so a thread decodes it.
+        """
+        try:
+            await asyncio.to_thread(self._decode_stored, text)
+        except ConfigurationError:
+            return False
+        return True
+
+    async def _answer_repeated(
+        self, request: Request, writer: ResponseWriter, error: ConfigurationError
+    ) -> None:
+        """Acknowledge the stored text again; reject another with this error.
+
+        An earlier release may have acknowledged what is not accepted any more.
+        """
         if not await self._wait_for_leader():
             await self._redirect_to_leader(request, writer)
             return
@@ -112,10 +138,50 @@
             await self._send_unconfirmed(writer, index)
             return
         await self._driver.wait_applied(index)
+        if self._read_stored() != request.body:
+            await self._reject(writer, error)
+            return
+        self._counters.increment("operator.acknowledged")
+        _log.info("stored configuration acknowledged again", would_reject=str(error))
+        await writer.send(200, JSON_HEADERS, b"{}")
+
+    async def _reject(self, writer: ResponseWriter, error: ConfigurationError) -> None:
+        self._counters.increment("operator.invalid")
+        _log.info("configuration rejected", reason=str(error))
+        body = msgspec.json.encode({"error": str(error)})
+        await writer.send(400, JSON_HEADERS, body)
+
+    def _read_stored(self) -> bytes | None:
+        """Return the stored text; None if there is none or it cannot be read."""
         if not self._machine.data:
-            await writer.send(503, JSON_HEADERS, b'{"error": "no configuration yet"}')
+            return None
+        try:
+            return decompress(self._machine.data, MAX_CONFIGURATION_BYTES)
+        except DecompressionError as error:
+            self._counters.increment("operator.unreadable")
+            _log.error(
+                "stored configuration cannot be read",
+                revision=self._machine.revision,
+                reason=str(error),
+            )
+            return None
+
+    async def _handle_read(self, request: Request, writer: ResponseWriter) -> None:
+        if not await self._wait_for_leader():
+            await self._redirect_to_leader(request, writer)
+            return
+        index = await self._await_confirmation(self._driver.confirm_read_index())
+        if not isinstance(index, int):
+            await self._send_unconfirmed(writer, index)
+            return
+        await self._driver.wait_applied(index)
+        text = self._read_stored()
+        if text is None:
+            problem = b"cannot be read" if self._machine.data else b"missing"
+            body = b'{"error": "the configuration is ' + problem + b'"}'
+            await writer.send(503, JSON_HEADERS, body)
             return
-        await writer.send(200, JSON_HEADERS, zlib.decompress(self._machine.data))
+        await writer.send(200, JSON_HEADERS, text)
 
     async def _wait_for_leader(self) -> bool:
         """Wait until a leader is known; return whether it is this process.
--- a/tarragonway/platform/configuration.py
+++ b/tarragonway/platform/configuration.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from tarragonway.core.compression import DecompressionError, decompress
+from tarragonway.core.decoding import UndecodableError, decode_json, drop_deep_values
 from tarragonway.core.ids import AccountId, ServiceName, ZoneName
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
@@ -129,20 +130,23 @@
 
 
 def decode_configuration(data: bytes) -> Configuration:
-    """Return a configuration that a coordinator has accepted.
+    """Return a configuration that a coordinator of this or an earlier release accepted.
+
+    Earlier releases accepted unknown fields that are nested deeper than any that are
+    accepted now. They are left out, so that every process can read the text.
 
     Raises
     ------
     ConfigurationError
         If the text can't be decoded or is inconsistent.
     """
-    return _convert(_decode(data))
+    return _convert(_decode(drop_deep_values(data)))
 
 
 def _decode(data: bytes) -> _Configuration:
     try:
-        return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+        return decode_json(_decoder, data)
+    except UndecodableError as error:
         raise ConfigurationError(f"cannot be read: {error}") from error
 
 
