Keep the configuration in force when a stored one cannot be read

Cause: a stored text was decoded with the depth that the caller's stack allowed, and RecursionError came out of the message handler, inside data_received, which closes the transport. In the coordinator the same decoding ran in the handlers of reports and quota requests and in the scaling duty, a permanent task whose end ends the process. A text rejected by ConfigurationError was fetched again with each status, without end.

Stored text is now read with null in place of what lies deeper than the bound, so any stack suffices. A text that cannot be used at all leaves the one before in force: the gateway (ConfigurationFetcher) and the coordinator (StoredConfiguration) log its revision and reason once, count it, and do not try it again. The next revision is fetched as before. Equality with the unusable revision decides, not order, so that a wrong revision hides no later one.

Ruled out: the decompression bound, which was already handled.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -28,12 +28,13 @@
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
 from tarragonway.coordinator.scaling import FleetReconciler
 from tarragonway.coordinator.status import StatusPublisher
+from tarragonway.coordinator.stored_configuration import StoredConfiguration
 from tarragonway.coordinator.stream_origins import StreamOrigins
 from tarragonway.coordinator.usage import UsageReporter
 from tarragonway.coordinator.usage_windows import UsageWindows
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
-from tarragonway.core.ids import AccountId, ProcessName, ZoneName
+from tarragonway.core.ids import ProcessName, ZoneName
 from tarragonway.core.numbers import encode_integer
 from tarragonway.endpoints.endpoint_list import EndpointView
 from tarragonway.endpoints.reader import ListReader
@@ -60,8 +61,6 @@
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
-    Account,
-    Configuration,
     ConnectionLimits,
 )
 
@@ -119,8 +118,9 @@
         self._named_members: set[str] = set()
         self._clock = WallClock()
         self._view = EndpointView()
-        self._configuration: Configuration | None = None
-        self._accounts: dict[AccountId, Account] = {}
+        self._configuration = StoredConfiguration(
+            self._machine, configuration.decode_compressed, self._counters
+        )
         self._quotas = QuotaBuckets(
             QuotaPolicy(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
         )
@@ -183,7 +183,7 @@
             self._lease,
             self._gateway_reports,
             self._view,
-            self._read_configuration,
+            self._configuration.read,
             CallClient(address),
             duties.make_scale_call,
             self._counters,
@@ -386,17 +386,17 @@
         self._publisher.refresh_gateway(
             link, (gateway_report.list_term, gateway_report.list_version), now
         )
-        self._read_configuration()
+        accounts = self._configuration.read_accounts()
         if gateway_report.history is not None:
             self._quotas.record_history(
-                gateway_report.name, gateway_report.history, self._accounts, now
+                gateway_report.name, gateway_report.history, accounts, now
             )
         reply = self._gateway_reports.handle_report(
             gateway_report,
             self._publisher.list_version,
             min(1e6, now - self._publisher.read_at),
             now,
-            self._quotas.list_near_quota(self._accounts, now),
+            self._quotas.list_near_quota(accounts, now),
         )
         link.send(reply)
 
@@ -405,8 +405,8 @@
             link.send(self._make_status())
             return
         now = asyncio.get_running_loop().time()
-        self._read_configuration()
-        link.send(self._quotas.handle_request(quota_request, self._accounts, now))
+        accounts = self._configuration.read_accounts()
+        link.send(self._quotas.handle_request(quota_request, accounts, now))
 
     def _handle_list_change(self) -> None:
         self._gateway_reports.limits.retain(self._view.rows)
@@ -435,16 +435,6 @@
                 self._quotas.clear()
             self._status.publish_due(asyncio.get_running_loop().time())
 
-    def _read_configuration(self) -> Configuration | None:
-        revision = self._machine.revision
-        if revision < 0:
-            return None
-        if self._configuration is None or self._configuration.revision != revision:
-            self._configuration = configuration.decode_compressed(self._machine.data)
-            accounts = self._configuration.accounts or ()
-            self._accounts = {account.id: account for account in accounts}
-        return self._configuration
-
     def _find_leader_operator_address(self) -> str:
         """Return the leader's operator address, or "" if unknown or this process."""
         leader = self._driver.leader
--- a/tarragonway/coordinator/tests/test_daemon.py
+++ b/tarragonway/coordinator/tests/test_daemon.py
@@ -20,9 +20,8 @@
         _publisher=publisher,
         _part_holds=SimpleNamespace(restore=lambda: None),
         _gateway_reports=SimpleNamespace(handle_report=lambda *arguments: "reply"),
-        _read_configuration=lambda: None,
+        _configuration=SimpleNamespace(read_accounts=dict),
         _quotas=SimpleNamespace(list_near_quota=lambda accounts, now: ()),
-        _accounts={},
     )
     for sequence in range(5):
         gateway_report = GatewayReport("g", sequence, 0.0, 3, 0, (), ())
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -7,10 +7,10 @@
 import msgspec
 import structlog
 
-from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import Fingerprint, ProcessName
 from tarragonway.core.numbers import decode_integer
+from tarragonway.gateway.configuration_fetch import ConfigurationFetcher
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.origin_guard import OriginGuard
@@ -24,7 +24,6 @@
     CrashReport,
     EndpointLeaving,
     EndpointUpdate,
-    FetchConfiguration,
     GatewayReport,
     GatewayReportReply,
     HeldParts,
@@ -47,20 +46,13 @@
     VersionsReply,
     VersionsRequest,
 )
-from tarragonway.routes.model import (
-    MAX_CONFIGURATION_BYTES,
-    Configuration,
-    ConfigurationError,
-)
-from tarragonway.routes.table import RouteTable
+from tarragonway.routes.model import Configuration
 from tarragonway.routing.engine_speed import EngineSpeeds
 
 REPORT_INTERVAL_S = 0.25
 # Every this many reports, the gateway reports the speeds that it has fitted.
 REPORTS_PER_SPEED_REPORT = 8
 SPEED_REPORT_INTERVAL_S = REPORTS_PER_SPEED_REPORT * REPORT_INTERVAL_S
-# A request for the configuration may be repeated after this time without an answer.
-FETCH_TIMEOUT_S = 0.3
 # Number of the latest crash reports that are sent again to a new leader.
 MAX_CRASH_REPORTS = 64
 # Prompt parts in the crash reports that are sent again to a new leader.
@@ -113,7 +105,7 @@
         self._offered_load = offered_load
         self._speeds = speeds
         self._usage = usage
-        self._decode = decode
+        self._configurations = ConfigurationFetcher(gateway_state, decode, counters)
         self._counters = counters
         self._link_pool = LinkPool(
             self._handle_message, self._send_hello, lambda link: None
@@ -132,7 +124,6 @@
         self._sequence = 0
         self._sent_at: dict[int, float] = {}
         self._list_version = (0, 0)
-        self._fetching: tuple[str, float] = ("", float("-inf"))
         # Crash reports and the loop's time at which each was made.
         self._crashes: collections.deque[tuple[CrashReport, float]] = collections.deque(
             maxlen=MAX_CRASH_REPORTS
@@ -242,7 +233,7 @@
             case Status():
                 self._handle_status(link, message)
             case ConfigurationText(revision, data):
-                self._handle_configuration(link, decode_integer(revision), data)
+                self._configurations.receive(link, decode_integer(revision), data)
             case EndpointUpdate():
                 self._handle_endpoints(message)
             case GatewayReportReply():
@@ -272,8 +263,7 @@
             _log.info("leader is lost", leader=link.peer, term=status.term)
             self._leader = ""
         self._update_coordinators(status)
-        if decode_integer(status.revision) > self._state.revision:
-            self._fetch(link)
+        self._configurations.fetch_newer(link, decode_integer(status.revision))
 
     def _report_everything(self) -> None:
         """Make the next report a full one, as a new leader or a lost link needs it."""
@@ -295,35 +285,6 @@
             self._coordinators |= set(status.coordinators)
         self._link_pool.connect_to({*self._seeds, *self._coordinators})
 
-    def _fetch(self, link: Link) -> None:
-        now = asyncio.get_running_loop().time()
-        peer, requested_at = self._fetching
-        if now - requested_at < FETCH_TIMEOUT_S and peer:
-            return
-        self._fetching = (link.peer, now)
-        link.send(FetchConfiguration())
-
-    def _handle_configuration(self, link: Link, revision: int, data: bytes) -> None:
-        self._fetching = ("", float("-inf"))
-        if revision <= self._state.revision:
-            return
-        try:
-            text = decompress(data, MAX_CONFIGURATION_BYTES)
-            configuration = self._decode(text)
-        except (ConfigurationError, DecompressionError) as error:
-            _log.error("configuration rejected", revision=revision, reason=str(error))
-            return
-        before = self._state.revision
-        self._state.table = RouteTable(configuration)
-        self._state.notify_if_complete()
-        _log.info(
-            "configuration is in force",
-            revision=revision,
-            before=before,
-            source=link.peer,
-            routes=len(configuration.routes),
-        )
-
     def _handle_endpoints(self, update: EndpointUpdate) -> None:
         known_term, known_version = self._list_version
         if update.term < known_term:
--- a/tarragonway/gateway/tests/test_control_link.py
+++ b/tarragonway/gateway/tests/test_control_link.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from tarragonway.coordinator.tests.test_operators import make_text
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
@@ -14,6 +15,7 @@
     ConfigurationText,
     CrashReport,
     EndpointUpdate,
+    FetchConfiguration,
     GatewayReport,
     GatewayReportReply,
     HeldParts,
@@ -21,6 +23,7 @@
     QuotaReturn,
     Status,
 )
+from tarragonway.platform.configuration import decode_configuration
 from tarragonway.routes import Account, Configuration, ConnectionLimits
 from tarragonway.routes.model import MAX_CONFIGURATION_BYTES
 from tarragonway.routing.engine_speed import EngineSpeeds
@@ -210,3 +213,30 @@
     link.guard.record_began(["p", "q"], asyncio.get_running_loop().time())
     link._send_report()
     assert list(link._link_pool.sent[-1][1].began_ages_s) == ["p"]
+
+
+# Guards against links that break with each try to fetch what cannot be decoded, and
+# against a gateway that starts then and fetches without end.
+async def test_configuration_that_cannot_be_used_is_fetched_once(link):
+    link._configurations._decode = decode_configuration
+    fetches = []
+    texts = {7: zlib.compress(b"[" * 5000), 8: b"no zlib stream", 9: None}
+    texts[9] = zlib.compress(make_text(980, version=9))
+    for revision, data in texts.items():
+        for _ in range(5):
+            coordinator = FakeLink("s1:1")
+            message = status(2, "s1:1", True, revision)
+            link._handle_message(coordinator, message)
+            if FetchConfiguration() in coordinator.sent:
+                fetches.append(revision)
+                link._handle_message(coordinator, ConfigurationText(revision, data))
+    assert fetches == [7, 8, 9]
+    assert link._state.revision == 9
+    assert link._counters.snapshot()["control.unusable_configurations"] == 2
+
+
+async def test_unusable_configuration_leaves_the_one_before_in_force(link):
+    deliver(link, "s1:1", ConfigurationText(7, zlib.compress(b"7")))
+    deliver(link, "s1:1", ConfigurationText(8, zlib.compress(b"7")))
+    deliver(link, "s1:1", ConfigurationText(8, b""))
+    assert link._state.revision == 7
--- a/tarragonway/platform/tests/test_configuration.py
+++ b/tarragonway/platform/tests/test_configuration.py
@@ -1,6 +1,7 @@
 import copy
 import math
 import random
+import zlib
 
 import msgspec
 import pytest
@@ -10,7 +11,11 @@
 from tarragonway.exchange import Prompt
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.links.messages import QuotaRequest
-from tarragonway.platform.configuration import decode_configuration, decode_submitted
+from tarragonway.platform.configuration import (
+    decode_compressed,
+    decode_configuration,
+    decode_submitted,
+)
 from tarragonway.routes import Repeatability, RouteTable
 from tarragonway.routes.model import ConfigurationError
 from tarragonway.routes.table import select_service
@@ -183,3 +188,16 @@
 def test_truncated_text_is_refused():
     with pytest.raises(ConfigurationError):
         decode_configuration(msgspec.json.encode(TEXT)[:-9])
+
+
+# Guards against a stored text that only processes with enough of their stack can read.
+@pytest.mark.parametrize("frames", [0, 300, 700])
+def test_stored_text_is_read_from_any_stack(frames):
+    body = msgspec.json.encode(TEXT)[:-1] + b',"x":' + b"[" * 979 + b"]" * 979 + b"}"
+
+    def decode_below(frames):
+        if frames:
+            return decode_below(frames - 1)
+        return decode_compressed(zlib.compress(body))
+
+    assert decode_below(frames) == decode()
