Drop a message that cannot be decoded or handled, and keep its link

Callers saw: nothing by name. A message that a process could not decode, or whose handler raised, ended its link; the sender sent it again on the next link, which ended too, so a gateway was without reports, quota and configuration meanwhile.

Cause: messages are handled inside asyncio's data_received, where an exception closes the transport, and an undecodable message aborted the link on purpose. The framing is intact in both cases.

Such a message is now dropped, as if it were lost with its link, which every protocol on links bears already. InvariantError and CorruptDataError are not dropped. The task that dials an address which a peer names no longer ends if that is no address.

Ruled out: dropping half a frame; a frame of too great a length still aborts.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -112,7 +112,10 @@
             self._files.close()
             raise
         self._link_pool = LinkPool(
-            self._handle_message, self._handle_link_opened, self._handle_link_closed
+            self._handle_message,
+            self._handle_link_opened,
+            self._handle_link_closed,
+            self._counters,
         )
         self._gateways: dict[Link, ProcessName] = {}
         self._named_members: set[str] = set()
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -108,7 +108,7 @@
         self._configurations = ConfigurationFetcher(gateway_state, decode, counters)
         self._counters = counters
         self._link_pool = LinkPool(
-            self._handle_message, self._send_hello, lambda link: None
+            self._handle_message, self._send_hello, lambda link: None, counters
         )
         self._origins = OriginGuard(
             name,
--- a/tarragonway/links/link.py
+++ b/tarragonway/links/link.py
@@ -3,7 +3,8 @@
 A frame consists of a four-byte length and a MessagePack body; an empty frame is a
 heartbeat. The highest bit of the length marks a body that is compressed with zlib. A
 peer may disappear without a reset of the connection, so both sides send heartbeats and
-abort a connection on which nothing arrives.
+abort a connection on which nothing arrives. A frame that cannot be decoded, or whose
+handler fails, is dropped, and the link stays open: its framing is intact.
 """
 
 import asyncio
@@ -16,6 +17,10 @@
 import structlog
 
 from tarragonway.core.compression import DecompressionError, decompress
+from tarragonway.core.counters import Counters
+from tarragonway.core.decoding import UndecodableError, decode_bytes
+from tarragonway.core.errors import CorruptDataError, InvariantError
+from tarragonway.links.drops import DroppedMessages
 from tarragonway.links.messages import LinkMessage
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -47,15 +52,19 @@
         Called with this link and each received message.
     lost : callable
         Called with this link once the connection has ended.
+    drops : DroppedMessages, optional
+        Records the messages that are dropped.
     """
 
     def __init__(
         self,
         receive: Callable[["Link", LinkMessage], None],
         lost: Callable[["Link"], None],
+        drops: DroppedMessages | None = None,
     ) -> None:
         self._receive = receive
         self._lost = lost
+        self._drops = drops or DroppedMessages(Counters())
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -129,8 +138,8 @@
                 return
             body = bytes(self._buffer[_LENGTH.size : end])
             del self._buffer[:end]
-            if length and not self._deliver(body, bool(header & COMPRESSED_BIT)):
-                return
+            if length:
+                self._deliver(body, bool(header & COMPRESSED_BIT))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop heartbeats and report the end of the connection."""
@@ -139,17 +148,21 @@
         self._transport = None
         self._lost(self)
 
-    def _deliver(self, body: bytes, compressed: bool) -> bool:
+    def _deliver(self, body: bytes, compressed: bool) -> None:
+        """Decode and handle one message; broken invariants are not dropped."""
         try:
             if compressed:
                 body = decompress(body, MAX_FRAME_BYTES)
-            message = _decoder.decode(body)
-        except (msgspec.MsgspecError, DecompressionError) as error:
-            _log.error("link aborted", peer=self.peer, reason=str(error))
-            self.abort()
-            return False
-        self._receive(self, message)
-        return True
+            message = decode_bytes(_decoder, body)
+        except (UndecodableError, DecompressionError) as error:
+            self._drops.record_undecodable(self.peer, body, error)
+            return
+        try:
+            self._receive(self, message)
+        except (InvariantError, CorruptDataError):
+            raise
+        except Exception as error:
+            self._drops.record_failed(self.peer, message, error)
 
     def _send_heartbeat(self) -> None:
         if self._transport is None:
--- a/tarragonway/links/pool.py
+++ b/tarragonway/links/pool.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from tarragonway.core.counters import Counters
+from tarragonway.links.drops import DroppedMessages
 from tarragonway.links.link import Link
 from tarragonway.links.messages import LinkMessage
 
@@ -27,6 +29,8 @@
         Called with each outgoing link once it is open.
     closed : callable
         Called with each link that has ended, outgoing or incoming.
+    counters : Counters
+        Receives ``links.*`` counters.
     """
 
     def __init__(
@@ -34,8 +38,10 @@
         receive: Callable[[Link, LinkMessage], None],
         opened: Callable[[Link], None],
         closed: Callable[[Link], None],
+        counters: Counters,
     ) -> None:
         self._receive = receive
+        self._drops = DroppedMessages(counters)
         self._opened = opened
         self._closed = closed
         self._links: dict[str, Link] = {}
@@ -47,7 +53,10 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: Link(self._receive, self._closed), host, int(port), backlog=512
+            lambda: Link(self._receive, self._closed, self._drops),
+            host,
+            int(port),
+            backlog=512,
         )
 
     @property
@@ -89,7 +98,8 @@
                     await loop.create_connection(
                         functools.partial(_return_link, link), host, int(port)
                     )
-            except (OSError, TimeoutError):
+            except (OSError, TimeoutError, ValueError, OverflowError):
+                # Peers name addresses, and one that is none raises the last two.
                 link.abort()
                 await asyncio.sleep(delay_s)
                 delay_s = min(MAX_REDIAL_DELAY_S, 2 * delay_s)
@@ -107,7 +117,7 @@
             ended.set()
             self._closed(link)
 
-        link = Link(self._receive, handle_end)
+        link = Link(self._receive, handle_end, self._drops)
         link.peer = address
         return link
 
