Bound the values in messages between processes

Callers saw: nothing by name. A revision that is no number raised ValueError in the gateway's handler; a permit request without endpoints raised in the leader's; a load or clock of NaN in one gateway's report made the service's load NaN; a consensus message with a term of 2^64 - 1 was adopted and stored, and the next election ended the process with OverflowError, again after each start.

Cause: messages had types but no bounds, so each handler had to expect every number that MessagePack can hold.

Fields now have bounded types (core/numbers.py): finite amounts, ages from 0 on, counts, terms and indexes from 0 to 2^53, integers as text. The decoder checks them, so the link drops such a message before any handler sees it. The bounds lie beyond what the senders can state. A permit request without endpoints is denied.

Ruled out: a check in each handler, which the next message would lack again.

--- a/tarragonway/consensus/messages.py
+++ b/tarragonway/consensus/messages.py
@@ -6,6 +6,7 @@
 
 from tarragonway.consensus.members import Membership
 from tarragonway.core.ids import ClusterId, MemberId
+from tarragonway.core.numbers import Count
 
 
 class EntryKind(enum.IntEnum):
@@ -19,8 +20,8 @@
 class Entry(msgspec.Struct, frozen=True, array_like=True):
     """One entry of the log."""
 
-    index: int
-    term: int
+    index: Count
+    term: Count
     kind: EntryKind
     payload: bytes = b""
 
@@ -28,15 +29,15 @@
 class HardState(msgspec.Struct, frozen=True, array_like=True):
     """Term and vote, made durable before any message that depends on them is sent."""
 
-    term: int = 0
+    term: Count = 0
     voted_for: MemberId | None = None
 
 
 class Snapshot(msgspec.Struct, frozen=True, array_like=True):
     """State and membership after the entry at ``index`` was applied."""
 
-    index: int = 0
-    term: int = 0
+    index: Count = 0
+    term: Count = 0
     membership: Membership = Membership()
     state: bytes = b""
 
@@ -44,8 +45,8 @@
 class LogTail(msgspec.Struct, frozen=True, array_like=True):
     """Consecutive entries that follow the entry at ``start_index``."""
 
-    start_index: int = 0
-    start_term: int = 0
+    start_index: Count = 0
+    start_term: Count = 0
     entries: tuple[Entry, ...] = ()
 
 
@@ -56,9 +57,9 @@
     marks an election that the leader has requested for a leadership transfer.
     """
 
-    term: int
-    last_index: int
-    last_term: int
+    term: Count
+    last_index: Count
+    last_term: Count
     pre: bool
     transfer: bool = False
 
@@ -66,7 +67,7 @@
 class VoteReply(msgspec.Struct, frozen=True, tag=True):
     """Reply to a :class:`VoteRequest`."""
 
-    term: int
+    term: Count
     granted: bool
     pre: bool
 
@@ -79,13 +80,13 @@
     recently replied to the leader, including the leader itself.
     """
 
-    term: int
-    prev_index: int
-    prev_term: int
-    commit: int
-    round: int
+    term: Count
+    prev_index: Count
+    prev_term: Count
+    commit: Count
+    round: Count
     entries: tuple[Entry, ...] = ()
-    heard: int = 0
+    heard: Count = 0
 
 
 class AppendReply(msgspec.Struct, frozen=True, tag=True):
@@ -96,18 +97,18 @@
     proposes for the next attempt.
     """
 
-    term: int
+    term: Count
     success: bool
-    match: int
-    prev_index: int
-    round: int
+    match: Count
+    prev_index: Count
+    round: Count
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True, tag=True):
     """Snapshot for a follower that lacks entries which the leader has compacted."""
 
-    term: int
-    round: int
+    term: Count
+    round: Count
     snapshot: Snapshot
 
 
@@ -117,19 +118,19 @@
     It transfers the leadership.
     """
 
-    term: int
+    term: Count
 
 
 class LeaveRequest(msgspec.Struct, frozen=True, tag=True):
     """Request of a voter that is about to stop to be removed from the group."""
 
-    term: int
+    term: Count
 
 
 class LeaveReply(msgspec.Struct, frozen=True, tag=True):
     """Confirmation by the leader that the recipient is no voter any more."""
 
-    term: int
+    term: Count
 
 
 Message = (
--- a/tarragonway/core/numbers.py
+++ b/tarragonway/core/numbers.py
@@ -1,13 +1,28 @@
 """Numbers that other processes and operators state, within bounds of their use."""
 
 import math
+import sys
+from typing import Annotated
+
+from msgspec import Meta
+
+# Fields of messages between processes. Their decoder refuses numbers out of range, also
+# NaN and infinity, so that handlers never get any.
+Amount = Annotated[float, Meta(ge=0, le=sys.float_info.max)]
+Age = Annotated[float, Meta(ge=0, le=1e9)]
+ClockTime = Annotated[float, Meta(ge=-1e11, le=1e11)]
+ClockDifference = Annotated[float, Meta(ge=-2e11, le=2e11)]
+Count = Annotated[int, Meta(ge=0, le=2**53)]
+# Number of processes of one kind.
+ProcessCount = Annotated[int, Meta(ge=0, le=100_000)]
 
 # Integers outside of this range have no encoding in MessagePack.
 _MIN_INTEGER = -(2**63)
 _MAX_INTEGER = 2**64 - 1
 
-# An integer of any size in a message or in the log.
-EncodedInteger = int | str
+# An integer of any size in a message or in the log. Longer texts are beyond what
+# ``int`` reads.
+EncodedInteger = int | Annotated[str, Meta(pattern=r"^-?[0-9]{1,4300}$")]
 
 
 def encode_integer(number: int) -> EncodedInteger:
--- a/tarragonway/exchange/engine_speed.py
+++ b/tarragonway/exchange/engine_speed.py
@@ -2,8 +2,12 @@
 
 import statistics
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
+
+SpeedTerm = Annotated[float, Meta(ge=0, le=1e9)]
 
 
 class EngineSpeed(msgspec.Struct, frozen=True, array_like=True):
@@ -23,11 +27,11 @@
     0.14
     """
 
-    prompt_token_ms: float
-    step_ms: float
-    step_request_ms: float
-    running_request_ms: float
-    output_fraction: float
+    prompt_token_ms: SpeedTerm
+    step_ms: SpeedTerm
+    step_request_ms: SpeedTerm
+    running_request_ms: SpeedTerm
+    output_fraction: SpeedTerm
 
     def compute_work_s(
         self, prompt_tokens: float, output_tokens: float, batch: int
--- a/tarragonway/limits/request_limits.py
+++ b/tarragonway/limits/request_limits.py
@@ -192,6 +192,8 @@
 
     def _promise(self, waits_s: Mapping[str, float], now: float) -> float:
         """Return a wait that differs among the callers that are denied."""
+        if not waits_s:
+            return 0.0
         first = min(waits_s, key=lambda key: self._get_promise(key, waits_s[key], now))
         promised_at = self._get_promise(first, waits_s[first], now)
         self._limits[first].promised_at = promised_at + 1 / self._limits[first].rate
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -1,6 +1,13 @@
-"""Messages between gateways and coordinators."""
+"""Messages between gateways and coordinators.
+
+The types of fields bound their values. A message with a value out of bounds cannot be
+decoded, and is dropped by the link.
+"""
+
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from tarragonway.consensus import Member, Packet
 from tarragonway.core.ids import (
@@ -12,11 +19,25 @@
     SoftwareVersion,
     StreamKey,
 )
-from tarragonway.core.numbers import EncodedInteger
+from tarragonway.core.numbers import (
+    Age,
+    Amount,
+    ClockDifference,
+    ClockTime,
+    Count,
+    EncodedInteger,
+    ProcessCount,
+)
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
 from tarragonway.versions import StreamOrigin
 
+# Units of a quota: more than any configuration that is accepted counts for a request.
+Units = Annotated[float, Meta(ge=0, le=1e31)]
+# Version of a list; -1 matches none.
+ListVersion = Annotated[int, Meta(ge=-1, le=2**53)]
+Addresses = Annotated[tuple[str, ...], Meta(max_length=256)]
+
 
 class Join(msgspec.Struct, frozen=True, tag=True):
     """Request of a coordinator to be added to the replicated group."""
@@ -38,10 +59,10 @@
     that the coordinator has applied, -1 without one.
     """
 
-    term: int
+    term: Count
     leader: str
     is_leader: bool
-    coordinators: tuple[str, ...]
+    coordinators: Addresses
     revision: EncodedInteger
 
 
@@ -59,8 +80,8 @@
 class WindowCounts(msgspec.Struct, frozen=True, array_like=True):
     """Requests that began to run in one report window, by client account."""
 
-    window: int
-    counts: dict[AccountId, int]
+    window: Count
+    counts: dict[AccountId, Count]
 
 
 class QuotaRequest(msgspec.Struct, frozen=True, tag="QuotaAsk"):
@@ -68,7 +89,7 @@
 
     sequence: int
     account: AccountId
-    units: float
+    units: Units
 
 
 class QuotaReply(msgspec.Struct, frozen=True, tag="QuotaAnswer"):
@@ -79,14 +100,14 @@
 
     sequence: int
     granted: bool
-    wait_s: float = 0.0
+    wait_s: Amount = 0.0
 
 
 class QuotaReturn(msgspec.Struct, frozen=True, tag=True):
     """Return of the quota units of a request that did not run."""
 
     account: AccountId
-    units: float
+    units: Units
 
 
 class CrashReport(msgspec.Struct, frozen=True, tag="Crash"):
@@ -101,7 +122,7 @@
     fingerprint: Fingerprint
     endpoint: str
     parts: tuple[PartId, ...] = ()
-    age_s: float = 0.0
+    age_s: Age = 0.0
     probe: int = 0
 
 
@@ -125,8 +146,8 @@
     """
 
     endpoint: str
-    per_s: float | None
-    age_s: float = 0.0
+    per_s: Amount | None
+    age_s: Age = 0.0
 
 
 class PermitRequest(msgspec.Struct, frozen=True, tag=True):
@@ -137,7 +158,7 @@
     """
 
     sequence: int
-    limits: dict[str, float]
+    limits: dict[str, Amount]
 
 
 class PermitReply(msgspec.Struct, frozen=True, tag=True):
@@ -150,8 +171,8 @@
 
     sequence: int
     endpoint: str
-    waits_s: dict[str, float] = {}
-    return_s: float = 0.0
+    waits_s: dict[str, Amount] = {}
+    return_s: Amount = 0.0
 
 
 class HeldParts(msgspec.Struct, frozen=True, tag=True):
@@ -161,7 +182,7 @@
     ``revision`` grows with each change. ``contents`` must not be sent at all.
     """
 
-    revision: int
+    revision: Count
     parts: tuple[PartId, ...]
     contents: tuple[Fingerprint, ...] = ()
 
@@ -181,7 +202,7 @@
     """
 
     sequence: int
-    wait_s: float | None
+    wait_s: Amount | None
 
 
 class ProbeEnded(msgspec.Struct, frozen=True, tag=True):
@@ -193,7 +214,7 @@
 class PartsBegan(msgspec.Struct, frozen=True, tag=True):
     """Report on held parts: the seconds since an answer on them last began."""
 
-    ages_s: dict[PartId, float]
+    ages_s: dict[PartId, Age]
 
 
 class StreamsBegan(msgspec.Struct, frozen=True, tag=True):
@@ -204,7 +225,7 @@
 
     origin: StreamOrigin
     keys: tuple[StreamKey, ...]
-    lifetimes_s: tuple[int, ...]
+    lifetimes_s: tuple[Count, ...]
 
 
 class OriginRequest(msgspec.Struct, frozen=True, tag=True):
@@ -232,7 +253,7 @@
     ``revision`` grows with each change.
     """
 
-    revision: int
+    revision: Count
     versions: dict[ServiceName, tuple[SoftwareVersion, ...]]
 
 
@@ -257,9 +278,9 @@
     seconds; ``gateways`` is the number of gateways that the last leader sent.
     """
 
-    units: dict[AccountId, tuple[float, ...]]
-    uptime_s: float
-    gateways: int
+    units: dict[AccountId, tuple[Units, ...]]
+    uptime_s: Age
+    gateways: ProcessCount
 
 
 class GatewayReport(msgspec.Struct, frozen=True, tag="Beat", omit_defaults=True):
@@ -283,19 +304,19 @@
 
     name: ProcessName
     sequence: int
-    clock_s: float
-    list_term: int = msgspec.field(name="listing_term")
-    list_version: int = msgspec.field(name="listing")
+    clock_s: ClockTime
+    list_term: Count = msgspec.field(name="listing_term")
+    list_version: ListVersion = msgspec.field(name="listing")
     usage: tuple[WindowCounts, ...]
     crashes: tuple[CrashReport, ...]
-    offered_load: dict[str, float] = msgspec.field(name="pressure", default={})
+    offered_load: dict[str, Amount] = msgspec.field(name="pressure", default={})
     history: GrantHistory | None = None
     speeds: dict[ServiceName, EngineSpeed] | None = None
-    began_ages_s: dict[PartId, float] = msgspec.field(name="began", default={})
+    began_ages_s: dict[PartId, Age] = msgspec.field(name="began", default={})
     watch_version: int = msgspec.field(name="watch", default=-1)
     limits: tuple[LimitStated, ...] = ()
     limits_version: int = msgspec.field(name="limit", default=-1)
-    request_rates: dict[ServiceName, float] | None = None
+    request_rates: dict[ServiceName, Amount] | None = None
     leaving: tuple[str, ...] = ()
 
 
@@ -315,19 +336,19 @@
     client accounts that have used most of their quota.
     """
 
-    term: int
+    term: Count
     sequence: int
-    clock_correction_s: float
-    gateways: int
-    list_version: int = msgspec.field(name="listing")
-    list_age_s: float = msgspec.field(name="listing_age_s")
+    clock_correction_s: ClockDifference
+    gateways: ProcessCount
+    list_version: ListVersion = msgspec.field(name="listing")
+    list_age_s: Age = msgspec.field(name="listing_age_s")
     quarantined: tuple[Fingerprint, ...] = ()
     suspects: tuple[Fingerprint, ...] = ()
     speeds: dict[ServiceName, EngineSpeed] | None = None
     watch_version: int = msgspec.field(name="watch", default=-1)
     watched: tuple[PartId, ...] | None = None
     limits_version: int = msgspec.field(name="limit", default=-1)
-    limits: dict[str, float] | None = None
+    limits: dict[str, Amount] | None = None
     near_quota: tuple[AccountId, ...] = ()
 
 
@@ -338,8 +359,8 @@
     ``removed`` holds the keys of removed endpoints.
     """
 
-    term: int
-    list_version: int = msgspec.field(name="listing")
+    term: Count
+    list_version: ListVersion = msgspec.field(name="listing")
     is_full: bool = msgspec.field(name="whole")
     rows: tuple[ListedEndpoint, ...]
     removed: tuple[str, ...] = msgspec.field(name="gone")
