Keep records of stream origins over a loss of power

What callers saw: if all gateways and coordinators lose power at once while two software versions serve, streams that callers take up again are refused with 503 although endpoints of their version are there, while new streams begin.

Cause: which version began a stream was recorded in the memory of the gateway that relayed it and of three coordinators. When all of them lose power, no record is left, and with two versions in the history no origin follows.

Change: each coordinator appends the records that it receives to one of two files in its data folder, from a worker thread, and reads them at the start. A record never changes, so this needs no agreement; whatever complete frame is found is true. The files are written in turn, and a file is emptied once all of its records have expired by the wall clock, or when both are full (8 MiB each). Torn or damaged ends are cut. Nothing waits for the disk: while it refuses writes, up to 50,000 records wait for the next try, and further ones live in memory only (origins.disk_refused, origins.not_written). After each write there is a pause of 50 ms, or of four times the time of that write if that is longer, so that the log keeps most of a slow disk.

read_frames copied the rest of a file for each of its frames to look for zeros; it now does so only if a frame's first bytes are zeros, with the same result.

--- a/soak/tests/test_mixed_versions.py
+++ b/soak/tests/test_mixed_versions.py
@@ -1,4 +1,7 @@
-"""Streams over two software versions and a kill of all gateways, on real programs."""
+"""Streams over two software versions and a kill of all gateways, on real programs.
+
+In one of the two cases, all coordinators are killed at the same moment.
+"""
 
 import asyncio
 import collections
@@ -72,8 +75,12 @@
 
 
 @pytest.mark.timeout(90)
-# Guards against streams joined from two software versions after a kill of all gateways.
-async def test_streams_go_on_at_their_version_after_a_kill_of_all_gateways(tmp_path):
+@pytest.mark.parametrize("are_coordinators_killed", [False, True])
+# Guards against streams joined from two software versions after a kill of all gateways,
+# and against refusals of streams whose records only the killed processes had.
+async def test_streams_go_on_at_their_version_after_a_kill_of_all_gateways(
+    tmp_path, are_coordinators_killed
+):
     port = reserve_base_port()
     deployment = Deployment(tmp_path, port, 1, {"plain": 1, "model": 4})
     engines = [e for e in deployment.endpoints if e.service == "model"]
@@ -95,12 +102,15 @@
             async with asyncio.timeout(5.0):
                 while any(s.last_id < EVENTS_BEFORE_KILL for s in streams):
                     await asyncio.sleep(0.05)
-            for gateway in deployment.gateways:
-                gateway.send(signal.SIGKILL)
+            killed = list(deployment.gateways)
+            if are_coordinators_killed:
+                killed = [*deployment.coordinators, *killed]
+            for process in killed:
+                process.send(signal.SIGKILL)
             await asyncio.wait(reads)
-            for gateway in deployment.gateways:
-                await gateway.wait(5.0)
-                await gateway.start()
+            for process in killed:
+                await process.wait(5.0)
+                await process.start()
             async with asyncio.timeout(RETRY_TIMEOUT_S):
                 await asyncio.gather(*(take_up(s, session, addresses) for s in streams))
     finally:
--- a/tarragonway/consensus/frames.py
+++ b/tarragonway/consensus/frames.py
@@ -41,7 +41,7 @@
     offset = 0
     while len(data) - offset >= _HEADER.size:
         magic, length, checksum = _HEADER.unpack_from(data, offset)
-        if not any(data[offset:]):
+        if not any(magic) and not any(data[offset:]):
             return
         if magic != MAGIC:
             raise CorruptDataError(f"{name}: no frame starts at byte {offset}")
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -24,6 +24,7 @@
 from tarragonway.coordinator.list_publisher import ListPublisher
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.coordinator.operators import OperatorInterface
+from tarragonway.coordinator.origin_store import OriginStore
 from tarragonway.coordinator.part_holds import PartHolds
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
 from tarragonway.coordinator.scaling import FleetReconciler
@@ -137,10 +138,12 @@
             lambda: list(self._gateways),
             self._counters,
         )
+        self._origin_store = OriginStore(self._files, self._clock, self._counters)
         self._origins = StreamOrigins(
             self._driver,
             self._machine,
             lambda: list(self._gateways),
+            self._origin_store,
             self._counters,
         )
         self._endpoint_messages = EndpointMessageHandler(
@@ -221,6 +224,7 @@
         self._start_permanent_task(self._publish_status_periodically())
         self._start_permanent_task(self._part_holds.run())
         self._start_permanent_task(self._origins.run())
+        self._start_permanent_task(self._origin_store.run())
         self._start_permanent_task(self._publisher.run())
         if "usage" in self._settings.platform.duties:
             self._start_permanent_task(self._usage.run())
--- a/tarragonway/coordinator/stream_origins.py
+++ b/tarragonway/coordinator/stream_origins.py
@@ -6,6 +6,7 @@
 import structlog
 
 from tarragonway.coordinator.machine import CoordinatorMachine, PutVersions
+from tarragonway.coordinator.origin_store import OriginStore
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.links import Link
@@ -19,7 +20,7 @@
     VersionsRequest,
 )
 from tarragonway.replication import LogDriver
-from tarragonway.versions import OriginRecords, VersionHistory, is_in_history
+from tarragonway.versions import VersionHistory, is_in_history
 
 # The leader publishes changes at once, so this only bounds the delay of other members.
 CHECK_INTERVAL_S = 0.25
@@ -32,7 +33,7 @@
 
 
 class StreamOrigins:
-    """Keeps gateways' records in memory and the versions in service in the log.
+    """Keeps gateways' records on this process and the versions in service in the log.
 
     Parameters
     ----------
@@ -42,6 +43,8 @@
         State machine with the versions that are committed.
     list_gateways : callable
         Returns the links of the gateways.
+    store : OriginStore
+        Keeps the records of the gateways.
     counters : Counters
         Receives ``origins.*`` counters.
     """
@@ -51,13 +54,14 @@
         driver: LogDriver,
         machine: CoordinatorMachine,
         list_gateways: Callable[[], Iterable[Link]],
+        store: OriginStore,
         counters: Counters,
     ) -> None:
         self._driver = driver
         self._machine = machine
         self._list_gateways = list_gateways
         self._counters = counters
-        self._records = OriginRecords()
+        self._store = store
         self._history = VersionHistory()
         self._restored_term = -1
         self._published_revision = 0
@@ -115,14 +119,12 @@
         self, link: Link, message: StreamsBegan | OriginRequest | VersionsRequest
     ) -> None:
         """Handle a gateway's message; every coordinator does, not only the leader."""
-        now = asyncio.get_running_loop().time()
         match message:
             case StreamsBegan(origin, keys, lifetimes_s):
                 for key, lifetime_s in zip(keys, lifetimes_s, strict=False):
-                    if not self._records.add(key, origin, lifetime_s, now):
-                        self._counters.increment("origins.dropped")
+                    self._store.add(key, origin, lifetime_s)
             case OriginRequest(sequence, key):
-                origins = self._records.find(key, now)
+                origins = self._store.find(key)
                 found = "origins.found" if origins else "origins.missing"
                 self._counters.increment(found)
                 link.send(OriginReply(sequence, origins))
--- a/tarragonway/coordinator/tests/test_stream_origins.py
+++ b/tarragonway/coordinator/tests/test_stream_origins.py
@@ -3,9 +3,12 @@
 
 import pytest
 
+from tarragonway.consensus.tests.cluster import FakeDisk
 from tarragonway.coordinator.machine import CoordinatorMachine, PutVersions
+from tarragonway.coordinator.origin_store import OriginStore
 from tarragonway.coordinator.stream_origins import StreamOrigins
 from tarragonway.coordinator.tests.test_part_holds import FakeLink
+from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.links.link import encode_message
@@ -42,10 +45,11 @@
 
 
 @pytest.fixture
-def coordinator():
+async def coordinator():
     machine, link = CoordinatorMachine(), FakeLink()
-    driver = FakeDriver(machine)
-    origins = StreamOrigins(driver, machine, lambda: [link], Counters())
+    driver, counters = FakeDriver(machine), Counters()
+    store = OriginStore(FakeDisk(), WallClock(), counters)
+    origins = StreamOrigins(driver, machine, lambda: [link], store, counters)
     return SimpleNamespace(origins=origins, machine=machine, driver=driver, link=link)
 
 
--- a/tarragonway/versions/tests/fleet.py
+++ b/tarragonway/versions/tests/fleet.py
@@ -12,6 +12,7 @@
 import random
 from dataclasses import dataclass, field
 
+from tarragonway.consensus.tests.cluster import FakeDisk
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.versions import (
     OriginRecords,
@@ -23,6 +24,7 @@
     list_beginnable,
     needs_record,
 )
+from tarragonway.versions.record_files import RecordFiles, StoredRecord
 
 SERVICE = "s"
 ENDPOINTS = 12
@@ -31,6 +33,7 @@
 LIST_INTERVAL_S = 0.4
 LIST_LAG_S = 0.8
 FLUSH_S = 0.1
+SYNC_S = 0.2
 FIRST_EVENT_S = 0.3
 RESTART_S = 1.0
 TAKE_UP_S = 0.4
@@ -44,9 +47,13 @@
     gateways: int
     streams_per_s: float = 20.0
     breaks: float = 0.3
+    max_break_s: float = 2.0
     releases: tuple[tuple[float, float], ...] = ()
     gateway_kills: tuple[tuple[float, float], ...] = ()
     coordinator_kills: tuple[tuple[float, float], ...] = ()
+    # Times at which all gateways and coordinators lose power, and the numbers of
+    # coordinators whose disks are lost with it.
+    power_losses: tuple[tuple[float, int], ...] = ()
     leader_changes: tuple[float, ...] = ()
     # Times at which the endpoints of the newest version are lost for good.
     losses: tuple[float, ...] = ()
@@ -60,12 +67,17 @@
     end: float = 30.0
 
 
-@dataclass
+@dataclass(eq=False)
 class Coordinator:
+    disk: FakeDisk = field(default_factory=FakeDisk)
+    unwritten: list = field(default_factory=list)
     records: OriginRecords = field(default_factory=OriginRecords)
     history: VersionHistory = field(default_factory=VersionHistory)
     is_up: bool = True
 
+    def __post_init__(self):
+        self.files = RecordFiles(self.disk)
+
 
 @dataclass
 class Gateway:
@@ -84,6 +96,7 @@
     key: int
     versions: list = field(default_factory=list)
     tries: int = 0
+    first_event_at: float = 0.0
 
 
 class Fleet:
@@ -106,6 +119,9 @@
         self.gateways = [Gateway() for _ in range(spec.gateways)]
         self.streams = []
         self.take_ups = self.resumed = 0
+        # The same of streams that began before the last loss of power.
+        self.power_lost_at = -1.0
+        self.old_take_ups = self.old_resumed = 0
 
     def make_endpoint(self, version):
         name = f"e{next(self.numbers)}"
@@ -143,6 +159,8 @@
             self.at(time, self.kill_gateways, share)
         for time, share in spec.coordinator_kills:
             self.at(time, self.kill_coordinators, share)
+        for time, lost_disks in spec.power_losses:
+            self.at(time, self.lose_power, lost_disks)
         for time in spec.losses:
             self.at(time, self.lose_newest_version)
         for time, duration_s in spec.outages:
@@ -220,13 +238,25 @@
     def kill_coordinators(self, share):
         count = max(1, int(share * COORDINATORS))
         for number in self.random.sample(range(COORDINATORS), count):
-            self.coordinators[number] = Coordinator(is_up=False)
+            disk = self.coordinators[number].disk
+            self.coordinators[number] = Coordinator(disk, is_up=False)
             self.at(self.now + RESTART_S, self.restart_coordinator, number)
 
+    def lose_power(self, lost_disks):
+        self.power_lost_at = self.now
+        self.kill_coordinators(1.0)
+        for number in self.random.sample(range(COORDINATORS), lost_disks):
+            self.coordinators[number].disk = FakeDisk()
+        self.kill_gateways(1.0)
+
     def restart_coordinator(self, number):
         coordinator = self.coordinators[number]
         coordinator.is_up = True
         coordinator.history.restore(self.committed, self.now)
+        coordinator.files = RecordFiles(coordinator.disk)
+        for record in coordinator.files.recover(self.now):
+            lifetime_s = record.expires_at - self.now
+            coordinator.records.add(record.key, record.origin, lifetime_s, self.now)
         for gateway in self.gateways:
             for key, origin, lifetime_s in list(gateway.records.list_live(self.now)):
                 self.send(self.store, number, key, origin, lifetime_s)
@@ -235,6 +265,17 @@
         coordinator = self.coordinators[number]
         if coordinator.is_up and self.now >= self.outage_until:
             coordinator.records.add(key, origin, lifetime_s, self.now)
+            record = StoredRecord(key, origin, self.now + lifetime_s)
+            if not coordinator.unwritten:
+                delay = self.random.uniform(0.0, SYNC_S)
+                self.at(self.now + delay, self.write_records, coordinator)
+            coordinator.unwritten.append(record)
+
+    def write_records(self, coordinator):
+        # A coordinator that was killed meanwhile is another object.
+        if coordinator in self.coordinators:
+            coordinator.files.write(coordinator.unwritten, self.now)
+            coordinator.unwritten = []
 
     # Gateways and callers
 
@@ -277,10 +318,13 @@
         rows = list(gateway.rows.values())
         if stream.versions and self.spec.is_guarded:
             self.take_ups += 1
+            is_old = stream.first_event_at < self.power_lost_at
+            self.old_take_ups += is_old
             origin = self.find_origin(gateway, stream)
             if not isinstance(origin, StreamOrigin):
                 self.retry(stream)
                 return
+            self.old_resumed += is_old
             rows = [row for row in rows if origin.matches(row)]
         elif self.spec.is_guarded:
             history = gateway.history or {}
@@ -325,6 +369,7 @@
             return
         stream.versions.append(row.version)
         if len(stream.versions) == 1:
+            stream.first_event_at = self.now
             origin = StreamOrigin.from_endpoint(row)
             gateway.records.add(stream.key, origin, STREAM_LIFETIME_S, self.now)
             self.at(
@@ -335,8 +380,13 @@
                 stream.key,
                 origin,
             )
-        if self.random.random() < self.spec.breaks:
-            self.at(self.now + self.random.uniform(0.0, 2.0), self.retry, stream)
+        spec = self.spec
+        if self.random.random() < spec.breaks:
+            self.at(
+                self.now + self.random.uniform(0.0, spec.max_break_s),
+                self.retry,
+                stream,
+            )
 
     def flush(self, gateway, incarnation, key, origin):
         if gateway.incarnation == incarnation:
--- a/tarragonway/versions/tests/test_fleet.py
+++ b/tarragonway/versions/tests/test_fleet.py
@@ -86,3 +86,22 @@
     spec = FleetSpec(1, 8, gateway_kills=((9.0, 1.0),), coordinator_kills=((9.0, 1.0),))
     fleet = Fleet(spec).play()
     assert fleet.resumed >= 0.9 * fleet.take_ups
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(0, 10**6), st.sampled_from([3, 8, 200]), st.integers(0, 2))
+@example(1, 8, 0)
+# Guards against refusals after all gateways and coordinators lost power at once.
+def test_streams_go_on_after_a_loss_of_power_of_all(seed, gateways, lost_disks):
+    spec = FleetSpec(
+        seed,
+        gateways,
+        breaks=0.9,
+        max_break_s=6.0,
+        releases=((6.0, 0.5),),
+        power_losses=((12.0, lost_disks), (20.0, 0)),
+    )
+    fleet = Fleet(spec).play()
+    assert not fleet.list_mixed()
+    assert fleet.old_take_ups > 50
+    assert fleet.old_resumed >= 0.5 * fleet.old_take_ups
