Read a list page whatever its entries hold

What callers saw: another writer's entry with a deeply nested field ended the processes that read the list again and again, and a change of the list was never followed.

Cause: decode_page expected only the decoder's own errors, but nesting of some 1,000 levels and more raises RecursionError, both in the decoder and in the search for the entries of a page that is not JSON. The task of the reader ends with it, and then the process. That search also took quadratic time.

The page and each entry are now read by decode_json, which refuses nesting by a fixed bound before decoding. The search in broken_pages.py does not recurse and does not read anything again that it knows; it also finds a `next` that stands before the entries. A list whose pages repeat is not read to its hundredth page. An entry that is left out is logged once, with its id and the reason.

test_reader.py: the page of the test's own platform has the new field `rejected` instead of the count `unusable`; nothing that it checks changes.

Ruled out: entries nested less than 1,000 levels, which were left out before.

--- a/tarragonway/endpoints/endpoint_list.py
+++ b/tarragonway/endpoints/endpoint_list.py
@@ -33,6 +33,16 @@
     version: SoftwareVersion = SoftwareVersion("")
 
 
+class RejectedEntry(msgspec.Struct, frozen=True):
+    """An entry of the platform's list that names no endpoint to use.
+
+    ``id`` is "" if it cannot be read.
+    """
+
+    id: str
+    reason: str
+
+
 class EndpointView:
     """The latest endpoint list, in which a leaving endpoint never becomes active again.
 
--- a/tarragonway/endpoints/reader.py
+++ b/tarragonway/endpoints/reader.py
@@ -1,14 +1,14 @@
 """Reader of the platform's full endpoint list."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import msgspec
 import structlog
 
 from tarragonway.core.counters import Counters
-from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.endpoints.endpoint_list import ListedEndpoint, RejectedEntry
 from tarragonway.http1.call import Call, CallClient, CallFailed, CallResponse
 
 READ_TIMEOUT_S = 1.0
@@ -19,6 +19,10 @@
 # over while many other processes read it too.
 RATE_LIMIT_RETRY_DELAY_S = 0.05
 MAX_PAGE_ATTEMPTS = 5
+# Each left out entry is logged once, unless so many others were logged since.
+MAX_REMEMBERED_ENTRIES = 256
+MAX_LOGGED_PER_READ = 8
+MAX_LOGGED_LENGTH = 120
 
 _log = structlog.get_logger()
 
@@ -43,7 +47,7 @@
     make_call : callable
         Returns the call for a page, given its token or None for the first page.
     decode_page : callable
-        Returns a page with ``rows``, ``next`` and ``unusable``, or a sentinel with
+        Returns a page with ``rows``, ``next`` and ``rejected``, or a sentinel with
         ``reason``.
     counters : Counters
         Receives ``list.*`` counters.
@@ -62,6 +66,7 @@
         self._counters = counters
         self._failing = False
         self._unusable = 0
+        self._logged: dict[tuple[str, str], None] = {}
         self.pages = 1
 
     async def read(self) -> list[ListedEndpoint] | ListReadFailed:
@@ -81,8 +86,9 @@
 
     async def _read_pages(self) -> list[ListedEndpoint] | ListReadFailed:
         rows: list[ListedEndpoint] = []
-        unusable = 0
+        rejected: list[RejectedEntry] = []
         token: str | None = None
+        tokens: set[str] = set()
         for number in range(1, MAX_PAGES + 1):
             answer = await self._read_page(token)
             if not isinstance(answer, CallResponse):
@@ -94,24 +100,44 @@
             if not hasattr(page, "rows"):
                 return ListReadFailed(page.reason)
             rows.extend(page.rows)
-            if page.unusable:
-                self._counters.increment("list.unusable", page.unusable)
-            unusable += page.unusable
+            rejected.extend(page.rejected)
             token = page.next
             if token is None:
                 self.pages = number
-                self._log_unusable(unusable, len(rows))
+                self._record_rejected(rejected, len(rows))
                 return rows
+            if token in tokens:
+                return ListReadFailed("a page names a page before it as the next one")
+            tokens.add(token)
         return ListReadFailed(f"list has more than {MAX_PAGES} pages")
 
-    def _log_unusable(self, unusable: int, usable: int) -> None:
-        if unusable != self._unusable:
-            self._unusable = unusable
+    def _record_rejected(
+        self, rejected: Collection[RejectedEntry], usable: int
+    ) -> None:
+        """Count the entries that were left out, and log those that are new."""
+        if rejected:
+            self._counters.increment("list.unusable", len(rejected))
+        if len(rejected) != self._unusable:
+            self._unusable = len(rejected)
             _log.warning(
                 "entries of the endpoint list cannot be used and are left out",
-                unusable=unusable,
+                unusable=len(rejected),
                 usable=usable,
             )
+        found = {
+            (row.id[:MAX_LOGGED_LENGTH], row.reason[:MAX_LOGGED_LENGTH]): None
+            for row in rejected
+        }
+        new = [row for row in found if row not in self._logged]
+        for endpoint, reason in new[:MAX_LOGGED_PER_READ]:
+            self._logged[endpoint, reason] = None
+            _log.warning(
+                "entry of the endpoint list is left out",
+                endpoint=endpoint,
+                reason=reason,
+            )
+        while len(self._logged) > MAX_REMEMBERED_ENTRIES:
+            del self._logged[next(iter(self._logged))]
 
     async def _read_page(self, token: str | None) -> CallResponse | CallFailed:
         for tries_left in reversed(range(MAX_PAGE_ATTEMPTS)):
--- a/tarragonway/endpoints/tests/test_reader.py
+++ b/tarragonway/endpoints/tests/test_reader.py
@@ -1,8 +1,10 @@
 from types import SimpleNamespace
 
 import pytest
+import structlog
 
 from tarragonway.core.counters import Counters
+from tarragonway.endpoints.endpoint_list import RejectedEntry
 from tarragonway.endpoints.reader import MAX_PAGE_ATTEMPTS, ListReader, ListReadFailed
 from tarragonway.http1.call import CallResponse
 
@@ -24,7 +26,7 @@
 def decode(body):
     number = int(body)
     following = str(number + 1) if number < 2 else None
-    return SimpleNamespace(rows=[number], next=following, unusable=0)
+    return SimpleNamespace(rows=[number], next=following, rejected=())
 
 
 def make_reader(platform):
@@ -44,3 +46,32 @@
     answer = await make_reader(platform).read()
     assert isinstance(answer, ListReadFailed) and answer.rate_limited
     assert platform.calls == first + MAX_PAGE_ATTEMPTS
+
+
+# Guards against an odd entry that fills the log, as the list is read all the time.
+async def test_entry_that_is_left_out_is_logged_once():
+    rejected = [RejectedEntry(f"e{n}" * 200, "is odd") for n in range(50)]
+
+    def decode_odd(body):
+        return SimpleNamespace(rows=[1], next=None, rejected=rejected)
+
+    reader = ListReader(Platform([]), lambda page: page, decode_odd, Counters())
+    with structlog.testing.capture_logs() as logs:
+        sizes = []
+        for _ in range(20):
+            assert await reader.read() == [1]
+            sizes.append(len(logs))
+    assert sizes[0] < 10
+    assert len(logs) <= 51 and sizes[-1] == sizes[-2]
+    assert max(len(row.get("endpoint", "")) for row in logs) <= 120
+
+
+# Guards against a list whose pages never end, which takes the rate of all readers.
+async def test_list_whose_pages_repeat_is_not_read_on():
+    def decode_again(body):
+        return SimpleNamespace(rows=[1], next="1", rejected=())
+
+    platform = Platform([])
+    reader = ListReader(platform, lambda page: page, decode_again, Counters())
+    assert isinstance(await reader.read(), ListReadFailed)
+    assert platform.calls == 2
--- a/tarragonway/platform/listing.py
+++ b/tarragonway/platform/listing.py
@@ -1,23 +1,24 @@
 """Calls and pages of the platform's endpoint list."""
 
 import hashlib
-import json
 import re
-from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
 
+from tarragonway.core.decoding import UndecodableError, decode_json
 from tarragonway.core.ids import ServiceName, SoftwareVersion, ZoneName
-from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.endpoints.endpoint_list import ListedEndpoint, RejectedEntry
 from tarragonway.exchange import MAX_REQUESTS
 from tarragonway.http1.call import Call
 from tarragonway.platform import names
+from tarragonway.platform.broken_pages import find_entries
 
 # Longer texts that name a version are shortened; different ones stay different.
 MAX_VERSION_LENGTH = 64
 # Longer announced times count as this one.
 MAX_DURATION_S = 86_400.0
+MAX_TOKEN_LENGTH = 4096
 
 # Whether an endpoint in this state is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -26,13 +27,18 @@
 class Page(msgspec.Struct, frozen=True):
     """One page of the list.
 
-    ``next`` is the token of the next page, None on the last. ``unusable`` counts
-    entries that were left out because they can't be decoded.
+    ``next`` is the token of the next page, None on the last. ``rejected`` are the
+    entries that were left out because they can't be used.
     """
 
     rows: tuple[ListedEndpoint, ...]
     next: str | None
-    unusable: int
+    rejected: tuple[RejectedEntry, ...]
+
+    @property
+    def unusable(self) -> int:
+        """Number of entries that were left out."""
+        return len(self.rejected)
 
 
 class PageError(msgspec.Struct, frozen=True):
@@ -63,11 +69,7 @@
     version: str = ""
 
 
-# Parts of a page in the platform's format, to find the entries of a broken one.
-_LIST_START = re.compile(r'"instances"\s*:\s*\[')
-_LIST_END = re.compile(r'\]\s*,\s*"next"\s*:\s*(?P<next>null|"[^"\\]*")\s*\}\s*$')
-_ENTRY_SEPARATOR = re.compile(r",\s*\{")
-_scanner = json.JSONDecoder()
+_ID = re.compile(rb'"id"\s*:\s*"([^"\\]{1,64})"')
 _page_decoder = msgspec.json.Decoder(_Page)
 _entry_decoder = msgspec.json.Decoder(_Entry)
 
@@ -79,62 +81,40 @@
 
 
 def decode_page(body: bytes) -> Page | PageError:
-    """Return the usable entries of a page, or a sentinel with the reason."""
+    """Return the usable entries of a page, or a sentinel with the reason.
+
+    An entry may hold any bytes; it then names no endpoint, and the others still hold.
+    """
+    entries: list[bytes]
+    broken: tuple[RejectedEntry, ...] = ()
     try:
-        page = _page_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        salvaged = _salvage_page(body)
-        if salvaged is None:
+        page = decode_json(_page_decoder, body)
+        entries, token = [bytes(raw) for raw in page.instances], page.next
+    except UndecodableError as error:
+        found = find_entries(body)
+        if found is None:
             return PageError(str(error))
-        page = salvaged
-    rows = [_decode_entry(raw) for raw in page.instances]
-    usable = tuple(row for row in rows if row is not None)
-    return Page(usable, page.next, len(rows) - len(usable))
-
+        entries, token = list(found.entries), found.next
+        broken = (RejectedEntry("", "is no JSON"),) * found.broken
+    if token is not None and len(token) > MAX_TOKEN_LENGTH:
+        return PageError(f"the next page's token has {len(token)} characters")
+    decoded = [_decode_entry(text) for text in entries]
+    return Page(
+        tuple(row for row in decoded if isinstance(row, ListedEndpoint)),
+        token,
+        (*broken, *(row for row in decoded if isinstance(row, RejectedEntry))),
+    )
 
-def _salvage_page(body: bytes) -> _Page | None:
-    """Return the readable entries of a page that is not JSON as a whole.
 
-    An entry may hold bytes that break the page's JSON; the others still hold. Return
-    None if the page's end, which names the next page, cannot be read.
-    """
-    text = body.decode("utf-8", "surrogateescape")
-    start = _LIST_START.search(text)
-    end = _LIST_END.search(text)
-    if start is None or end is None:
-        return None
-    entries, unreadable, position = [], 0, start.end()
-    while (position := text.find("{", position, end.start())) >= 0:
-        try:
-            _, after = _scanner.raw_decode(text, position)
-        except ValueError:
-            # Counts the entry once, by its first brace that begins no object.
-            unreadable += 1
-            after = _find_next_entry(text, position)
-        else:
-            raw = text[position:after].encode("utf-8", "surrogateescape")
-            entries.append(msgspec.Raw(raw))
-        position = after
-    token = _scanner.decode(end["next"])
-    unusable = [msgspec.Raw(b"null")] * max(1, unreadable)
-    return _Page([*entries, *unusable], token)
-
-
-def _find_next_entry(text: str, position: int) -> int:
-    """Return where the entry after an unreadable one may begin."""
-    separator = _ENTRY_SEPARATOR.search(text, position + 1)
-    return separator.end() - 1 if separator is not None else len(text)
-
-
-def _decode_entry(raw: Any) -> ListedEndpoint | None:
+def _decode_entry(text: bytes) -> ListedEndpoint | RejectedEntry:
     try:
-        entry = _entry_decoder.decode(raw)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+        entry = decode_json(_entry_decoder, text)
+    except UndecodableError as error:
+        return RejectedEntry(_find_id(text), str(error))
     leaving = _IS_LEAVING_BY_STATE.get(entry.state)
     host, _, port = entry.address.rpartition(":")
     if leaving is None or not host or not port.isdigit():
-        return None
+        return RejectedEntry(_find_id(text), "its state or address is unknown")
     return ListedEndpoint(
         f"{entry.id}@{entry.born}",
         entry.id,
@@ -150,6 +130,12 @@
     )
 
 
+def _find_id(text: bytes) -> str:
+    """Return what looks like the id of an entry that cannot be decoded, or ""."""
+    found = _ID.search(text)
+    return found[1].decode("utf-8", "replace") if found is not None else ""
+
+
 def _round_to_seconds(duration_ms: float) -> float:
     return float(round(min(max(0.0, duration_ms / 1000), MAX_DURATION_S)))
 
--- a/tarragonway/platform/tests/test_listing.py
+++ b/tarragonway/platform/tests/test_listing.py
@@ -1,5 +1,10 @@
+import json
+import time
+
 import msgspec
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 
 from tarragonway.platform.listing import PageError, decode_page
 
@@ -91,3 +96,65 @@
 def test_page_without_a_readable_end_is_an_error():
     cut = msgspec.json.encode({"instances": [ROW, ROW], "next": None})[:-9]
     assert isinstance(decode_page(cut), PageError)
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+deep_values = st.builds(
+    lambda opening, depth, closing: opening * depth + closing * depth,
+    st.sampled_from([b"[", b'{"a":', b'[{"instances":[', b"{"]),
+    st.integers(1, 5000),
+    st.sampled_from([b"", b"]", b"}", b"}]"]),
+)
+odd_values = st.one_of(
+    st.binary(max_size=40),
+    deep_values,
+    st.builds(lambda value: json.dumps(value).encode(), json_values),
+    st.integers(1, 6000).map(lambda digits: b"9" * digits),
+    st.sampled_from([b"1e400", b'"', b'"\\', b'"\\ud800"', b"],", b"}]", b'],"next":']),
+)
+odd_entries = st.one_of(
+    odd_values,
+    st.builds(
+        lambda name, value: (
+            msgspec.json.encode(ROW)[:-1] + b',"%s":%s}' % (name.encode(), value)
+        ),
+        st.sampled_from(["id", "service", "address", "born", "slots", "x"]),
+        odd_values,
+    ),
+)
+
+
+# Guards against an odd entry that raises an error which no reader of the list expects
+# and so ends their processes, or that hides sound entries, so that a change of the list
+# is never followed.
+@settings(deadline=None, max_examples=300)
+@given(odd_entries, odd_entries, st.integers(0, 3), st.booleans())
+@example(b'{"x":' + b"[" * 5000 + b"]" * 5000 + b"}", b"{}", 1, False)
+@example(b'{"x":' + b"[" * 5000, b'{"id":"i-9', 1, True)
+def test_no_entry_of_any_bytes_hides_the_others(odd, other, position, next_first):
+    sound = [msgspec.json.encode({**ROW, "id": f"i-{n}"}) for n in (1, 2, 3)]
+    entries = [*sound[:position], odd, *sound[position:], other]
+    listed = b'"instances":[%s]' % b", ".join(entries)
+    parts = [b'"next":"p"', listed] if next_first else [listed, b'"next":"p"']
+    page = decode_page(b"{%s}" % b",".join(parts))
+    assert page.next == "p"
+    assert {"i-1", "i-2", "i-3"} <= {row.platform_id for row in page.rows}
+
+
+@pytest.mark.parametrize(
+    "part", [b",{", b'{"a":', b'{"a":"', b',{"a":"\\', b'],"next":"', b", ", b"[", b'"']
+)
+# Guards against a page that keeps a process busy for a time that grows with the square
+# of its length, while its requests wait.
+def test_broken_page_is_read_in_linear_time(part):
+    durations_s = []
+    for length in (100_000, 800_000):
+        body = b'{"instances":[%s],"next":null}' % (part * (length // len(part)))
+        started = time.process_time()
+        decode_page(body)
+        durations_s.append(time.process_time() - started)
+    assert durations_s[1] < 8 * 3 * max(durations_s[0], 0.01)
