Count an engine's unreadable answer as a failure of that engine

Callers saw: an entry process that reads one load report with a field of another type, nested 5,000 deep, cut short or with a large number ends: the error comes out of the permanent task that polls all engines. An odd event of a stream, or a token that skips a position, ended the task of an accepted request, which then got no answer and no other endpoint. An event that could not be read was skipped, so that an answer could end as complete without its token.

Cause: the client expected the decoder's own errors at one of five places, and RecursionError, ValueError and aiohttp's error for a long line at none.

All answers of engines are now decoded by decode_json. A load report or a KV answer that cannot be read counts as none; an unreadable event that is whole, a line over the limit and a skipped position interrupt the stream, which goes on at another engine as after a lost connection. Unread values of a caller's body are passed on as written: a number of 5,000 digits was accepted and then raised.

Ruled out: aiohttp's own handling of lines, which raises an error that is none of its client errors.

--- a/tarragonway/engines/client.py
+++ b/tarragonway/engines/client.py
@@ -6,12 +6,20 @@
 """
 
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 import msgspec
-
-from tarragonway.core.numbers import parse_bounded_number
+from aiohttp.http_exceptions import HttpProcessingError
+
+from tarragonway.core.decoding import (
+    Decoder,
+    UndecodableError,
+    decode_bytes,
+    decode_json,
+    drop_deep_values,
+)
+from tarragonway.core.numbers import Count, parse_bounded_number
 from tarragonway.endpoints import Endpoint
 from tarragonway.routing.notices import MAX_PAUSE_S
 
@@ -19,6 +27,11 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
 CONTROL_REQUEST_TIMEOUT_S = 1.5
+MAX_REASON_BYTES = 200
+# ``ValueError`` is raised for an address that the system cannot use.
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+T = TypeVar("T")
 
 
 class StreamCall(msgspec.Struct, frozen=True):
@@ -86,18 +99,18 @@
 
 
 class _Usage(msgspec.Struct, frozen=True):
-    computed_prompt_tokens: int = 0
+    computed_prompt_tokens: Count = 0
 
 
 class _Chunk(msgspec.Struct, frozen=True):
     choices: tuple[_Choice, ...] = ()
-    position: int = 0
+    position: Count = 0
     usage: _Usage | None = None
 
 
 class _Load(msgspec.Struct, frozen=True):
-    running: int = 0
-    waiting: int = 0
+    running: Count = 0
+    waiting: Count = 0
 
 
 class _Kv(msgspec.Struct, frozen=True):
@@ -106,6 +119,10 @@
 
 
 _chunk_decoder = msgspec.json.Decoder(_Chunk)
+_load_decoder = msgspec.json.Decoder(_Load)
+_kv_decoder = msgspec.json.Decoder(_Kv)
+# Values are passed on as the caller wrote them.
+_fields_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
 class EngineClient:
@@ -140,7 +157,11 @@
         """
         assert self._session is not None
         url = f"{endpoint.url}/v1/chat/completions"
-        body = _extend_body(call)
+        try:
+            body = _extend_body(call)
+        except UndecodableError as error:
+            yield EngineRefused(f"the body cannot be read: {error}", permanent=True)
+            return
         headers = {"Content-Type": "application/json", "X-Stream-Id": call.stream}
         try:
             async with self._session.post(url, data=body, headers=headers) as response:
@@ -149,12 +170,13 @@
                     return
                 async for event in _read_events(response):
                     yield event
-                    if isinstance(event, EngineFinished):
+                    if isinstance(event, EngineFinished | EngineInterrupted):
                         return
         except aiohttp.ClientConnectorError as error:
             yield EngineRefused(f"the connection failed: {error}")
             return
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (*CALL_ERRORS, HttpProcessingError) as error:
+            # The last one is raised for a line over the reader's limit.
             yield EngineInterrupted(repr(error))
             return
         yield EngineInterrupted("the stream ended before its [DONE] event")
@@ -168,24 +190,24 @@
     async def read_load(self, endpoint: Endpoint) -> int | None:
         """Return the number of running and waiting requests, or None on failure."""
         data = await self._send_control_request("GET", f"{endpoint.url}/load")
-        if data is None:
-            return None
-        load = msgspec.json.decode(data, type=_Load)
-        return load.running + load.waiting
+        load = _decode_or_none(_load_decoder, data)
+        return None if load is None else load.running + load.waiting
 
     async def export_kv(self, endpoint: Endpoint, stream: str) -> str:
         """Return the KV cache of a stream, or an empty string on failure."""
         data = await self._send_control_request(
             "POST", f"{endpoint.url}/kv/export", {"stream": stream}
         )
-        return msgspec.json.decode(data, type=_Kv).kv if data else ""
+        reply = _decode_or_none(_kv_decoder, data)
+        return reply.kv if reply is not None else ""
 
     async def import_kv(self, endpoint: Endpoint, kv: str) -> str:
         """Load a KV cache into an engine; return its handle, or "" on failure."""
         data = await self._send_control_request(
             "POST", f"{endpoint.url}/kv/import", {"kv": kv}
         )
-        return msgspec.json.decode(data, type=_Kv).handle if data else ""
+        reply = _decode_or_none(_kv_decoder, data)
+        return reply.handle if reply is not None else ""
 
     async def _send_control_request(
         self, method: str, url: str, body: Any = None
@@ -198,23 +220,34 @@
             ) as response:
                 data = await response.read()
                 return data if response.status == 200 else None
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (*CALL_ERRORS, HttpProcessingError):
             return None
 
 
+def _decode_or_none(decoder: Decoder[T], data: bytes | None) -> T | None:
+    """Return what an engine's answer states, None if there is none to read."""
+    try:
+        return decode_json(decoder, data) if data is not None else None
+    except UndecodableError:
+        return None
+
+
 def _extend_body(call: StreamCall) -> bytes:
-    content = msgspec.json.decode(call.body, type=dict[str, Any])
-    content["stream"] = True
-    content["tarragonway"] = {
+    fields: dict[str, Any] = dict(
+        decode_bytes(_fields_decoder, drop_deep_values(call.body))
+    )
+    fields["stream"] = True
+    fields["tarragonway"] = {
         "priority": call.priority,
         "resume_tokens": call.tokens,
         "kv_handle": call.kv_handle,
     }
-    return msgspec.json.encode(content)
+    return msgspec.json.encode(fields)
 
 
 async def _describe_refusal(response: aiohttp.ClientResponse) -> EngineRefused:
-    text = (await response.read()).decode(errors="replace")[:200]
+    data = await response.content.read(MAX_REASON_BYTES)
+    text = data.decode(errors="replace")
     leaving = response.headers.get("X-Endpoint-State") == "leaving"
     permanent = 400 <= response.status < 500 and response.status != 429
     pause_s = 0.0
@@ -232,12 +265,18 @@
         if not line.startswith(b"data: "):
             continue
         data = line[6:].strip()
+        if not data:
+            continue
         if data == b"[DONE]":
             yield EngineFinished()
             return
         try:
-            chunk = _chunk_decoder.decode(data)
-        except msgspec.MsgspecError:
+            chunk = decode_json(_chunk_decoder, data)
+        except UndecodableError as error:
+            if line.endswith(b"\n"):
+                # A token may be missing, so what follows cannot complete the answer.
+                yield EngineInterrupted(f"an event cannot be read: {error}")
+                return
             # The stream was cut within an event; reading on shows how it ended.
             continue
         if chunk.usage is not None:
--- a/tarragonway/entry/runner.py
+++ b/tarragonway/entry/runner.py
@@ -212,6 +212,9 @@
                     event, EngineFinished | EngineRefused | EngineInterrupted
                 ):
                     return event
+                if isinstance(event, EngineToken) and event.position > len(live.tokens):
+                    missing = f"token {event.position} follows {len(live.tokens)}"
+                    return EngineInterrupted(missing)
                 self._apply_event(live, event)
                 if live.abandoned:
                     await self._engines.cancel(endpoint, call.stream)
