--- a/tarragonway/core/tomlfile.py
+++ b/tarragonway/core/tomlfile.py
@@ -43,7 +43,12 @@
     """
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except RecursionError as error:
+        raise SettingsError(
+            name, "is nested too deeply", "remove levels of arrays and tables"
+        ) from error
+    except ValueError as error:
+        # Besides syntax errors, this is a number with too many digits.
         match = _TOML_LINE.search(str(error))
         line = int(match.group(1)) if match else 0
         raise SettingsError(
