Answer 400 to bodies of callers and operators that are nested too deeply

Callers saw: a chat body nested thousands of levels deep got status 500 with no reason; an operator's call to the own interface likewise. A body that an earlier release accepted could end the task that adopts the request, with no answer to whoever fetches it.

Cause: RecursionError is none of the decoder's own errors.

All of these bodies are decoded by decode_json, so a caller gets the same 400 as for any other body that cannot be read. Stored bodies are read without the values beyond the bound, and an adopted one that cannot be read at all fails with its reason. The command line shows an unreadable answer as text.

Ruled out: bytes that are not UTF-8, empty and truncated bodies, which were refused before.

--- a/tarragonway/control/admin.py
+++ b/tarragonway/control/admin.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from tarragonway.core.decoding import UndecodableError, decode_json
 from tarragonway.core.ids import ChangeId, EndpointId, Revision
 from tarragonway.endpoints import MarkLeaving
 from tarragonway.lists.store import (
@@ -47,6 +48,10 @@
     plans: str
 
 
+_apply_decoder = msgspec.json.Decoder(ApplyBody)
+_drain_decoder = msgspec.json.Decoder(DrainBody)
+
+
 class ControlAdmin:
     """HTTP handlers for the ``tarragonway`` command and for operators' monitoring.
 
@@ -121,8 +126,8 @@
     async def _post_lists(self, request: web.Request) -> web.Response:
         author = check_operator(request, self._settings.cluster)
         try:
-            body = msgspec.json.decode(await request.read(), type=ApplyBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(_apply_decoder, await request.read())
+        except UndecodableError as error:
             return make_json_response({"problem": str(error)}, 400)
         command = ApplyLists(
             body.change, body.expected, body.accounts, body.plans, author
@@ -140,8 +145,8 @@
     async def _post_drain(self, request: web.Request) -> web.Response:
         author = check_operator(request, self._settings.cluster)
         try:
-            body = msgspec.json.decode(await request.read(), type=DrainBody)
-        except msgspec.MsgspecError as error:
+            body = decode_json(_drain_decoder, await request.read())
+        except UndecodableError as error:
             return make_json_response({"problem": str(error)}, 400)
         result = await self._propose(MarkLeaving(body.endpoints, f"operator {author}"))
         if isinstance(result, NotLeader):
--- a/tarragonway/entry/crashes.py
+++ b/tarragonway/entry/crashes.py
@@ -7,6 +7,7 @@
 
 from tarragonway.control.client import ControlClient
 from tarragonway.core.counters import Counters
+from tarragonway.core.decoding import UndecodableError, decode_json, drop_deep_values
 from tarragonway.core.hashes import compute_fingerprint
 from tarragonway.core.ids import AccountId, Fingerprint
 from tarragonway.core.outcomes import Refusal, RefusalReason
@@ -170,12 +171,12 @@
     True
     """
     try:
-        messages = _chat_decoder.decode(body).messages[:-1]
-    except msgspec.MsgspecError:
+        chat = decode_json(_chat_decoder, drop_deep_values(body))
+    except UndecodableError:
         return ()
     return tuple(
         compute_fingerprint(_NO_ACCOUNT, f"{row.role}\0{row.content}".encode())
-        for row in messages[:MAX_SHARED_MESSAGES]
+        for row in chat.messages[:-1][:MAX_SHARED_MESSAGES]
     )
 
 
--- a/tarragonway/entry/model_requests.py
+++ b/tarragonway/entry/model_requests.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from tarragonway.core.counters import Counters
+from tarragonway.core.decoding import UndecodableError, decode_json, drop_deep_values
 from tarragonway.core.hashes import compute_fingerprint
 from tarragonway.core.ids import (
     AccountId,
@@ -27,7 +28,7 @@
 from tarragonway.lists import Service, ServiceKind
 from tarragonway.requests.copies import CopyManager
 from tarragonway.requests.live import LiveRequest
-from tarragonway.requests.model import RequestRecord
+from tarragonway.requests.model import RequestRecord, RequestState
 from tarragonway.requests.partners import Partners
 from tarragonway.requests.request_ids import make_request_id
 
@@ -227,7 +228,11 @@
             self._shares.release(account)
 
     async def _run_adopted(self, live: LiveRequest, kv: str) -> Refusal | None:
-        chat = _body_decoder.decode(live.record.body)
+        # An earlier release accepted bodies that are nested deeper.
+        chat = _decode_chat(drop_deep_values(live.record.body))
+        if isinstance(chat, Refusal):
+            live.finish(RequestState.FAILED, chat.detail)
+            return chat
         now = asyncio.get_running_loop().time()
         demand = Demand(
             live.record.service,
@@ -279,8 +284,8 @@
 
 def _decode_chat(body: bytes) -> ChatBody | Refusal:
     try:
-        return _body_decoder.decode(body)
-    except msgspec.MsgspecError as error:
+        return decode_json(_body_decoder, body)
+    except UndecodableError as error:
         return Refusal(RefusalReason.BAD_REQUEST, f"the body is invalid: {error}")
 
 
--- a/tarragonway/operator/client.py
+++ b/tarragonway/operator/client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from tarragonway.core.decoding import UndecodableError, decode_json
 from tarragonway.core.errors import TarragonwayError
 from tarragonway.settings import ClusterSettings
 
@@ -14,6 +15,9 @@
 REQUEST_TIMEOUT_S = 8.0
 
 
+_content_decoder = msgspec.json.Decoder(dict[str, Any])
+
+
 class OperatorError(TarragonwayError):
     """The operator's request could not be sent, or no process accepted it."""
 
@@ -94,7 +98,7 @@
         if response.status == 401:
             raise OperatorError(f"{address} rejected the operator key as unknown")
         try:
-            content = msgspec.json.decode(data, type=dict[str, Any])
-        except msgspec.MsgspecError:
+            content = decode_json(_content_decoder, data)
+        except UndecodableError:
             content = {"problem": data.decode(errors="replace")[:200]}
         return Reply(response.status, content)
