Keep the end of a connection when a late answer is skipped

An endpoint that wrote a late answer, then the answer that was due with neither length nor chunks, and closed, was taken to have broken off if all of this arrived before the gateway read it: callers got 502, or their request was sent again, though the answer was whole.

Cause: the parser that follows a skipped answer got the bytes after it, but not the fact that the connection had ended. It gets both now.

Evidence: http1/tests/test_cut_answers.py failed on (a late answer with length 0, then an unframed one, closed) and passes, also with 6,000 examples. The test draws answers of any framing and cuts them at any byte, closed or reset, in any pieces.

--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -265,7 +265,7 @@
     async def _skip_response(self) -> None:
         """Discard a response to another request and reset the parser for this one."""
         await self.read_body(MAX_SKIPPED_BYTES)
-        rest = self._http.trailing_data[0]
+        rest, has_ended = self._http.trailing_data
         if self._http.their_state is not h11.DONE:
             raise ConnectionEnded("closed after a response to another request")
         self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEAD_BYTES)
@@ -273,6 +273,8 @@
             self._http.send(event)
         if rest:
             self._http.receive_data(rest)
+        if has_ended:
+            self._http.receive_data(b"")
 
 
 def reset_on_close(transport: asyncio.Transport) -> None:
