Bound the pause between two writes of stream records

After a write, the store paused for four times the time of that write, without a bound, so a single slow write left all later records unwritten for long. On a busy disk, 44,386 records waited at worst at 10,000 records a second, those of 4.4 s, which a loss of power would have removed. The pause is now 0.5 s at most.

--- a/tarragonway/coordinator/origin_store.py
+++ b/tarragonway/coordinator/origin_store.py
@@ -14,9 +14,10 @@
 
 # Records that wait for the disk; further ones are kept in memory only.
 MAX_UNWRITTEN_RECORDS = 50_000
-# Shortest pause between two writes, and the length of a pause by that of the write
-# before it, which leaves most of the disk's time to the log.
+# Shortest and longest pause between two writes, and the length of a pause by that of
+# the write before it, which leaves most of a slow disk's time to the log.
 MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 0.5
 PAUSE_FACTOR = 4.0
 DISK_RETRY_DELAY_S = 0.5
 
@@ -103,7 +104,8 @@
                 self._handle_success(len(batch))
                 duration_s = loop.time() - started
                 self._counters.record_ms("origins.sync", duration_s * 1000)
-                await asyncio.sleep(max(MIN_PAUSE_S, PAUSE_FACTOR * duration_s))
+                pause_s = max(MIN_PAUSE_S, PAUSE_FACTOR * duration_s)
+                await asyncio.sleep(min(pause_s, MAX_PAUSE_S))
 
     def _handle_refusal(self, batch: list[StoredRecord], error: OSError) -> None:
         """Keep a refused batch for the next try, as far as there is room."""
--- a/tarragonway/versions/tests/test_fleet.py
+++ b/tarragonway/versions/tests/test_fleet.py
@@ -14,6 +14,7 @@
     releases=EVENTS,
     gateway_kills=EVENTS,
     coordinator_kills=EVENTS,
+    power_losses=st.lists(st.tuples(TIMES, st.integers(0, 3)), max_size=2).map(tuple),
     leader_changes=st.lists(TIMES, max_size=3).map(tuple),
     losses=st.lists(TIMES, max_size=2).map(tuple),
     outages=st.lists(st.tuples(TIMES, DURATIONS_S), max_size=2).map(tuple),
