Let records of streams expire by the uncorrected wall clock

The store of stream records used the coordinator's clock, which is corrected to the median of all clocks. A restart reads the uncorrected clock of the instance, so on one whose clock differs from the others, records seemed to be older or younger by this difference after a restart: with a clock that is ahead, live ones would have been dropped, and their streams refused unless another coordinator has them. Found by reading; no run showed it. The store now has a clock of its own.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -138,7 +138,8 @@
             lambda: list(self._gateways),
             self._counters,
         )
-        self._origin_store = OriginStore(self._files, self._clock, self._counters)
+        # Its clock is not corrected, since the next start reads the same clock.
+        self._origin_store = OriginStore(self._files, WallClock(), self._counters)
         self._origins = StreamOrigins(
             self._driver,
             self._machine,
