Ask control processes again while none of them leads

tests/test_orders.py failed once beside other runs: the operators' program gave up with "this process is not the leader" 18 s after the leader was frozen, though a new one had been elected after 0.4 s.

Cause: the program asked each process once, the frozen one for 8 s, so that it ended whenever the others could not answer in that one moment. Ruled out: no election (the logs show a leader all the while). Open: why two processes lost each other three times.

The processes are asked again for up to 20 s while one of them is there; a change has an id, so that it is applied once. operator/tests/test_client.py failed before.

--- a/tarragonway/operator/client.py
+++ b/tarragonway/operator/client.py
@@ -13,7 +13,11 @@
 
 KEY_VARIABLE = "TARRAGONWAY_OPERATOR_KEY"
 REQUEST_TIMEOUT_S = 8.0
-
+# Time for which control processes are asked again while none of them leads, and the
+# pause between two rounds.
+RETRY_TIMEOUT_S = 20.0
+RETRY_INTERVAL_S = 0.3
+STATUS_UNAVAILABLE = 503
 
 _content_decoder = msgspec.json.Decoder(dict[str, Any])
 
@@ -29,6 +33,13 @@
     content: dict[str, Any]
 
 
+class _Unanswered(msgspec.Struct):
+    """Last error of a round; ``may_pass`` if a process is there that does not lead."""
+
+    reason: str
+    may_pass: bool
+
+
 class OperatorClient:
     """Sends requests with the operator's key to control and entry processes.
 
@@ -53,23 +64,47 @@
     async def call_control(self, method: str, path: str, body: Any = None) -> Reply:
         """Return the first answer of a control process whose status is not 503.
 
+        While one of them is there but none leads, the processes are asked again, for up
+        to :data:`RETRY_TIMEOUT_S`. A change that is sent again is applied once, as it
+        has an id.
+
         Raises
         ------
         OperatorError
             If no control process answers so, or one rejects the operator key.
         """
-        last = "none is listed"
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + RETRY_TIMEOUT_S
         async with self._open() as session:
-            for peer in self._cluster.control:
-                try:
-                    reply = await _request(session, method, peer.http, path, body)
-                except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                    last = f"{peer.name}: {error!r}"
-                    continue
-                if reply.status != 503:
-                    return reply
-                last = f"{peer.name}: {reply.content.get('problem', 'not ready')}"
-        raise OperatorError(f"no control process can answer; last error: {last}")
+            while True:
+                answer = await self._ask_in_turn(session, method, path, body)
+                if isinstance(answer, Reply):
+                    return answer
+                if not answer.may_pass or loop.time() >= ends_at:
+                    raise OperatorError(
+                        f"no control process can answer; last error: {answer.reason}"
+                    )
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _ask_in_turn(
+        self, session: aiohttp.ClientSession, method: str, path: str, body: Any
+    ) -> "Reply | _Unanswered":
+        """Return the first answer whose status is not 503, asking each process once."""
+        unanswered = _Unanswered("none is listed", False)
+        for peer in self._cluster.control:
+            try:
+                reply = await _request(session, method, peer.http, path, body)
+            except aiohttp.ClientConnectorError as error:
+                unanswered.reason = f"{peer.name}: {error!r}"
+                continue
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                unanswered = _Unanswered(f"{peer.name}: {error!r}", True)
+                continue
+            if reply.status != STATUS_UNAVAILABLE:
+                return reply
+            problem = reply.content.get("problem", "not ready")
+            unanswered = _Unanswered(f"{peer.name}: {problem}", True)
+        return unanswered
 
     async def call_all(self, path: str) -> dict[str, Reply | str]:
         """Return the answer of every process, or the error's text, by process name."""
