Do not pass on an empty success that states no end

An endpoint that answers with neither a length nor chunks and closes right after its head, as when its process crashes there, gave callers 200 with an empty body and Content-Length: 0, at the gateway and on the project's own interface.

Cause: by HTTP the end of the connection ends such an answer. Streams without an event were refused for that reason already, other answers were not. A success without a body now counts as broken off, unless a length, chunks, its status (204, 205) or HEAD say that it has none.

--- a/tarragonway/entry/sender.py
+++ b/tarragonway/entry/sender.py
@@ -125,6 +125,8 @@
     connection.send(call.method, target, _encode_headers(call, url, key), call.body)
     head = await connection.read_head(lambda head: True)
     body = await connection.read_body(MAX_ANSWER_BYTES)
+    if not body and not head.may_lack_body(call.method):
+        return MaybeExecuted("the answer ended without a body, length or chunks")
     connection.close()
     if head.get(b"x-endpoint-state") == b"leaving":
         return NotExecuted("the endpoint is leaving", True)
--- a/tarragonway/entry/tests/test_cut_answers.py
+++ b/tarragonway/entry/tests/test_cut_answers.py
@@ -75,11 +75,12 @@
     assert {type(result) for result in results} == {MaybeExecuted}
 
 
+# Guards also against an empty success from an endpoint that closes after its head.
 @pytest.mark.parametrize("kind", UNFRAMED_ANSWERS)
 async def test_answer_without_length_is_complete_after_a_close(unused_tcp_port, kind):
     answer = UNFRAMED_ANSWERS[kind]
     results = await send_cut_calls(unused_tcp_port, answer, False)
-    cut_in_head = results[: len(answer) - len(BODY)]
-    assert {type(result) for result in cut_in_head} == {MaybeExecuted}
+    without_body = results[: len(answer) - len(BODY) + 1]
+    assert {type(result) for result in without_body} == {MaybeExecuted}
     assert isinstance(results[-1], Answer)
     assert results[-1].body == BODY
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -177,9 +177,8 @@
             return NotContinued(f"status {head.status} instead of the stream's rest")
         self._observer.handle_running(attempt)
         body = await connection.read_body(MAX_ANSWER_BYTES)
-        if head.status < 300 and not info.signed:
-            return Broken("successful answer without a server signature")
-        return Answered(head, info, body)
+        fault = _find_fault(request, head, info, body)
+        return Broken(fault) if fault else Answered(head, info, body)
 
     async def _relay(
         self,
@@ -262,6 +261,17 @@
         return matches
 
 
+def _find_fault(
+    request: Request, head: ResponseHead, info: ResponseInfo, body: bytes
+) -> str:
+    """Return why an answer that is no stream cannot be passed on, "" if it can."""
+    if head.status < 300 and not info.signed:
+        return "successful answer without a server signature"
+    if not body and not head.may_lack_body(request.method):
+        return "the answer ended without a body, length or chunks"
+    return ""
+
+
 def _can_follow(attempt: Attempt, events: bytes) -> bool:
     """Return whether an answer that begins with these events may be relayed."""
     previous = attempt.resumed_id
--- a/tarragonway/gateway/tests/test_unframed_answers.py
+++ b/tarragonway/gateway/tests/test_unframed_answers.py
@@ -104,6 +104,19 @@
     assert received.endswith(b"part")
 
 
+# Guards against an empty success from an endpoint that closes after its head.
+async def test_answer_that_ends_after_its_head_is_not_whole(harness):
+    endpoint = await harness.add(harness.ports())
+    endpoint.answers = [[PLAIN]]
+    assert (await harness.ask("/single/")).startswith(b"HTTP/1.1 502")
+
+
+async def test_answer_that_has_no_body_by_its_status_is_whole(harness):
+    endpoint = await harness.add(harness.ports())
+    endpoint.answers = [[PLAIN.replace(b"200 OK", b"204 No Content")]]
+    assert (await harness.ask("/single/")).startswith(b"HTTP/1.1 204")
+
+
 async def test_answer_that_is_reset_on_the_way_is_not_whole(harness):
     await add_resetting_endpoint(harness, [PLAIN + b"par"])
     assert (await harness.ask("/single/")).startswith(b"HTTP/1.1 502")
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -19,6 +19,8 @@
 # Largest response to another request that is skipped before the expected one.
 MAX_SKIPPED_BYTES = 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES = 16
+# Successes that never have a body: No Content and Reset Content.
+BODYLESS_STATUSES = (204, 205)
 # Other tasks run after this many parsed parts, which may be as short as one byte.
 MAX_PARTS_PER_TURN = 64
 
@@ -44,6 +46,18 @@
             key in (b"content-length", b"transfer-encoding") for key, _ in self.headers
         )
 
+    def may_lack_body(self, method: str) -> bool:
+        """Return whether a response without a body is complete for certain.
+
+        A success with neither a length nor chunks may have broken off after its head.
+        """
+        return (
+            self.is_framed
+            or self.status >= 300
+            or self.status in BODYLESS_STATUSES
+            or method == "HEAD"
+        )
+
 
 class EndpointConnection(asyncio.Protocol):
     """A connection to an endpoint.
