Accept only endpoints that can be called, and declare each failure to connect

What callers saw: beside three sound endpoints, an entry with port 70000, a port of 5,000 digits, port 8² or a NUL in the host left most requests without an answer.

Cause: an entry's address was checked for a colon and digits only. The connection pool then raised OverflowError, ValueError or UnicodeError, which it did not declare, and the request's handler ended with it.

core/addresses.py is the one definition of an address: an IPv4 number and a port from 1 to 65535 in ASCII digits, and for endpoints the number of a host, as the platform's page names no other form. ListedEndpoint checks all of its values when it is created or decoded, so that neither the list nor a message can bring others. The pool turns any failure to open a connection into ConnectFailed.

Ruled out: host names, which neither the platform's page nor any test uses.

--- a/tarragonway/coordinator/tests/test_stream_origins.py
+++ b/tarragonway/coordinator/tests/test_stream_origins.py
@@ -39,7 +39,9 @@
 
 def make_rows(*versions):
     return [
-        ListedEndpoint(f"e{n}", f"e{n}", "s", "a:1", "z", 4, False, version=version)
+        ListedEndpoint(
+            f"e{n}", f"e{n}", "s", "10.0.0.1:1", "z", 4, False, version=version
+        )
         for n, version in enumerate(versions)
     ]
 
--- a/tarragonway/endpoints/endpoint_list.py
+++ b/tarragonway/endpoints/endpoint_list.py
@@ -1,13 +1,31 @@
 """Rows of the platform's endpoint list, and a process's copy of the list."""
 
+import re
 from collections.abc import Iterable
 
 import msgspec
 
+from tarragonway.core.addresses import (
+    AddressError,
+    EndpointAddress,
+    check_endpoint_address,
+)
 from tarragonway.core.clock import read_monotonic
+from tarragonway.core.errors import TarragonwayError
 from tarragonway.core.ids import ServiceName, SoftwareVersion, ZoneName
+from tarragonway.exchange import MAX_REQUESTS
 
 MAX_LEAVING_MARKS = 4096
+MAX_NAME_LENGTH = 256
+MAX_VERSION_LENGTH = 64
+MAX_DURATION_S = 86_400.0
+
+# Ids are sent as header values, so that spaces and control characters are no part.
+_ID = re.compile(r"[!-~]{1,128}")
+
+
+class InvalidEndpointError(TarragonwayError, ValueError):
+    """What should describe an endpoint names none that can be called."""
 
 
 class ListedEndpoint(msgspec.Struct, frozen=True, array_like=True):
@@ -18,12 +36,25 @@
     until a reclaimed endpoint is stopped, negative if unknown. ``cold_s`` is the rest
     of its cold start in seconds. ``version`` is the version of its software, "" if the
     list does not state one.
+
+    Raises
+    ------
+    InvalidEndpointError
+        If a value is outside of its bounds, also when decoding.
+
+    Examples
+    --------
+    >>> ListedEndpoint("e.1", "e", "s", "10.0.0.9:70000", "a", 4, False)
+    Traceback (most recent call last):
+    ...
+    tarragonway.endpoints.endpoint_list.InvalidEndpointError: address: \
+'10.0.0.9:70000' is not IP:port
     """
 
     key: str
     platform_id: str
     service: ServiceName
-    address: str
+    address: EndpointAddress
     zone: ZoneName
     slots: int
     leaving: bool
@@ -32,6 +63,30 @@
     cold_s: float = 0.0
     version: SoftwareVersion = SoftwareVersion("")
 
+    def __post_init__(self) -> None:
+        """Check all values."""
+        try:
+            check_endpoint_address(self.address)
+        except AddressError as error:
+            raise InvalidEndpointError(f"address: {error}") from error
+        checks = {
+            "id": _ID.fullmatch(self.platform_id) is not None,
+            "key": _is_name(self.key),
+            "service": _is_name(self.service),
+            "zone": _is_name(self.zone),
+            "version": len(self.version) <= MAX_VERSION_LENGTH,
+            "slots": 0 <= self.slots <= MAX_REQUESTS,
+            "leaves_s": -1.0 <= self.leaves_s <= MAX_DURATION_S,
+            "cold_s": 0.0 <= self.cold_s <= MAX_DURATION_S,
+        }
+        for name, is_valid in checks.items():
+            if not is_valid:
+                raise InvalidEndpointError(f"{name}: is outside of its bounds")
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable()
+
 
 class RejectedEntry(msgspec.Struct, frozen=True):
     """An entry of the platform's list that names no endpoint to use.
@@ -72,8 +127,14 @@
     def apply_full_list(
         self, rows: Iterable[ListedEndpoint]
     ) -> tuple[list[ListedEndpoint], list[str]]:
-        """Apply a full list; return changed rows and the keys of removed endpoints."""
-        marked_rows = [self._mark(row) for row in rows]
+        """Apply a full list; return changed rows and the keys of removed endpoints.
+
+        Of rows with the same key, the first one holds.
+        """
+        by_key: dict[str, ListedEndpoint] = {}
+        for row in rows:
+            by_key.setdefault(row.key, row)
+        marked_rows = [self._mark(row) for row in by_key.values()]
         changed = [row for row in marked_rows if self.rows.get(row.key) != row]
         listed = {row.key for row in marked_rows}
         removed = [key for key in self.rows if key not in listed]
--- a/tarragonway/endpoints/tests/test_endpoint_list.py
+++ b/tarragonway/endpoints/tests/test_endpoint_list.py
@@ -20,3 +20,11 @@
     assert view.leaving_since == {"e.2": since}
     view.apply_full_list([])
     assert not view.leaving_since
+
+
+# Guards against a change of the list at each read, which all gateways are sent.
+def test_entry_that_repeats_a_key_is_no_change():
+    view = EndpointView()
+    rows = [ROW, replace(ROW, address="127.0.0.2:1")]
+    assert view.apply_full_list(rows) == ([ROW], [])
+    assert view.apply_full_list(rows) == ([], [])
--- a/tarragonway/http1/pool.py
+++ b/tarragonway/http1/pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Collection
 
+from tarragonway.core.addresses import parse_address
 from tarragonway.http1.client import EndpointConnection
 
 CONNECT_TIMEOUT_S = 0.5
@@ -50,7 +51,7 @@
         Raises
         ------
         ConnectFailed
-            If no connection can be opened in time.
+            If no connection can be opened in time, for whatever reason.
         """
         idle_connection = self._find_idle(key, max_idle_s)
         if idle_connection is not None:
@@ -104,13 +105,13 @@
         return False
 
     async def _open(self, address: str) -> EndpointConnection:
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         connection = EndpointConnection()
         try:
+            host, port = parse_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(lambda: connection, host, int(port))
-        except (OSError, TimeoutError) as error:
+                await loop.create_connection(lambda: connection, host, port)
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             connection.abort()
             raise ConnectFailed(repr(error)) from error
         self.opened += 1
--- a/tarragonway/links/tests/test_link.py
+++ b/tarragonway/links/tests/test_link.py
@@ -22,7 +22,9 @@
 
 def make_update(count):
     rows = tuple(
-        ListedEndpoint(f"e{n}.1", f"e{n}", "llm", f"10.0.0.{n}:80", "a", 4, False)
+        ListedEndpoint(
+            f"e{n}.1", f"e{n}", "llm", f"10.0.{n // 256}.{n % 256}:80", "a", 4, False
+        )
         for n in range(count)
     )
     return EndpointUpdate(3, 1, True, rows, ())
--- a/tarragonway/platform/listing.py
+++ b/tarragonway/platform/listing.py
@@ -2,23 +2,30 @@
 
 import hashlib
 import re
+from typing import Annotated
 from urllib.parse import urlencode
 
 import msgspec
+from msgspec import Meta
 
+from tarragonway.core.addresses import EndpointAddress
 from tarragonway.core.decoding import UndecodableError, decode_json
 from tarragonway.core.ids import ServiceName, SoftwareVersion, ZoneName
-from tarragonway.endpoints.endpoint_list import ListedEndpoint, RejectedEntry
+from tarragonway.endpoints.endpoint_list import (
+    MAX_DURATION_S,
+    MAX_VERSION_LENGTH,
+    InvalidEndpointError,
+    ListedEndpoint,
+    RejectedEntry,
+)
 from tarragonway.exchange import MAX_REQUESTS
 from tarragonway.http1.call import Call
 from tarragonway.platform import names
 from tarragonway.platform.broken_pages import find_entries
 
-# Longer texts that name a version are shortened; different ones stay different.
-MAX_VERSION_LENGTH = 64
-# Longer announced times count as this one.
-MAX_DURATION_S = 86_400.0
 MAX_TOKEN_LENGTH = 4096
+# Times since 1970 are below this.
+MAX_TIME_MS = 2**53
 
 # Whether an endpoint in this state is leaving.
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -62,7 +69,7 @@
     slots: int = 0
     cold_left_ms: float = 0.0
     # Time of the replica's start, which distinguishes incarnations with the same id.
-    born: int = 0
+    born: Annotated[int, Meta(ge=0, le=MAX_TIME_MS)] = 0
     spot: bool = False
     leaves_ms: float | None = None
     # Version of the replica's software; those of its weights are in the field "models".
@@ -112,22 +119,24 @@
     except UndecodableError as error:
         return RejectedEntry(_find_id(text), str(error))
     leaving = _IS_LEAVING_BY_STATE.get(entry.state)
-    host, _, port = entry.address.rpartition(":")
-    if leaving is None or not host or not port.isdigit():
-        return RejectedEntry(_find_id(text), "its state or address is unknown")
-    return ListedEndpoint(
-        f"{entry.id}@{entry.born}",
-        entry.id,
-        ServiceName(entry.service),
-        entry.address,
-        ZoneName(entry.zone),
-        max(0, min(entry.slots, MAX_REQUESTS)),
-        leaving or entry.leaves_ms is not None,
-        entry.spot,
-        -1.0 if entry.leaves_ms is None else _round_to_seconds(entry.leaves_ms),
-        _round_to_seconds(entry.cold_left_ms),
-        _shorten_version(entry.version),
-    )
+    if leaving is None:
+        return RejectedEntry(_find_id(text), f"state: {entry.state!r} is unknown")
+    try:
+        return ListedEndpoint(
+            f"{entry.id}@{entry.born}",
+            entry.id,
+            ServiceName(entry.service),
+            EndpointAddress(entry.address),
+            ZoneName(entry.zone),
+            max(0, min(entry.slots, MAX_REQUESTS)),
+            leaving or entry.leaves_ms is not None,
+            entry.spot,
+            -1.0 if entry.leaves_ms is None else _round_to_seconds(entry.leaves_ms),
+            _round_to_seconds(entry.cold_left_ms),
+            _shorten_version(entry.version),
+        )
+    except InvalidEndpointError as error:
+        return RejectedEntry(_find_id(text), str(error))
 
 
 def _find_id(text: bytes) -> str:
@@ -141,6 +150,7 @@
 
 
 def _shorten_version(version: str) -> SoftwareVersion:
+    """Return a text that names a version, such that different ones stay different."""
     if len(version) <= MAX_VERSION_LENGTH:
         return SoftwareVersion(version)
     digest = hashlib.blake2b(version.encode(), digest_size=8).hexdigest()
--- a/tarragonway/platform/tests/test_listing.py
+++ b/tarragonway/platform/tests/test_listing.py
@@ -1,11 +1,15 @@
 import json
 import time
 
+import h11
 import msgspec
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from tarragonway.core.addresses import check_endpoint_address
+from tarragonway.links.link import encode_message
+from tarragonway.links.messages import EndpointUpdate, LinkMessage
 from tarragonway.platform.listing import PageError, decode_page
 
 ROW = {
@@ -158,3 +162,58 @@
         decode_page(body)
         durations_s.append(time.process_time() - started)
     assert durations_s[1] < 8 * 3 * max(durations_s[0], 0.01)
+
+
+odd_fields = st.one_of(
+    st.text(),
+    json_values,
+    st.integers(0, 400).map(lambda digits: int("9" * digits or "0")),
+    st.sampled_from(
+        [
+            "10.0.0.9:70000",
+            "10.0.0.9:" + "9" * 5000,
+            "10.0.0.9:8²",
+            "10.0.0.9\0:80",
+            "é" * 300 + ":80",
+            "10.0.0.9:0",
+            "0.0.0.0:80",
+            "255.255.255.255:80",
+            "i-1\r\nx: y",
+            "i" * 5000,
+            -1,
+            2**64,
+            1e308,
+        ]
+    ),
+)
+
+
+# Guards against rows that raise errors where they are used: an address that cannot be
+# called, an id that is no header value, numbers that cannot be sent to the gateways.
+@settings(deadline=None, max_examples=300)
+@given(st.dictionaries(st.sampled_from([*ROW, "version", "leaves_ms"]), odd_fields))
+@example({"address": "10.0.0.9:70000"})
+@example({"address": "10.0.0.9:8²"})
+@example({"id": "i-1\r\nx: y"})
+def test_row_of_any_entry_can_be_sent_and_called(changes):
+    body = json.dumps({"instances": [{**ROW, **changes}, ROW], "next": None})
+    page = decode_page(body.encode())
+    assert page.rows and len(page.rows) + page.unusable == 2
+    for row in page.rows:
+        assert check_endpoint_address(row.address)
+        h11.Request(
+            method="GET", target="/", headers=[("host", "h"), ("i", row.platform_id)]
+        )
+    frame = encode_message(EndpointUpdate(1, 1, True, page.rows, ()))
+    assert len(frame) < 5000
+    decoded = msgspec.msgpack.decode(frame[4:], type=LinkMessage)
+    assert decoded.rows == page.rows
+
+
+# Guards against a leader of another version that sends what this one would not list.
+def test_row_that_cannot_be_called_is_no_message():
+    (row,) = decode_page(msgspec.json.encode({"instances": [ROW]})).rows
+    frame = encode_message(EndpointUpdate(1, 1, True, (row,), ()))
+    wrong = frame[4:].replace(b"10.0.0.9:80", b"10.0.0.9:8x")
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(wrong, type=LinkMessage)
--- a/tarragonway/versions/history.py
+++ b/tarragonway/versions/history.py
@@ -30,7 +30,7 @@
     Examples
     --------
     >>> history = VersionHistory()
-    >>> row = ListedEndpoint("e", "e", "s", "a:1", "z", 4, False, version="v1")
+    >>> row = ListedEndpoint("e", "e", "s", "10.0.0.1:1", "z", 4, False, version="v1")
     >>> history.observe([row], 0.0)
     >>> history.versions
     {'s': ('v1',)}
--- a/tarragonway/versions/tests/fleet.py
+++ b/tarragonway/versions/tests/fleet.py
@@ -126,7 +126,7 @@
     def make_endpoint(self, version):
         name = f"e{next(self.numbers)}"
         return ListedEndpoint(
-            name, name, SERVICE, "a:1", "z", 64, False, version=version
+            name, name, SERVICE, "10.0.0.1:1", "z", 64, False, version=version
         )
 
     def at(self, time, action, *arguments):
