--- a/tarragonway/fencing/order_sender.py
+++ b/tarragonway/fencing/order_sender.py
@@ -8,6 +8,7 @@
 import structlog
 
 from tarragonway.core.counters import Counters
+from tarragonway.core.decoding import UndecodableError, decode_json
 from tarragonway.core.ids import MemberId
 from tarragonway.endpoints import Endpoint
 from tarragonway.fencing.store import OrderLeaseGranted, TakeOrderLease
@@ -43,6 +44,11 @@
     model_version: str = ""
 
 
+_state_decoder = msgspec.json.Decoder(EngineState)
+# ``ValueError`` is raised for an address that the system cannot use.
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
 class OrderSender:
     """Compares engines with their desired state and sends an order where they differ.
 
@@ -124,8 +130,8 @@
         try:
             async with session.get(f"{desired.endpoint.url}/orders") as response:
                 response.raise_for_status()
-                state = msgspec.json.decode(await response.read(), type=EngineState)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
+                state = decode_json(_state_decoder, await response.read())
+        except (*CALL_ERRORS, UndecodableError):
             self._counters.increment("orders.unreadable")
             return True
         return state.model_version == desired.model_version
@@ -139,7 +145,7 @@
         try:
             async with session.post(url, data=body, headers=headers) as response:
                 status = response.status
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except CALL_ERRORS:
             self._counters.increment("orders.failed")
             return
         match status:
--- a/tarragonway/fencing/tests/test_order_sender.py
+++ b/tarragonway/fencing/tests/test_order_sender.py
@@ -4,6 +4,7 @@
 import types
 
 import aiohttp
+import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
@@ -139,3 +140,27 @@
         )
     assert not control.engine.orders
     await server.close()
+
+
+# Guards against an engine's answer that ends the task which sends orders to all
+# engines, and with it the control process.
+@pytest.mark.parametrize(
+    "answer", [b"[" * 5000, b'{"x": ' + b"[" * 5000, b"\xff", b"", b"[]"]
+)
+async def test_engine_whose_state_cannot_be_read_gets_no_order(answer):
+    async def get_orders(request):
+        return web.Response(body=answer)
+
+    app = web.Application()
+    app.router.add_get("/orders", get_orders)
+    server = TestServer(app)
+    await server.start_server()
+    counters = Counters()
+    sender = OrderSender("a", lambda: True, list, None, counters)
+    urls = [str(server.make_url("")).rstrip("/"), "http://a\0b:80", "http://a:70000"]
+    async with aiohttp.ClientSession() as session:
+        for url in urls:
+            endpoint = Endpoint("e1", "s", "a", url)
+            await sender.reconcile(session, DesiredModel(endpoint, "v2"))
+    await server.close()
+    assert counters.snapshot() == {"orders.unreadable": len(urls)}
