Leave nothing behind that a failed disk call could turn into lost or unreadable entries

The valid and the synced size of each file are now known, so that whatever a failed call leaves is cut off before the file is used again. A sync is complete only if the folder is synced too. A start makes durable what it has read.

Not covered: a start whose own sync fails on data that the process before left unsynced.

--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -1,19 +1,27 @@
 """Durable files in the data folder of a process."""
 
+import contextlib
 import fcntl
 import os
 import pathlib
 from typing import Protocol
 
+import msgspec
+
 from tarragonway.core.errors import TarragonwayError
 
+TEMPORARY_SUFFIX = ".new"
+
 
 class DataFolderLockedError(TarragonwayError):
     """Raised if another process holds the lock of the data folder."""
 
 
 class Files(Protocol):
-    """File operations that the storage of the log requires."""
+    """File operations that the storage of the log requires.
+
+    Each may raise OSError, such as on a full disk, and can then be called again.
+    """
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if there is no such file."""
@@ -24,7 +32,11 @@
         ...
 
     def sync(self, name: str) -> None:
-        """Make all data appended to a file durable."""
+        """Make all data appended to a file durable.
+
+        If this fails, what has been appended since the last successful call is removed
+        and must be appended again.
+        """
         ...
 
     def truncate(self, name: str, size: int) -> None:
@@ -36,6 +48,32 @@
         ...
 
 
+class _OpenFile(msgspec.Struct):
+    """File that is open for appending.
+
+    ``valid_bytes`` is the size up to which the file is used, ``synced_bytes`` the size
+    that is durable. Bytes beyond ``valid_bytes`` are to be removed if ``is_torn``.
+    """
+
+    descriptor: int
+    valid_bytes: int
+    synced_bytes: int
+    is_torn: bool = False
+
+    def cut(self) -> None:
+        """Remove what a failed append or sync has left behind."""
+        if self.is_torn:
+            os.ftruncate(self.descriptor, self.valid_bytes)
+            self.is_torn = False
+
+    def mark_torn(self, valid_bytes: int) -> None:
+        """Remove the bytes from ``valid_bytes`` on, now or before the next append."""
+        self.valid_bytes = valid_bytes
+        self.is_torn = True
+        with contextlib.suppress(OSError):
+            self.cut()
+
+
 class FolderFiles:
     """Files of one folder, which this process keeps locked until :meth:`close`.
 
@@ -53,7 +91,9 @@
     def __init__(self, folder: pathlib.Path) -> None:
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
-        self._descriptors: dict[str, int] = {}
+        self._open_files: dict[str, _OpenFile] = {}
+        # Whether the names of all files are durable; unknown of the process before.
+        self._is_folder_synced = False
         self._lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -63,6 +103,8 @@
                 f"data folder {folder} is locked by another process; "
                 "stop that process before starting this one"
             ) from error
+        for path in folder.glob(f"*{TEMPORARY_SUFFIX}"):
+            path.unlink()
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if there is no such file."""
@@ -73,42 +115,62 @@
 
     def append(self, name: str, data: bytes) -> None:
         """Append data to a file; the data is durable only after :meth:`sync`."""
-        descriptor = self._open(name)
-        size = os.fstat(descriptor).st_size
+        file = self._open(name)
+        file.cut()
         try:
-            _write_all(descriptor, data)
+            _write_all(file.descriptor, data)
         except OSError:
-            # Part of the data may have been written. It is removed, because a later
-            # append must not follow an incomplete frame.
-            os.ftruncate(descriptor, size)
+            # A later append must not follow part of a frame.
+            file.mark_torn(file.valid_bytes)
             raise
+        file.valid_bytes += len(data)
 
     def sync(self, name: str) -> None:
-        """Make all data appended to a file durable."""
-        os.fdatasync(self._open(name))
+        """Make all data appended to a file durable, or remove it from the file."""
+        file = self._open(name)
+        try:
+            file.cut()
+            os.fdatasync(file.descriptor)
+        except OSError:
+            # A later sync may succeed without writing the data of the failed one.
+            file.mark_torn(file.synced_bytes)
+            raise
+        file.synced_bytes = file.valid_bytes
+        if not self._is_folder_synced:
+            self._sync_folder()
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to ``size`` bytes durably."""
-        descriptor = self._open(name)
-        os.ftruncate(descriptor, size)
-        os.fsync(descriptor)
+        file = self._open(name)
+        os.ftruncate(file.descriptor, size)
+        file.valid_bytes = min(file.valid_bytes, size)
+        os.fsync(file.descriptor)
+        file.synced_bytes = file.valid_bytes
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace the content of a file durably and atomically."""
-        temporary = self._folder / f"{name}.new"
-        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        temporary = self._folder / f"{name}{TEMPORARY_SUFFIX}"
         try:
-            _write_all(descriptor, data)
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+            descriptor = os.open(
+                temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
+            )
+            try:
+                _write_all(descriptor, data)
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+            os.replace(temporary, self._folder / name)
+        except OSError:
+            # A part of the file would occupy a disk that may be full.
+            temporary.unlink(missing_ok=True)
+            raise
         self._close(name)
-        os.replace(temporary, self._folder / name)
+        self._is_folder_synced = False
         self._sync_folder()
 
     def clear(self) -> None:
         """Remove all files except the lock file durably."""
-        for name in list(self._descriptors):
+        for name in list(self._open_files):
             self._close(name)
         for path in self._folder.iterdir():
             if path.name != "lock":
@@ -117,21 +179,25 @@
 
     def close(self) -> None:
         """Close all files and release the lock."""
-        for name in list(self._descriptors):
+        for name in list(self._open_files):
             self._close(name)
         os.close(self._lock)
 
-    def _open(self, name: str) -> int:
-        if name not in self._descriptors:
+    def _open(self, name: str) -> _OpenFile:
+        if name not in self._open_files:
+            path = self._folder / name
+            if not path.exists():
+                self._is_folder_synced = False
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-            self._descriptors[name] = os.open(self._folder / name, flags, 0o600)
-            self._sync_folder()
-        return self._descriptors[name]
+            descriptor = os.open(path, flags, 0o600)
+            size = os.fstat(descriptor).st_size
+            self._open_files[name] = _OpenFile(descriptor, size, size)
+        return self._open_files[name]
 
     def _close(self, name: str) -> None:
-        descriptor = self._descriptors.pop(name, None)
-        if descriptor is not None:
-            os.close(descriptor)
+        file = self._open_files.pop(name, None)
+        if file is not None:
+            os.close(file.descriptor)
 
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
@@ -139,6 +205,7 @@
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
+        self._is_folder_synced = True
 
 
 def _write_all(descriptor: int, data: bytes) -> None:
--- a/tarragonway/consensus/storage.py
+++ b/tarragonway/consensus/storage.py
@@ -66,6 +66,9 @@
     def recover(self) -> Recovered:
         """Read the durable state and remove a torn tail from the log file.
 
+        What is read is made durable, as the process before may have ended between a
+        write and its sync.
+
         Raises
         ------
         CorruptDataError
@@ -76,11 +79,14 @@
         batches, valid_bytes, size = self._read_batches()
         if valid_bytes < size:
             self._files.truncate(LOG_FILE, valid_bytes)
+        if valid_bytes:
+            self._files.sync(LOG_FILE)
         hard_state, log = _replay(batches)
         if log.get_term(snapshot.index) != snapshot.term:
             # The process crashed after it had written a received snapshot and before
-            # it replaced the log file.
+            # it replaced the log file. Later entries must not follow the former ones.
             log = RaftLog(snapshot.index, snapshot.term)
+            self._replace_log(hard_state, LogTail(snapshot.index, snapshot.term))
         return Recovered(
             self._read_identity(), hard_state, snapshot, log, size - valid_bytes
         )
@@ -103,6 +109,9 @@
     ) -> None:
         """Write a snapshot durably, then replace the log file by ``tail``."""
         self._files.replace(SNAPSHOT_FILE, encode_frame(_encoder.encode(snapshot)))
+        self._replace_log(hard_state, tail)
+
+    def _replace_log(self, hard_state: HardState, tail: LogTail) -> None:
         start = (tail.start_index, tail.start_term)
         batch = _Batch(start, hard_state, tail.entries)
         self._files.replace(LOG_FILE, encode_frame(_encoder.encode(batch)))
