Keep the link of a member whose disk refuses the record of its admission

A coordinator that joins a group on a full disk never became a voter while the disk was full, and broke the leader's link with each message: its handler raised OSError out of the protocol, after which the event loop closes the connection.

The failure to record the admission is now an outcome: the message is dropped and logged, and the leader's next one is another occasion. The member acknowledges nothing before its admission is durable, as before.

Evidence: the new test fails before with OSError ENOSPC out of _handle_packet.

The identity is written from another thread than the log. Which change of names a sync of the folder covers is therefore recorded before the sync, so that it cannot pass for a sync of a later one.

--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -92,8 +92,10 @@
         folder.mkdir(parents=True, exist_ok=True)
         self._folder = folder
         self._open_files: dict[str, _OpenFile] = {}
-        # Whether the names of all files are durable; unknown of the process before.
-        self._is_folder_synced = False
+        # Identify the latest change of the files' names and the latest durable one.
+        # Two threads may write different files.
+        self._names_version = object()
+        self._synced_names_version: object | None = None
         self._lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -136,7 +138,7 @@
             file.mark_torn(file.synced_bytes)
             raise
         file.synced_bytes = file.valid_bytes
-        if not self._is_folder_synced:
+        if self._synced_names_version is not self._names_version:
             self._sync_folder()
 
     def truncate(self, name: str, size: int) -> None:
@@ -165,7 +167,7 @@
             temporary.unlink(missing_ok=True)
             raise
         self._close(name)
-        self._is_folder_synced = False
+        self._names_version = object()
         self._sync_folder()
 
     def clear(self) -> None:
@@ -187,7 +189,7 @@
         if name not in self._open_files:
             path = self._folder / name
             if not path.exists():
-                self._is_folder_synced = False
+                self._names_version = object()
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
             descriptor = os.open(path, flags, 0o600)
             size = os.fstat(descriptor).st_size
@@ -200,12 +202,13 @@
             os.close(file.descriptor)
 
     def _sync_folder(self) -> None:
+        version = self._names_version
         descriptor = os.open(self._folder, os.O_RDONLY)
         try:
             os.fsync(descriptor)
         finally:
             os.close(descriptor)
-        self._is_folder_synced = True
+        self._synced_names_version = version
 
 
 def _write_all(descriptor: int, data: bytes) -> None:
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -9,9 +9,9 @@
 
 from tarragonway.consensus import DataFolder, Member, Packet
 from tarragonway.consensus.files import FolderFiles
-from tarragonway.consensus.storage import Identity
 from tarragonway.coordinator.bootstrap import (
     TICK_INTERVAL_S,
+    admit_member,
     get_peer_address,
     make_driver,
 )
@@ -313,12 +313,12 @@
 
     def _handle_packet(self, packet: Packet) -> None:
         is_target = packet.target == self._driver.own_member.id
-        if not self._driver.has_cluster and is_target:
-            _log.info("member admitted to the group", group=packet.cluster)
-            self._folder.write_identity(
-                Identity(self._driver.own_member.id, packet.cluster)
-            )
-            self._driver.join_cluster(packet.cluster)
+        if (
+            is_target
+            and not self._driver.has_cluster
+            and not admit_member(self._folder, self._driver, packet.cluster)
+        ):
+            return
         source = get_peer_address(packet.source)
         if is_target and source not in self._link_pool.links:
             # The leader may be missing from the membership known to this process.
--- a/tarragonway/coordinator/tests/test_daemon.py
+++ b/tarragonway/coordinator/tests/test_daemon.py
@@ -1,11 +1,13 @@
 import asyncio
+import errno
 import functools
 from types import SimpleNamespace
 
-from tarragonway.consensus import Member, Membership
+from tarragonway.consensus import Member, Membership, Packet
+from tarragonway.consensus.storage import Identity
 from tarragonway.coordinator.daemon import CoordinatorProcess
 from tarragonway.coordinator.tests.test_list_publisher import FakeLink, count_full_lists
-from tarragonway.core.ids import MemberId, ProcessName
+from tarragonway.core.ids import ClusterId, MemberId, ProcessName
 from tarragonway.links.messages import GatewayReport, Join, Status
 
 
@@ -95,3 +97,36 @@
     CoordinatorProcess._handle_message(voter, FakeLink(), status)
     await maintain_links(voter)
     assert voter._link_pool.wanted == {"b:1", "x:1", "y:1"}
+
+
+# Guards against a full disk that breaks the link of the member to be admitted.
+async def test_admission_waits_for_a_full_disk():
+    refusals = [OSError(errno.ENOSPC, "No space left on device")]
+    written, handled = [], []
+
+    def write_identity(identity):
+        if refusals:
+            raise refusals.pop()
+        written.append(identity)
+
+    def join_cluster(cluster):
+        driver.has_cluster = True
+
+    member = Member(MemberId("a:1#x"), ProcessName("a:1"))
+    driver = SimpleNamespace(
+        has_cluster=False,
+        own_member=member,
+        join_cluster=join_cluster,
+        handle_packet=handled.append,
+    )
+    process = SimpleNamespace(
+        _driver=driver,
+        _folder=SimpleNamespace(write_identity=write_identity),
+        _link_pool=SimpleNamespace(links={"b:1": None}),
+    )
+    packet = Packet(ClusterId("g"), MemberId("b:1#y"), member.id, None)
+    CoordinatorProcess._handle_packet(process, packet)
+    assert (written, handled) == ([], [])
+    CoordinatorProcess._handle_packet(process, packet)
+    assert written == [Identity(member.id, ClusterId("g"))]
+    assert handled == [packet]
