Drop one message of the mailbox whose handler fails, and deliver the next

In the processes of the own interface, a message nested too deeply, or one whose handler raised, left the reading of the inbox with that error: the messages behind it waited for the next one to arrive.

Cause: the same as on links between gateways and coordinators: of the decoder only its own errors were expected, and of the handler none.

The mailbox decodes by decode_bytes, drops a message whose handler raises, logs the first of each kind and counts all (mailbox.handler_failed). Broken invariants are not dropped. The record of dropped messages moves to core/drops.py, which both kinds of connections use.

Ruled out: messages with a wrong MAC or for another process, dropped before.

--- a/tarragonway/core/decoding.py
+++ b/tarragonway/core/decoding.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from tarragonway.core.errors import TarragonwayError
+from tarragonway.core.errors import CorruptDataError, TarragonwayError
 
 # Levels of objects and arrays in JSON text.
 MAX_DEPTH = 64
@@ -61,7 +61,7 @@
     return decode_bytes(decoder, text)
 
 
-def decode_bytes(decoder: Decoder[T], data: bytes) -> T:
+def decode_bytes(decoder: Decoder[T], data: bytes | msgspec.Raw) -> T:
     """Return what a decoder of any format reads.
 
     Raises
@@ -82,6 +82,20 @@
         raise UndecodableError(str(error)) from error
 
 
+def decode_stored(decoder: Decoder[T], data: bytes, place: str) -> T:
+    """Return what this process or another member of its group has stored.
+
+    Raises
+    ------
+    CorruptDataError
+        If the decoder raises any error; the message names the place.
+    """
+    try:
+        return decode_bytes(decoder, data)
+    except UndecodableError as error:
+        raise CorruptDataError(f"{place} cannot be decoded: {error}") from error
+
+
 def is_too_deep(text: bytes) -> bool:
     """Return whether JSON text is nested deeper than :data:`MAX_DEPTH`.
 
--- a/tarragonway/links/drops.py
+++ b/tarragonway/core/drops.py
@@ -1,8 +1,8 @@
 """Messages that a process drops: those that cannot be decoded, or whose handler fails.
 
-The sender of such a message would send it again on the next link, so that ending the
-link for it helps nobody. A dropped message is as good as one lost with its link, which
-every protocol on links has to bear.
+The sender of such a message would send it again on the next connection, so that ending
+the connection for it helps nobody. A dropped message is as good as one lost with its
+connection, which every protocol between processes has to bear.
 """
 
 import msgspec
@@ -30,16 +30,20 @@
     Parameters
     ----------
     counters : Counters
-        Receives ``links.undecodable`` and ``links.handler_failed``.
+        Receives ``links.undecodable`` and ``links.handler_failed``, or the same under
+        another prefix.
+    prefix : str, optional
+        Prefix of the counters.
     """
 
-    def __init__(self, counters: Counters) -> None:
+    def __init__(self, counters: Counters, prefix: str = "links") -> None:
         self._counters = counters
+        self._prefix = prefix
         self._logged: set[tuple[str, ...]] = set()
 
     def record_undecodable(self, peer: str, body: bytes, error: Exception) -> None:
         """Record a message whose bytes cannot be decoded."""
-        self._counters.increment("links.undecodable")
+        self._counters.increment(f"{self._prefix}.undecodable")
         message_type = _find_type(body)
         if self._is_new("undecodable", message_type, type(error).__name__):
             _log.error(
@@ -52,7 +56,7 @@
 
     def record_failed(self, peer: str, message: object, error: Exception) -> None:
         """Record a message whose handler has raised an error."""
-        self._counters.increment("links.handler_failed")
+        self._counters.increment(f"{self._prefix}.handler_failed")
         message_type = type(message).__name__
         if self._is_new("failed", message_type, type(error).__name__):
             _log.error(
--- a/tarragonway/links/link.py
+++ b/tarragonway/links/link.py
@@ -19,8 +19,8 @@
 from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.counters import Counters
 from tarragonway.core.decoding import UndecodableError, decode_bytes
+from tarragonway.core.drops import DroppedMessages
 from tarragonway.core.errors import CorruptDataError, InvariantError
-from tarragonway.links.drops import DroppedMessages
 from tarragonway.links.messages import LinkMessage
 
 HEARTBEAT_INTERVAL_S = 0.5
--- a/tarragonway/links/pool.py
+++ b/tarragonway/links/pool.py
@@ -7,7 +7,7 @@
 import structlog
 
 from tarragonway.core.counters import Counters
-from tarragonway.links.drops import DroppedMessages
+from tarragonway.core.drops import DroppedMessages
 from tarragonway.links.link import Link
 from tarragonway.links.messages import LinkMessage
 
--- a/tarragonway/links/tests/test_link.py
+++ b/tarragonway/links/tests/test_link.py
@@ -6,10 +6,10 @@
 import pytest
 
 from tarragonway.core.counters import Counters
+from tarragonway.core.drops import DroppedMessages
 from tarragonway.core.errors import InvariantError
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.links import LinkPool
-from tarragonway.links.drops import DroppedMessages
 from tarragonway.links.link import (
     COMPRESSED_BIT,
     MAX_FRAME_BYTES,
--- a/tarragonway/transport/mailbox.py
+++ b/tarragonway/transport/mailbox.py
@@ -14,6 +14,9 @@
 import pynng
 
 from tarragonway.core.counters import Counters
+from tarragonway.core.decoding import UndecodableError, decode_bytes
+from tarragonway.core.drops import DroppedMessages
+from tarragonway.core.errors import CorruptDataError, InvariantError
 from tarragonway.core.hashes import compute_mac, verify_mac
 from tarragonway.core.ids import ProcessName
 
@@ -77,6 +80,7 @@
         self._envelope_decoder = msgspec.msgpack.Decoder(_Envelope)
         self._encoder = msgspec.msgpack.Encoder()
         self._counters = counters
+        self._drops = DroppedMessages(counters, "mailbox")
         self._handler: Callable[[Delivery[M]], None] | None = None
         self._inbox: pynng.Pull0 | None = None
         self._outboxes: dict[ProcessName, pynng.Push0] = {}
@@ -162,9 +166,9 @@
             self._counters.increment("mailbox.unauthenticated")
             return
         try:
-            envelope = self._envelope_decoder.decode(data)
-            body = self._body_decoder.decode(envelope.body)
-        except msgspec.MsgspecError:
+            envelope = decode_bytes(self._envelope_decoder, data)
+            body = decode_bytes(self._body_decoder, envelope.body)
+        except UndecodableError:
             self._counters.increment("mailbox.malformed")
             return
         if envelope.recipient != self._name:
@@ -172,4 +176,9 @@
             return
         self._counters.increment("mailbox.received")
         assert self._handler is not None
-        self._handler(Delivery(ProcessName(envelope.sender), body))
+        try:
+            self._handler(Delivery(ProcessName(envelope.sender), body))
+        except (InvariantError, CorruptDataError):
+            raise
+        except Exception as error:
+            self._drops.record_failed(envelope.sender, body, error)
