Never start under the former member id after a damaged folder was cleared

A coordinator with a damaged log clears its folder, and then writes a new member id. If the disk is full in between, or the process ends, the next start finds an empty folder. With bootstrap set, it became the founding member of that name again: the same member id, without its log and its votes, so that the group could elect two leaders in a term and lose what was acknowledged.

The new id is now written first, and the rest of the folder cleared after it. A start that ends in between finds the log still damaged and does the same again.

--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -170,12 +170,12 @@
         self._names_version = object()
         self._sync_folder()
 
-    def clear(self) -> None:
-        """Remove all files except the lock file durably."""
+    def clear(self, kept: str) -> None:
+        """Remove all files except the lock file and the file ``kept`` durably."""
         for name in list(self._open_files):
             self._close(name)
         for path in self._folder.iterdir():
-            if path.name != "lock":
+            if path.name not in ("lock", kept):
                 path.unlink()
         self._sync_folder()
 
--- a/tarragonway/coordinator/bootstrap.py
+++ b/tarragonway/coordinator/bootstrap.py
@@ -20,7 +20,7 @@
     Snapshot,
 )
 from tarragonway.consensus.files import FolderFiles
-from tarragonway.consensus.storage import Identity
+from tarragonway.consensus.storage import IDENTITY_FILE, Identity
 from tarragonway.coordinator.machine import CoordinatorMachine
 from tarragonway.core.counters import Counters
 from tarragonway.core.errors import CorruptDataError
@@ -81,8 +81,7 @@
         first = Snapshot(0, 0, Membership(members, ()), b"")
         folder.write_snapshot(first, HardState(), LogTail())
     else:
-        token = secrets.token_hex(4)
-        identity = Identity(MemberId(f"{address}#{token}"), ClusterId(""))
+        identity = make_new_identity(address)
     folder.write_identity(identity)
     _log.info(
         "data folder was empty; new identity written",
@@ -92,6 +91,11 @@
     return identity, folder.recover()
 
 
+def make_new_identity(address: str) -> Identity:
+    """Return the identity of a member that has never voted and is in no group."""
+    return Identity(MemberId(f"{address}#{secrets.token_hex(4)}"), ClusterId(""))
+
+
 def admit_member(folder: DataFolder, driver: LogDriver, group: ClusterId) -> bool:
     """Record durably that a group has admitted this member.
 
@@ -145,7 +149,13 @@
     """Return the driver of the log in the data folder.
 
     A damaged folder is cleared: synced data may be missing, so the member must not vote
-    again under its old identity. The process then joins as a new member.
+    again under its old identity. The process then joins as a new member. The folder
+    gets the new identity first: an empty folder could make it a founding member again.
+
+    Raises
+    ------
+    OSError
+        If the disk refuses a write; the start may be tried again.
     """
     address, seeds = settings.peer_address, settings.seed_peers
     try:
@@ -157,7 +167,8 @@
             "data folder is damaged; clearing it and joining as a new member",
             reason=str(error),
         )
-        files.clear()
+        folder.write_identity(make_new_identity(address))
+        files.clear(kept=IDENTITY_FILE)
         identity, recovered = prepare_data_folder(folder, address, seeds, False)
     config = DriverConfig(
         Member(identity.member, ProcessName(address)),
