--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -106,7 +106,7 @@
                 "stop that process before starting this one"
             ) from error
         for path in folder.glob(f"*{TEMPORARY_SUFFIX}"):
-            path.unlink()
+            _release_room(path)
 
     def read(self, name: str) -> bytes | None:
         """Return a file's content, or None if there is no such file."""
@@ -163,8 +163,7 @@
                 os.close(descriptor)
             os.replace(temporary, self._folder / name)
         except OSError:
-            # A part of the file would occupy a disk that may be full.
-            temporary.unlink(missing_ok=True)
+            _release_room(temporary)
             raise
         self._close(name)
         self._names_version = object()
@@ -211,6 +210,12 @@
         self._synced_names_version = version
 
 
+def _release_room(path: pathlib.Path) -> None:
+    """Empty the file of an unfinished replacement, as the disk may be full."""
+    with contextlib.suppress(OSError):
+        os.truncate(path, 0)
+
+
 def _write_all(descriptor: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
