Let simulated processes crash inside their start

TestLogMachine failed twice on merged code: once beside a whole test run (timeout of 120 s while the failing example was shrunk, then FlakyStrategyDefinition) and once with soak/tests/test_start.py (CrashError out of Node.start, 107 s).

Cause: a start now makes durable what it has read, so that a disk call in which a crash was armed while the process was down can be one of the start's, and the simulation let that crash out of the start. It now is a crash like any other, after which the process starts again. The new test arms it on purpose; with the former simulation one of its four cases fails.

--- a/tarragonway/consensus/tests/cluster.py
+++ b/tarragonway/consensus/tests/cluster.py
@@ -15,6 +15,9 @@
 from tarragonway.consensus.storage import Identity
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
 
+# Unsynced bytes that a crash inside a disk call leaves in a file.
+TORN_BYTES = 3
+
 
 class CrashError(Exception):
     """Raised when the simulated process crashes inside a disk call."""
@@ -90,10 +93,12 @@
         self.replica = None
 
     def start(self):
-        folder = DataFolder(self.disk)
-        found = folder.recover()
-        if found.identity is None:
-            folder.write_identity(Identity(self.member.id, ClusterId("test")))
+        """Start the process, and once more if it crashes inside a disk call."""
+        try:
+            found = self._recover()
+        except CrashError:
+            self.disk.crash(TORN_BYTES)
+            found = self._recover()
         self.replica = Replica(
             self.member.id,
             Parameters(),
@@ -104,6 +109,13 @@
         )
         self.applied = decode_state(found.snapshot.state)
 
+    def _recover(self):
+        folder = DataFolder(self.disk)
+        found = folder.recover()
+        if found.identity is None:
+            folder.write_identity(Identity(self.member.id, ClusterId("test")))
+        return found
+
 
 def decode_state(state):
     return state.split(b",") if state else []
@@ -158,7 +170,7 @@
                 folder.append(output.hard_state, output.entries)
                 folder.sync()
         except CrashError:
-            self.crash(node, 3)
+            self.crash(node, TORN_BYTES)
             return
         self.check_leader(node)
         for target, message in output.messages:
--- a/tarragonway/consensus/tests/test_replica.py
+++ b/tarragonway/consensus/tests/test_replica.py
@@ -287,6 +287,24 @@
     assert all(len(node.applied) == 600 for node in cluster.nodes)
 
 
+# Guards against a start that cannot be repeated after a crash in its own disk calls.
+@pytest.mark.parametrize("calls", range(4))
+def test_crash_inside_a_start_loses_nothing(calls):
+    cluster = Cluster(3)
+    leader = elect(cluster)
+    for value in range(20):
+        cluster.propose(leader, b"v%d" % value)
+    run(cluster, 10)
+    for node in cluster.nodes:
+        cluster.crash(node, 3)
+        node.disk.calls_until_crash = calls
+        node.start()
+    cluster.heal()
+    assert len(cluster.acknowledged) == 20
+    for node in cluster.nodes:
+        assert set(cluster.acknowledged) <= set(node.applied)
+
+
 def test_leadership_moves_at_once_on_transfer():
     cluster = Cluster(3)
     old = elect(cluster)
