Answer a request whose handler fails, and let the choice of endpoints learn from it

What callers saw: a request whose handler met an error that nothing expects ended with a reset connection and no answer. An endpoint at which each send failed so looked idle, as it was done at once, and drew nearly all requests although others were free.

Cause: the server's last resort was a reset, whatever had been sent. An error in a send was recorded as a completion without a failure, and ended the whole request.

A handler that fails is now answered by ResponseWriter.fail: 500 by the plain servers (operators, readiness, metrics), unless a part of the response was sent, which is reset as before. The gateway knows from the attempt what is true: 503 and the promise if no send may have run, whose quota units are returned once, 502 otherwise. An error in a send is an outcome, SendFailed, which says whether the request was written. It counts as a failure of its endpoint, which is avoided for a growing time, is logged with its traceback and counted as request.send_failed, and the request goes on at another endpoint under the same rules as an unreachable or a broken one. A request that HTTP does not allow is an outcome of its own, NotEncodable, since no endpoint is to blame. A response that cannot be encoded leaves the connection able to send another one, as nothing of it was sent.

--- a/tarragonway/gateway/admission.py
+++ b/tarragonway/gateway/admission.py
@@ -90,7 +90,8 @@
 
     def refund_quota(self, attempt: Attempt) -> None:
         """Return the quota units of a request that did not run to its account."""
-        if attempt.account is not None:
+        if attempt.account is not None and not attempt.refunded:
+            attempt.refunded = True
             units = count_units(attempt.account, attempt.facts)
             self._quota.refund(attempt.account, units)
 
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -21,8 +21,8 @@
     whose answers broke off, ``sends`` the number of times the request was written to an
     endpoint. While ``may_have_run`` is set, the caller must not be promised that the
     request did not run. ``usage_counted`` is set once the request is included in the
-    usage counts. ``last_event_id`` is the id of the last event that was relayed to the
-    caller.
+    usage counts, ``refunded`` once its quota units are returned. ``last_event_id`` is
+    the id of the last event that was relayed to the caller.
     ``choice`` is the endpoint to which the request was last sent, at ``sent_at``; it is
     None before the first send and once that endpoint has begun to answer. ``endpoint``
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
@@ -47,6 +47,7 @@
     sends: int = 0
     may_have_run: bool = False
     usage_counted: bool = False
+    refunded: bool = False
     last_event_id: str | None = None
     empty_continuations: int = 0
     choice: Choice | None = None
@@ -82,6 +83,22 @@
     reason: str
 
 
+class SendFailed(msgspec.Struct, frozen=True):
+    """An error that nothing expects ended the send; the request may have run if sent.
+
+    The error may concern the endpoint only, so that others may still answer.
+    """
+
+    reason: str
+    was_sent: bool
+
+
+class NotEncodable(msgspec.Struct, frozen=True):
+    """The request cannot be sent to any endpoint, as HTTP does not allow its parts."""
+
+    reason: str
+
+
 class Refused(msgspec.Struct, frozen=True):
     """The endpoint promised that the request did not run and will not."""
 
@@ -177,6 +194,8 @@
 
 SendOutcome = (
     Unsent
+    | SendFailed
+    | NotEncodable
     | Refused
     | Paused
     | Answered
--- a/tarragonway/gateway/error_responses.py
+++ b/tarragonway/gateway/error_responses.py
@@ -30,6 +30,9 @@
     QUARANTINED = (503, "quarantined")
     QUARANTINE_UNKNOWN = (503, "quarantine_unknown")
     DEADLINE_BEFORE_SEND = (503, "deadline_before_send")
+    NOT_ENCODABLE = (503, "not_encodable")
+    HANDLER_FAILED = (503, "handler_failed")
+    HANDLER_FAILED_AFTER_SEND = (502, "handler_failed")
     ENDPOINT_FAILED = (502, "endpoint_failed")
     DEADLINE = (504, "deadline")
 
@@ -48,9 +51,20 @@
     writer: ResponseWriter, cause: ErrorCause, retry_after_s: float | None = None
 ) -> None:
     """Send an error response with a JSON body, and Retry-After if it is given."""
+    await writer.send(cause.status, *_encode_error(cause, retry_after_s))
+
+
+def end_failed_response(
+    writer: ResponseWriter, cause: ErrorCause, retry_after_s: float | None
+) -> None:
+    """Answer a request whose handler failed, or reset the response that has begun."""
+    writer.fail(cause.status, *_encode_error(cause, retry_after_s))
+
+
+def _encode_error(
+    cause: ErrorCause, retry_after_s: float | None
+) -> tuple[Headers, bytes]:
     headers: Headers = [(b"content-type", b"application/json")]
     if retry_after_s is not None:
         headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
-    await writer.send(
-        cause.status, headers, msgspec.json.encode({"error": cause.reason})
-    )
+    return headers, msgspec.json.encode({"error": cause.reason})
--- a/tarragonway/gateway/final_errors.py
+++ b/tarragonway/gateway/final_errors.py
@@ -7,9 +7,11 @@
     Expired,
     Limited,
     NotContinued,
+    NotEncodable,
     Overloaded,
     Paused,
     Refused,
+    SendFailed,
     SendOutcome,
     Unsent,
     VersionGone,
@@ -58,10 +60,19 @@
             return ErrorCause.ENDPOINTS_FULL, DEFAULT_RETRY_AFTER_S
         case Expired():
             return ErrorCause.DEADLINE_BEFORE_SEND, DEFAULT_RETRY_AFTER_S
+        case NotEncodable():
+            return ErrorCause.NOT_ENCODABLE, None
         case _:
             return ErrorCause.NO_ENDPOINT, DEFAULT_RETRY_AFTER_S
 
 
+def choose_handler_error(attempt: Attempt | None) -> tuple[ErrorCause, float | None]:
+    """Return the cause, and the Retry-After, if the handling of a request failed."""
+    if attempt is not None and attempt.may_have_run:
+        return ErrorCause.HANDLER_FAILED_AFTER_SEND, None
+    return ErrorCause.HANDLER_FAILED, DEFAULT_RETRY_AFTER_S
+
+
 def is_false_promise(attempt: Attempt, outcome: Answered) -> bool:
     """Return whether an answer would tell that a request that ran has not run.
 
@@ -74,7 +85,7 @@
 def is_endpoint_failure(outcome: SendOutcome) -> bool:
     """Return whether an outcome counts as a failure of its endpoint."""
     match outcome:
-        case Unsent() | Broken() | NotContinued():
+        case Unsent() | SendFailed() | Broken() | NotContinued():
             return True
         case Expired(in_body):
             return in_body
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -19,6 +19,7 @@
     Overloaded,
     Paused,
     Refused,
+    SendFailed,
     SendOutcome,
     Streamed,
     Unsent,
@@ -26,9 +27,13 @@
 )
 from tarragonway.gateway.choice import Choice, EndpointChooser
 from tarragonway.gateway.content_reports import ContentReports, EndpointReporter
-from tarragonway.gateway.error_responses import send_error_response
+from tarragonway.gateway.error_responses import (
+    end_failed_response,
+    send_error_response,
+)
 from tarragonway.gateway.final_errors import (
     choose_error,
+    choose_handler_error,
     is_endpoint_failure,
     is_false_promise,
 )
@@ -148,10 +153,20 @@
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Admit one request, forward it and answer it."""
-        facts = self._codec.decode_request(request)
-        attempt = await self._admission.admit(request, facts, writer)
-        if attempt is None:
-            return
+        attempt = None
+        try:
+            facts = self._codec.decode_request(request)
+            attempt = await self._admission.admit(request, facts, writer)
+            if attempt is not None:
+                await self._handle_admitted(attempt)
+        except Exception:
+            self._counters.increment("request.handler_failed")
+            _log.exception("request handler failed", target=request.target)
+            end_failed_response(writer, *choose_handler_error(attempt))
+            if attempt is not None and not attempt.may_have_run:
+                self._admission.refund_quota(attempt)
+
+    async def _handle_admitted(self, attempt: Attempt) -> None:
         started = asyncio.get_running_loop().time()
         try:
             await self._run(attempt)
@@ -303,7 +318,9 @@
             self._notices.record_refusal(endpoint.key, loop.time())
         if isinstance(outcome, Streamed):
             self._record_stream(attempt, outcome)
-        if misdirected or isinstance(outcome, Unsent):
+        if isinstance(outcome, SendFailed):
+            self._counters.increment("request.send_failed")
+        if misdirected or isinstance(outcome, Unsent | SendFailed):
             self._chooser.record_unreachable(endpoint.key, loop.time())
         if not isinstance(outcome, Answered | Streamed):
             _log.info(
@@ -350,11 +367,11 @@
         if attempt.probe is None and self._guard.has_held(attempt.shared_parts):
             return False
         match outcome:
-            case Unsent():
+            case Unsent() | SendFailed(was_sent=False):
                 return len(attempt.tried) < MAX_FAILED_CONNECTS + attempt.sends
             case Refused():
                 retryable = True
-            case Broken() | NotContinued():
+            case Broken() | NotContinued() | SendFailed():
                 retryable = route.is_repeatable
             case Answered(head):
                 retryable = route.repeatability is Repeatability.SAFE
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -13,7 +13,9 @@
     Broken,
     Expired,
     NotContinued,
+    NotEncodable,
     Refused,
+    SendFailed,
     SendOutcome,
     Streamed,
     Unsent,
@@ -33,7 +35,7 @@
     Request,
     ResponseHead,
 )
-from tarragonway.http1.client import Headers
+from tarragonway.http1.client import Headers, RequestNotEncodable
 
 MAX_IDLE_REPEATABLE_S = 60.0
 # An endpoint may close an idle connection unnoticed, and it is then unknown whether a
@@ -112,8 +114,27 @@
     ) -> SendOutcome:
         """Send the attempt to the endpoint and return the outcome.
 
-        A refused or complete answer is returned; a stream is relayed to the caller.
+        A refused or complete answer is returned; a stream is relayed to the caller. An
+        error that nothing expects is an outcome too, so that the choice of endpoints
+        learns from it and the caller gets an answer.
         """
+        sends_before = attempt.sends
+        try:
+            return await self._send(attempt, endpoint, priority)
+        except Exception as error:
+            was_sent = attempt.sends > sends_before
+            _log.exception(
+                "send failed with an unexpected error",
+                attempt=attempt.facts.attempt,
+                endpoint=endpoint.platform_id,
+                address=endpoint.address,
+                was_sent=was_sent,
+            )
+            return SendFailed(repr(error), was_sent)
+
+    async def _send(
+        self, attempt: Attempt, endpoint: ListedEndpoint, priority: int | None
+    ) -> SendOutcome:
         runs_once = not attempt.route.is_repeatable
         idle_s = MAX_IDLE_UNREPEATABLE_S if runs_once else MAX_IDLE_REPEATABLE_S
         try:
@@ -132,6 +153,8 @@
             return Expired(in_body=connection.in_body)
         except ConnectionEnded as error:
             return Broken(str(error))
+        except RequestNotEncodable as error:
+            return NotEncodable(str(error))
         finally:
             self._pool.release(endpoint.key, connection)
 
--- a/tarragonway/http1/call.py
+++ b/tarragonway/http1/call.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from tarragonway.http1.client import ConnectionEnded, Headers
+from tarragonway.http1.client import ConnectionEnded, Headers, RequestNotEncodable
 from tarragonway.http1.pool import ConnectFailed, ConnectionPool
 
 MAX_IDLE_S = 3.0
@@ -84,6 +84,8 @@
             return CallFailed(f"no complete response within {timeout_s:.3g} s", True)
         except ConnectionEnded as error:
             return CallFailed(str(error), True)
+        except RequestNotEncodable as error:
+            return CallFailed(str(error), False)
         finally:
             self._pool.release("", connection)
         return CallResponse(head.status, body)
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -29,6 +29,10 @@
     """The connection ended, or broke the protocol, before the response was complete."""
 
 
+class RequestNotEncodable(Exception):  # noqa: N818
+    """A request has parts that HTTP does not allow, so nothing was sent."""
+
+
 class ResponseHead(msgspec.Struct, frozen=True):
     """Status and headers of a response; header names are in lower case."""
 
@@ -150,6 +154,8 @@
         ------
         ConnectionEnded
             If the connection had ended before; nothing was sent.
+        RequestNotEncodable
+            If the request cannot be sent on any connection.
         """
         if not self.is_open:
             raise ConnectionEnded("the connection is closed")
@@ -158,11 +164,14 @@
             self._http.start_next_cycle()
         self._idle = False
         self.exchanges += 1
-        self._sent = [h11.Request(method=method, target=target, headers=headers)]
-        if body:
-            self._sent.append(h11.Data(data=body))
-        self._sent.append(h11.EndOfMessage())
-        parts = [self._http.send(event) or b"" for event in self._sent]
+        try:
+            self._sent = [h11.Request(method=method, target=target, headers=headers)]
+            if body:
+                self._sent.append(h11.Data(data=body))
+            self._sent.append(h11.EndOfMessage())
+            parts = [self._http.send(event) or b"" for event in self._sent]
+        except (h11.LocalProtocolError, ValueError) as error:
+            raise RequestNotEncodable(str(error)) from error
         self._transport.write(b"".join(parts))
 
     async def read_head(
--- a/tarragonway/http1/server.py
+++ b/tarragonway/http1/server.py
@@ -20,6 +20,7 @@
 MAX_PIPELINED_BYTES = 256 * 1024
 BODY_TIMEOUT_S = 20.0
 LISTEN_BACKLOG = 1024
+JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
 
 _log = structlog.get_logger()
 
@@ -62,12 +63,12 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
-        self.started = True
         self._connection.send(
             h11.Response(
                 status_code=status, headers=self._connection.add_close_header(headers)
             )
         )
+        self.started = True
         await self._connection.drain()
 
     async def write(self, data: bytes) -> None:
@@ -85,6 +86,19 @@
         self.finished = True
         self._connection.abort()
 
+    def fail(self, status: int, headers: Headers, body: bytes) -> None:
+        """Answer a request whose handler failed, whatever state it has left.
+
+        A response that has begun is reset, so that it cannot look complete.
+        """
+        if self.finished:
+            return
+        if self.started:
+            self.abort()
+            return
+        self._connection.send_last_response(status, headers, body)
+        self.finished = True
+
 
 Handler = Callable[[Request, ResponseWriter], Awaitable[None]]
 
@@ -233,10 +247,21 @@
         """Send one event of the response, or nothing if the caller disconnected."""
         if self._transport is None or self._transport.is_closing():
             return
+        if self._http.our_state is h11.ERROR and isinstance(event, h11.Response):
+            # The response before this one could not be encoded and was not sent.
+            self._http = self._make_state()
         data = self._http.send(event)
         if data:
             self._transport.write(data)
 
+    def send_last_response(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response before any other one; none can follow it."""
+        length = str(len(body)).encode()
+        close = [(b"content-length", length), (b"connection", b"close")]
+        self.send(h11.Response(status_code=status, headers=[*headers, *close]))
+        self.send(h11.Data(data=body))
+        self.send(h11.EndOfMessage())
+
     async def drain(self) -> None:
         """Wait while the send buffer is full, because the caller does not read."""
         if not self._writable.is_set():
@@ -348,7 +373,7 @@
             self.abort()
         except Exception:
             _log.exception("request handler failed", target=request.target)
-            self.abort()
+            writer.fail(500, JSON_HEADERS, b'{"error": "500"}')
         finally:
             self._task = None
         self._finish_exchange(writer)
@@ -379,14 +404,7 @@
         _log.info("request rejected", status=status, reason=reason)
         body = f'{{"error": "{status}"}}'.encode()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [
-                (b"content-type", b"application/json"),
-                (b"content-length", str(len(body)).encode()),
-                (b"connection", b"close"),
-            ]
-            self.send(h11.Response(status_code=status, headers=headers))
-            self.send(h11.Data(data=body))
-            self.send(h11.EndOfMessage())
+            self.send_last_response(status, JSON_HEADERS, body)
         self._receiving = False
         self._close_gracefully()
 
--- a/tarragonway/http1/tests/test_server.py
+++ b/tarragonway/http1/tests/test_server.py
@@ -102,3 +102,37 @@
     recorder.server.announce_close()
     received = await exchange_bytes(recorder, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
     assert b"connection: close" in received.lower()
+
+
+# Guards against a request that ends without an answer because its handler failed.
+async def test_failed_handler_answers_500(recorder):
+    async def fail(request, writer):
+        raise RuntimeError
+
+    recorder.server.handle = fail
+    received = await exchange_bytes(recorder, b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 500") and b"connection: close" in head.lower()
+    assert body
+
+
+# Guards against a response that cannot be encoded and leaves its request unanswered.
+async def test_response_with_impossible_headers_is_replaced(recorder):
+    async def answer(request, writer):
+        await writer.send(200, [(b"x", b"a\r\nb")], b"body")
+
+    recorder.server.handle = answer
+    received = await exchange_bytes(recorder, b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 500") and b"body" not in received
+
+
+# Guards against a response that looks complete although its handler failed.
+async def test_response_that_has_begun_is_reset_if_the_handler_fails(recorder):
+    async def fail_late(request, writer):
+        await writer.start(200, [(b"transfer-encoding", b"chunked")])
+        await writer.write(b"part")
+        raise RuntimeError
+
+    recorder.server.handle = fail_late
+    with pytest.raises(ConnectionResetError):
+        await exchange_bytes(recorder, b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
