Leave out the body of responses to HEAD

What callers saw: a HEAD request that the gateway or another server answered itself with a body, such as each error response, got the head and then a reset connection.

Cause: the body was given to the HTTP state machine, which refuses bytes after the head of such a response with an error that ended the handler.

Evidence: on the code before, two HEAD requests of the new tests end with ConnectionResetError. They get their head now, and the connection stays usable.

Ruled out: answers of endpoints to HEAD, which have no body.

--- a/tarragonway/http1/server.py
+++ b/tarragonway/http1/server.py
@@ -73,7 +73,8 @@
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body, and wait while the send buffer is full."""
-        self._connection.send(h11.Data(data=data))
+        if not self._connection.omits_body:
+            self._connection.send(h11.Data(data=data))
         await self._connection.drain()
 
     def finish(self) -> None:
@@ -180,6 +181,7 @@
         self._pending_bytes = 0
         self._receiving = False
         self._is_closing = False
+        self.omits_body = False
         self._delivery: DeliveryWatch | None = None
 
     def _make_state(self) -> h11.Connection:
@@ -259,7 +261,8 @@
         length = str(len(body)).encode()
         close = [(b"content-length", length), (b"connection", b"close")]
         self.send(h11.Response(status_code=status, headers=[*headers, *close]))
-        self.send(h11.Data(data=body))
+        if not self.omits_body:
+            self.send(h11.Data(data=body))
         self.send(h11.EndOfMessage())
 
     async def drain(self) -> None:
@@ -360,6 +363,7 @@
             bytes(self._body),
             asyncio.get_running_loop().time(),
         )
+        self.omits_body = request.method == "HEAD"
         self._head = None
         self._receiving = False
         self._body.clear()
--- a/tarragonway/http1/tests/test_server.py
+++ b/tarragonway/http1/tests/test_server.py
@@ -105,15 +105,17 @@
 
 
 # Guards against a request that ends without an answer because its handler failed.
-async def test_failed_handler_answers_500(recorder):
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+async def test_failed_handler_answers_500(recorder, method):
     async def fail(request, writer):
         raise RuntimeError
 
     recorder.server.handle = fail
-    received = await exchange_bytes(recorder, b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+    data = b"%s /a/ HTTP/1.1\r\nHost: h\r\n\r\n" % method.encode()
+    received = await exchange_bytes(recorder, data)
     head, _, body = received.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 500") and b"connection: close" in head.lower()
-    assert body
+    assert bool(body) == (method == "GET")
 
 
 # Guards against a response that cannot be encoded and leaves its request unanswered.
@@ -136,3 +138,11 @@
     recorder.server.handle = fail_late
     with pytest.raises(ConnectionResetError):
         await exchange_bytes(recorder, b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+
+
+# Guards against a response to HEAD that is reset, as its body may not be sent.
+async def test_response_to_head_has_no_body(recorder):
+    data = b"HEAD /a/ HTTP/1.1\r\nHost: h\r\n\r\nGET /b/ HTTP/1.1\r\nHost: h\r\n\r\n"
+    received = await exchange_bytes(recorder, data)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert b"\r\n\r\n/a/" not in received and received.endswith(b"/b/")
