Show odd list entries beside sound ones, with the real programs

Three kinds beside three sound endpoints, 3 coordinators, 2 gateways and 8 callers on a safe route: an entry nested 5,000 deep, the same one cut before its end, and six addresses that cannot be called. Each request must be answered 200, no process may end by itself, and an endpoint that drains meanwhile must get nothing after the drain time.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -79,6 +79,11 @@
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the program was started and has ended."""
+        return self._process is not None and self._process.returncode is not None
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self._process is not None and self._process.returncode is None:
--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -224,6 +224,8 @@
     ----------
     endpoints : list of StubEndpoint
         Rows of the endpoint list.
+    odd_entries : list of bytes
+        Further entries of the endpoint list, by another writer.
     unavailable : bool
         Whether each request ends with a reset connection.
     """
@@ -231,6 +233,7 @@
     def __init__(self, address: str, observations: Observations) -> None:
         self.address = address
         self.endpoints: list[StubEndpoint] = []
+        self.odd_entries: list[bytes] = []
         self.unavailable = False
         self._observations = observations
         self._server = HttpServer(self._handle, ConnectionLimits)
@@ -249,9 +252,12 @@
             return
         path = request.target.partition("?")[0]
         if path == names.LIST_PATH:
-            rows = [endpoint.make_list_row() for endpoint in self.endpoints]
-            body = msgspec.json.encode({"instances": rows, "next": None})
-            await writer.send(200, [], body)
+            rows = [
+                msgspec.json.encode(endpoint.make_list_row())
+                for endpoint in self.endpoints
+            ]
+            entries = b",".join([*self.odd_entries, *rows])
+            await writer.send(200, [], b'{"instances":[%s],"next":null}' % entries)
             return
         self._record_call(request, path)
         await writer.send(200, [], b"{}")
