Let no page or service end the tasks that read the list and order endpoints

Cause: an error that nothing expects, raised by the decoder of a page, ended the permanent task that reads the list, and with it the gateway or coordinator; one raised while a service was planned for ended the leader. In both, no state is in doubt: the list read before still holds, and the other services can be planned for.

Evidence: on the code before, the tests of the reader (both cases) and of a service without a plan fail with the error that they raise. An endpoint in a zone that is not configured, also tested, did no harm before.

Such an error is now a failed read, or a service without a plan until the next check. It is logged once with its traceback, until it no longer occurs, and counted as list.unread or fleet.unplanned. InvariantError still ends the process, as do errors of the replicated log.

--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -20,6 +20,7 @@
 from tarragonway.coordinator.gateways import GatewayReports
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.counters import Counters
+from tarragonway.core.errors import InvariantError
 from tarragonway.core.ids import ServiceName, ZoneName
 from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
 from tarragonway.http1.call import Call, CallClient, CallResponse
@@ -49,6 +50,14 @@
     ordered_at: float
 
 
+class _Plan(msgspec.Struct, frozen=True):
+    """Planned and listed numbers of a service's endpoints, and how many it needs."""
+
+    planned: dict[EndpointKind, int]
+    listed: dict[EndpointKind, int]
+    needed: int
+
+
 class FleetReconciler:
     """Reconciles the endpoints of scalable services with the planned numbers.
 
@@ -100,6 +109,7 @@
         self._need_history: dict[ServiceName, list[tuple[float, int]]] = {}
         self._services_with_load: set[ServiceName] = set()
         self._reclaimed_keys: set[str] = set()
+        self._unplanned: set[ServiceName] = set()
         self._changed = asyncio.Event()
 
     async def run(self) -> None:
@@ -127,7 +137,30 @@
         self._changed.clear()
 
     async def _reconcile(self, service: Service, traits: ScalingTraits) -> None:
+        """Send the orders that are due.
+
+        A service that cannot be planned for gets none; the others still do.
+        """
         now = asyncio.get_running_loop().time()
+        try:
+            plan = self._make_plan(service, traits, now)
+        except InvariantError:
+            raise
+        except Exception:
+            self._counters.increment("fleet.unplanned")
+            if service.name not in self._unplanned:
+                self._unplanned.add(service.name)
+                _log.exception("endpoints cannot be planned", service=service.name)
+            return
+        self._unplanned.discard(service.name)
+        # Reclaimable endpoints are ordered first, so that on-demand ones are removed
+        # only when their replacements serve.
+        for kind in sorted(plan.planned, key=lambda k: (not k.reclaimable, k.zone)):
+            listed, count = plan.listed.get(kind, 0), plan.planned[kind]
+            if self._is_order_due(service.name, kind, count, listed, now):
+                await self._send_order(service.name, kind, count, listed, plan.needed)
+
+    def _make_plan(self, service: Service, traits: ScalingTraits, now: float) -> _Plan:
         rows = [r for r in self._view.rows.values() if r.service == service.name]
         counts = count_by_kind(rows)
         self._handle_reclaims(service.name, rows, now)
@@ -140,13 +173,7 @@
             self._is_idle(service.name),
             self._list_unavailable(service.name, False, now),
         )
-        plan = plan_fleet(traits, self._zones, needed, state)
-        # Reclaimable endpoints are ordered first, so that on-demand ones are removed
-        # only when their replacements serve.
-        for kind in sorted(plan, key=lambda k: (not k.reclaimable, k.zone)):
-            listed = counts.get(kind, 0)
-            if self._is_order_due(service.name, kind, plan[kind], listed, now):
-                await self._send_order(service.name, kind, plan[kind], listed, needed)
+        return _Plan(plan_fleet(traits, self._zones, needed, state), counts, needed)
 
     def _compute_recent_need(
         self, service: ServiceName, counts: dict[EndpointKind, int], now: float
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+import structlog
 
 from tarragonway.capacity.fleet import EndpointKind
 from tarragonway.coordinator.scaling import FleetReconciler
@@ -95,3 +96,29 @@
     needed = fleet._compute_recent_need("llm", {}, 100.0)
     platform.limits.stated = {"e1": 1.0, "other": 1.0}
     assert fleet._compute_recent_need("llm", {}, 100.0) == needed + 1
+
+
+# Guards against a service that cannot be planned for and ends the leader's process.
+async def test_service_without_a_plan_does_not_stop_the_others(fleet, platform):
+    count = fleet._gateway_reports.sum_offered_load
+
+    def count_or_raise(service, now):
+        if service == "odd":
+            raise OverflowError
+        return count(service, now)
+
+    fleet._gateway_reports.sum_offered_load = count_or_raise
+    odd = Service("odd", "/", 9, scaling=TRAITS)
+    with structlog.testing.capture_logs() as logs:
+        for service in (odd, SERVICE, odd):
+            await fleet._reconcile(service, TRAITS)
+    assert platform.orders
+    assert sum("exc_info" in row for row in logs) == 1
+
+
+# Guards against an endpoint in a zone that is not configured and ends the process.
+async def test_endpoint_in_an_unknown_zone_stops_no_order(fleet, platform):
+    row = ListedEndpoint("e2", "e2", "llm", "127.0.0.1:2", "odd", 4, False, True)
+    fleet._view.apply_delta([row], [])
+    await fleet._reconcile(SERVICE, TRAITS)
+    assert platform.orders and not fleet._unplanned
--- a/tarragonway/endpoints/reader.py
+++ b/tarragonway/endpoints/reader.py
@@ -70,8 +70,18 @@
         self.pages = 1
 
     async def read(self) -> list[ListedEndpoint] | ListReadFailed:
-        """Return the usable rows of all pages, or a sentinel with the reason."""
-        result = await self._read_pages()
+        """Return the usable rows of all pages, or a sentinel with the reason.
+
+        An error that nothing expects is a failed read too: the list before still holds,
+        and the next read may succeed.
+        """
+        result: list[ListedEndpoint] | ListReadFailed
+        try:
+            result = await self._read_pages()
+        except Exception as error:
+            result = ListReadFailed(repr(error)[:MAX_LOGGED_LENGTH])
+            if not self._failing:
+                _log.exception("read of the endpoint list failed unexpectedly")
         failing = isinstance(result, ListReadFailed)
         self._counters.increment("list.unread" if failing else "list.read")
         if failing != self._failing:
--- a/tarragonway/endpoints/tests/test_reader.py
+++ b/tarragonway/endpoints/tests/test_reader.py
@@ -75,3 +75,26 @@
     reader = ListReader(platform, lambda page: page, decode_again, Counters())
     assert isinstance(await reader.read(), ListReadFailed)
     assert platform.calls == 2
+
+
+# Guards against one page that ends the list's reader, and with it the process.
+@pytest.mark.parametrize("part", ["decode", "call"])
+async def test_unexpected_error_is_a_failed_read(part):
+    failures = [RuntimeError, RecursionError]
+
+    def decode_or_raise(body):
+        if part == "decode" and failures:
+            raise failures.pop()
+        return decode(body)
+
+    def call_or_raise(page):
+        if part == "call" and failures:
+            raise failures.pop()
+        return page
+
+    reader = ListReader(Platform([]), call_or_raise, decode_or_raise, Counters())
+    with structlog.testing.capture_logs() as logs:
+        for _ in range(2):
+            assert isinstance(await reader.read(), ListReadFailed)
+        assert await reader.read() == [0, 1, 2]
+    assert sum("exc_info" in row for row in logs) == 1
