Refuse addresses in settings that no process can call or listen on

Cause: the settings took ports up to 99999, numbers of hosts up to 999, digits of other scripts, and any text for most listening addresses. A process then failed to start with an error that named neither file nor key, or tried a seed without end.

Evidence: on the code before, ports 70000 and 0 and host 10.0.0.900 as a seed, as the platform's address or as a listening address raise no SettingsError, and neither does port 70000 of a control process. Host names were refused in three of these keys; the error has a remedy now.

Both settings modules use the one definition in core/addresses.py; the error names file, line, key and remedy.

--- a/tarragonway/node/settings.py
+++ b/tarragonway/node/settings.py
@@ -4,15 +4,20 @@
 """
 
 import pathlib
+from collections.abc import Callable, Iterator
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
+from tarragonway.core.addresses import (
+    AddressError,
+    check_endpoint_address,
+    parse_address,
+)
 from tarragonway.core.errors import SettingsError
-from tarragonway.core.tomlfile import read_toml
+from tarragonway.core.tomlfile import find_line, read_toml
 
-Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Milliseconds = Annotated[float, Meta(gt=0, le=86_400_000)]
 
 
@@ -28,7 +33,7 @@
     coordinators only.
     """
 
-    peers: Address
+    peers: str
     advertised: str = ""
     callers: str = ""
     readiness: str = ""
@@ -43,7 +48,7 @@
     calls that the leader makes: "usage" reports usage, "scaling" orders endpoints.
     """
 
-    address: Address
+    address: str
     calls_per_s: Annotated[float, Meta(gt=0)] = 40.0
     duties: list[str] = []
 
@@ -80,7 +85,7 @@
     zone: str
     zones: list[str]
     listen: Listen
-    seeds: list[Address]
+    seeds: list[str]
     platform: PlatformSettings
     bounds: Bounds = Bounds()
     data_folder: str = ""
@@ -111,4 +116,25 @@
         raise SettingsError(
             str(path), "is empty", "name at least one coordinator", "seeds"
         )
+    for key, address, check in _list_addresses(settings):
+        try:
+            check(address)
+        except AddressError as error:
+            line = find_line(path.read_text(encoding="utf-8"), key)
+            remedy = "give an IP number and a port from 1 to 65535, as in 10.0.0.9:8080"
+            raise SettingsError(str(path), str(error), remedy, key, line) from error
     return settings
+
+
+def _list_addresses(
+    settings: NodeSettings,
+) -> Iterator[tuple[str, str, Callable[[str], object]]]:
+    """Return the key of each address, its value and the check that it must pass."""
+    for name, address in msgspec.structs.asdict(settings.listen).items():
+        if name == "peers" or address:
+            remote = name == "advertised"
+            check = check_endpoint_address if remote else parse_address
+            yield f"listen.{name}", address, check
+    yield "platform.address", settings.platform.address, check_endpoint_address
+    for index, seed in enumerate(settings.seeds):
+        yield f"seeds[{index}]", seed, check_endpoint_address
--- a/tarragonway/settings/model.py
+++ b/tarragonway/settings/model.py
@@ -9,10 +9,11 @@
 import msgspec
 from msgspec import Meta
 
+from tarragonway.core.addresses import ADDRESS_PATTERN
 from tarragonway.core.ids import ProcessName, ZoneName
 from tarragonway.core.logs import LogFormat
 
-Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Address = Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
 Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9\-]{0,40}$")]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
--- a/tarragonway/settings/tests/test_load.py
+++ b/tarragonway/settings/tests/test_load.py
@@ -34,6 +34,7 @@
         (('name = "control-2"', 'nam = "control-2"'), "control[1]"),
         (('name = "control-2"', 'name = "control-1"'), "is used twice"),
         (("127.0.0.1:23100", "localhost:23100"), "control[0].mailbox"),
+        (("127.0.0.1:23100", "127.0.0.1:70000"), "control[0].mailbox"),
         (('url = "http', 'poll_s = 0\nurl = "http'), "cluster.toml"),
         (('name = "neige-atlas"', 'name = "neige'), "not valid TOML"),
     ],
