Keep the load that a gateway reports from going below zero

Callers saw: nothing by name. A gateway that had been paused for longer than 5 s reported a negative load and request rate for some seconds, which the leader adds to those of the others when it orders endpoints.

Cause: the smoothing moved the rate towards that of the last interval by the interval's part of the window, which is more than 1 for an interval longer than the window, so that the rate passed its target.

The part is now at most 1. It matters more since reports have bounds: a report with a negative load is refused by the leader.

Ruled out: other values of reports, read against their bounds: ages, counts, windows and granted units are not negative where they are made.

--- a/tarragonway/gateway/offered_load.py
+++ b/tarragonway/gateway/offered_load.py
@@ -76,7 +76,8 @@
         # Early intervals get a larger weight, so that the rates of a restarted process
         # do not start near zero.
         known_s = max(interval_s, now - self._started, MIN_SMOOTHING_WINDOW_S)
-        weight = interval_s / min(SMOOTHING_WINDOW_S, known_s)
+        # After a pause of the process, the last interval alone counts.
+        weight = min(1.0, interval_s / min(SMOOTHING_WINDOW_S, known_s))
         _smooth(self._rates, self._sums, interval_s, weight)
         _smooth(self._request_rates, self._counts, interval_s, weight)
         return {name: round(rate, 4) for name, rate in self._rates.items()}
