Try a start again after every error of a full disk

A coordinator ended by itself if it started while a limit of file sizes refused its writes: EFBIG was not among the errors after which a start is tried again, while ENOSPC and EDQUOT were. A shortage of memory or descriptors of the whole system passes too.

--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -31,7 +31,11 @@
         errno.EADDRINUSE,
         errno.EADDRNOTAVAIL,
         errno.EDQUOT,
+        errno.EFBIG,
         errno.EIO,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
         errno.ENOSPC,
     }
 )
