Share the admission of a member with control processes

Their handler raised OSError on a full disk too, which drops the message and whatever follows it in the handler. Both kinds of processes now call the same function.

--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -43,6 +43,7 @@
 from tarragonway.process import run_daemon
 from tarragonway.process.base import ProcessBase
 from tarragonway.replication import DriverConfig, LogDriver, NotLeader
+from tarragonway.replication.admission import admit_member
 from tarragonway.settings import Settings, load_settings
 from tarragonway.settings.load import find_control_peer
 from tarragonway.settings.options import read_options
@@ -245,11 +246,12 @@
 
         A process without a cluster joins that of the first packet addressed to it.
         """
-        if not self._driver.has_cluster and packet.target == self._driver.own_member.id:
-            _log.info("replication group found; joining", cluster=packet.cluster)
-            identity = Identity(self._driver.own_member.id, packet.cluster)
-            self._folder.write_identity(identity)
-            self._driver.join_cluster(packet.cluster)
+        if (
+            packet.target == self._driver.own_member.id
+            and not self._driver.has_cluster
+            and not admit_member(self._folder, self._driver, packet.cluster)
+        ):
+            return
         self._driver.handle_packet(packet)
 
     async def _handle_control_call(
--- a/tarragonway/coordinator/bootstrap.py
+++ b/tarragonway/coordinator/bootstrap.py
@@ -96,30 +96,6 @@
     return Identity(MemberId(f"{address}#{secrets.token_hex(4)}"), ClusterId(""))
 
 
-def admit_member(folder: DataFolder, driver: LogDriver, group: ClusterId) -> bool:
-    """Record durably that a group has admitted this member.
-
-    Returns
-    -------
-    bool
-        False if the disk refuses it. The leader's next message is another occasion.
-    """
-    member = driver.own_member.id
-    try:
-        folder.write_identity(Identity(member, group))
-    except OSError as error:
-        _log.error(
-            "admission not recorded; waiting for the next message",
-            member=member,
-            group=group,
-            error=str(error),
-        )
-        return False
-    driver.join_cluster(group)
-    _log.info("member admitted to the group", member=member, group=group)
-    return True
-
-
 def compute_group_id(seeds: list[str]) -> ClusterId:
     """Return the group's id, a hash of the addresses of its founding members."""
     names = ",".join(sorted(seeds))
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -11,7 +11,6 @@
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.coordinator.bootstrap import (
     TICK_INTERVAL_S,
-    admit_member,
     get_peer_address,
     make_driver,
 )
@@ -60,6 +59,7 @@
 from tarragonway.node.settings import NodeSettings
 from tarragonway.platform import configuration, duties, listing, names
 from tarragonway.process.tasks import BackgroundTasks
+from tarragonway.replication.admission import admit_member
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
     ConnectionLimits,
