Require the addresses that a program listens on before its start

Cause: addresses that only one program needs were any text, and could be left out.

Evidence: the new test of node/tests/test_settings.py fails without `required`.

--- a/tarragonway/coordinator/__main__.py
+++ b/tarragonway/coordinator/__main__.py
@@ -12,5 +12,6 @@
             "tarragonway-coordinator",
             "Replicates the configuration and carries out the platform's duties.",
             CoordinatorProcess.from_config,
+            ("operators",),
         )
     )
--- a/tarragonway/gateway/__main__.py
+++ b/tarragonway/gateway/__main__.py
@@ -12,5 +12,6 @@
             "tarragonway-gateway",
             "Accepts callers' requests and forwards them to endpoints.",
             GatewayProcess.from_config,
+            ("callers", "readiness"),
         )
     )
--- a/tarragonway/node/program.py
+++ b/tarragonway/node/program.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import functools
 from collections.abc import Callable
 
 from tarragonway.core.logs import LogFormat
@@ -17,9 +18,14 @@
     program: str,
     description: str,
     build: Callable[[NodeSettings, argparse.Namespace], Daemon],
+    required: tuple[str, ...],
 ) -> int:
-    """Run a gateway or coordinator until it is signalled; return its exit status."""
-    return run_daemon(program, description, build, load_node_settings, _read_options)
+    """Run a gateway or coordinator until it is signalled; return its exit status.
+
+    The program listens on the addresses that ``required`` names.
+    """
+    load = functools.partial(load_node_settings, required=required)
+    return run_daemon(program, description, build, load, _read_options)
 
 
 def _read_options(settings: NodeSettings) -> RunOptions:
--- a/tarragonway/node/settings.py
+++ b/tarragonway/node/settings.py
@@ -103,9 +103,18 @@
         return [f"{seed.rpartition(':')[0]}:{port}" for seed in self.seeds]
 
 
-def load_node_settings(path: pathlib.Path) -> NodeSettings:
+def load_node_settings(
+    path: pathlib.Path, required: tuple[str, ...] = ()
+) -> NodeSettings:
     """Read and check the settings of one process.
 
+    Parameters
+    ----------
+    path : pathlib.Path
+        Settings file.
+    required : tuple of str
+        Addresses under ``listen`` that the program needs beside ``peers``.
+
     Raises
     ------
     SettingsError
@@ -116,7 +125,7 @@
         raise SettingsError(
             str(path), "is empty", "name at least one coordinator", "seeds"
         )
-    for key, address, check in _list_addresses(settings):
+    for key, address, check in _list_addresses(settings, required):
         try:
             check(address)
         except AddressError as error:
@@ -127,11 +136,11 @@
 
 
 def _list_addresses(
-    settings: NodeSettings,
+    settings: NodeSettings, required: tuple[str, ...]
 ) -> Iterator[tuple[str, str, Callable[[str], object]]]:
     """Return the key of each address, its value and the check that it must pass."""
     for name, address in msgspec.structs.asdict(settings.listen).items():
-        if name == "peers" or address:
+        if address or name in ("peers", *required):
             remote = name == "advertised"
             check = check_endpoint_address if remote else parse_address
             yield f"listen.{name}", address, check
--- a/tarragonway/node/tests/test_settings.py
+++ b/tarragonway/node/tests/test_settings.py
@@ -15,10 +15,10 @@
 """
 
 
-def load(tmp_path, text):
+def load(tmp_path, text, required=()):
     path = tmp_path / "gateway.toml"
     path.write_text(text)
-    return load_node_settings(path)
+    return load_node_settings(path, required)
 
 
 def test_addresses_are_usable(tmp_path):
@@ -42,3 +42,11 @@
     with pytest.raises(SettingsError, match="1 to 65535") as caught:
         load(tmp_path, TEXT.replace(old, new))
     assert (caught.value.key, caught.value.line) == (key, line)
+
+
+# Guards against a start that fails for an address that --check has not missed.
+def test_address_that_the_program_needs_is_required(tmp_path):
+    assert load(tmp_path, TEXT, ("callers",)).listen.readiness == ""
+    with pytest.raises(SettingsError, match="1 to 65535") as caught:
+        load(tmp_path, TEXT, ("callers", "readiness"))
+    assert caught.value.key == "listen.readiness"
