Start without the metrics while their port is in use

A gateway or coordinator whose metrics' port another process had did not serve: its start was tried again for a minute, and then the process ended with status 1. The templates give every process the port 9464 at its IP address, so two programs at one address, or any exporter that has this usual port, were enough.

Cause: the start needed the address of a page that only serves observation. It is now taken in the background, tried once a second, and logged when it fails first and when it succeeds afterwards.

Ruled out: the other ports, which a process needs and waits for, as the tests beside it show.

--- a/soak/tests/test_start.py
+++ b/soak/tests/test_start.py
@@ -162,3 +162,25 @@
             assert b'"event"' not in path.read_bytes()
     finally:
         await end(process)
+
+
+# Guards against a process that does not serve since another one has its metrics' port.
+@pytest.mark.parametrize("kind", ["gateway", "coordinator"])
+async def test_start_does_not_need_the_port_of_the_metrics(deployment, kind):
+    host = deployment.find_listen_address(f"{kind}-1").rpartition(":")[0]
+    path = deployment.folder / f"{kind}-1.toml"
+    with socket.create_server((host, 0)) as other:
+        address = f"{host}:{other.getsockname()[1]}"
+        text = path.read_text(encoding="utf-8")
+        changed = text.replace("[listen]", f'[listen]\nmetrics = "{address}"')
+        path.write_text(changed, encoding="utf-8")
+        process = await start_program(deployment, kind)
+        try:
+            await read_events(process, '"started"', "metrics are not served yet")
+        except BaseException:
+            await end(process)
+            raise
+    try:
+        await read_events(process, "metrics are served")
+    finally:
+        await end(process)
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -55,7 +55,7 @@
     StreamsBegan,
     VersionsRequest,
 )
-from tarragonway.node.metrics import make_metrics_server
+from tarragonway.node.metrics import listen_for_metrics, make_metrics_server
 from tarragonway.node.settings import NodeSettings
 from tarragonway.platform import configuration, duties, listing, names
 from tarragonway.process.tasks import BackgroundTasks
@@ -232,8 +232,9 @@
         if "scaling" in self._settings.platform.duties:
             self._start_permanent_task(self._fleet.run())
         await self._operators.listen(self._settings.listen.operators)
-        if self._settings.listen.metrics:
-            await self._metrics.listen(self._settings.listen.metrics)
+        metrics_address = self._settings.listen.metrics
+        if metrics_address:
+            self._start_task(listen_for_metrics(self._metrics, metrics_address))
 
     def reload(self, settings: NodeSettings) -> None:
         """Apply new settings; only the seeds can change without a restart."""
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -19,7 +19,7 @@
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import CallClient, HttpServer, Request, ResponseWriter
-from tarragonway.node.metrics import make_metrics_server
+from tarragonway.node.metrics import listen_for_metrics, make_metrics_server
 from tarragonway.node.settings import NodeSettings
 from tarragonway.platform import configuration, listing, names, requests
 from tarragonway.process.tasks import BackgroundTasks
@@ -124,7 +124,7 @@
         await self._readiness.listen(listen.readiness)
         await self._callers.listen(listen.callers)
         if listen.metrics:
-            await self._metrics.listen(listen.metrics)
+            self._start_task(listen_for_metrics(self._metrics, listen.metrics))
 
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed settings; only the seeds can change at run time."""
--- a/tarragonway/node/metrics.py
+++ b/tarragonway/node/metrics.py
@@ -1,9 +1,11 @@
 """HTTP server for the counters and the state dump."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
+import structlog
 
 from tarragonway.core.counters import Counters
 from tarragonway.http1.server import HttpServer, Request, ResponseWriter
@@ -11,6 +13,9 @@
 
 METRICS_PATH = "/metrics"
 DUMP_PATH = "/dump"
+LISTEN_RETRY_INTERVAL_S = 1.0
+
+_log = structlog.get_logger()
 
 
 def make_metrics_server(
@@ -32,6 +37,27 @@
     return HttpServer(answer, ConnectionLimits)
 
 
+async def listen_for_metrics(server: HttpServer, address: str) -> None:
+    """Start to serve the metrics, again until their address is available.
+
+    The process serves its callers in the meantime.
+    """
+    failed = False
+    while True:
+        try:
+            await server.listen(address)
+            break
+        except OSError as error:
+            if not failed:
+                _log.warning(
+                    "metrics are not served yet", address=address, error=str(error)
+                )
+            failed = True
+            await asyncio.sleep(LISTEN_RETRY_INTERVAL_S)
+    if failed:
+        _log.info("metrics are served", address=address)
+
+
 def format_metrics(values: dict[str, int]) -> str:
     r"""Return the metrics page, which has one line per counter.
 
