Write errors of the event loop and of libraries to the process's log

A process without free descriptors stood still for good if its standard error was a pipe that nobody reads: it answered nothing, also once descriptors were free again.

Cause: asyncio reports a connection that it cannot accept once for each place in the backlog, 1,024 times a second with a traceback, to standard error, by blocking writes in the event loop.

--- a/soak/tests/test_start.py
+++ b/soak/tests/test_start.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import resource
 import signal
 import socket
 import sys
@@ -184,3 +185,36 @@
         await read_events(process, "metrics are served")
     finally:
         await end(process)
+
+
+# Guards against a process that stands still since it reports each connection that it
+# cannot accept to a standard error which nobody reads.
+async def test_process_without_free_descriptors_serves_again(deployment):
+    unread, standard_error = os.pipe()
+    process = await start_program(
+        deployment,
+        "gateway",
+        stderr=standard_error,
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64)),
+    )
+    host, _, port = deployment.find_listen_address("gateway-1").rpartition(":")
+    readiness_port = int(port) + 1
+    writers = []
+    try:
+        await read_events(process, '"started"')
+        for _ in range(100):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writers.append(writer)
+        await asyncio.sleep(3.0)
+        for writer in writers:
+            writer.close()
+        async with asyncio.timeout(SIGNAL_DEADLINE_S):
+            reader, writer = await asyncio.open_connection(host, readiness_port)
+            writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+        writer.close()
+        assert process.returncode is None
+    finally:
+        await end(process)
+        os.close(unread)
+        os.close(standard_error)
--- a/tarragonway/core/logs.py
+++ b/tarragonway/core/logs.py
@@ -20,6 +20,20 @@
     JSON = "json"
 
 
+class LibraryLogHandler(logging.Handler):
+    """Passes on what libraries log, so that it cannot block on standard error."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record of the standard library's logging as a structured line."""
+        structlog.get_logger().log(
+            record.levelno,
+            "library logged",
+            logger=record.name,
+            message=record.getMessage(),
+            exc_info=record.exc_info,
+        )
+
+
 def configure_logs(log_format: LogFormat, process: str) -> None:
     """Write structured log lines, each with the name ``process``, to standard output.
 
@@ -49,6 +63,9 @@
         logger_factory=structlog.WriteLoggerFactory(output),
     )
     structlog.contextvars.bind_contextvars(process=process)
+    logging.basicConfig(
+        handlers=[LibraryLogHandler()], level=logging.WARNING, force=True
+    )
 
 
 def open_standard_output() -> int:
--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -16,6 +16,7 @@
 from tarragonway.consensus.files import DataFolderLockedError
 from tarragonway.core.errors import SettingsError, TarragonwayError
 from tarragonway.core.logs import LogFormat, configure_logs
+from tarragonway.process.loop_errors import LoopErrorLog
 from tarragonway.signals import release_signals
 
 SETTINGS_VARIABLE = "TARRAGONWAY_SETTINGS"
@@ -176,6 +177,7 @@
     reload: Callable[[Daemon], None],
 ) -> int:
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(LoopErrorLog().handle)
     signals: asyncio.Queue[int] = asyncio.Queue()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
