--- a/tarragonway/platform/listing.py
+++ b/tarragonway/platform/listing.py
@@ -142,7 +142,7 @@
 def _find_id(text: bytes) -> str:
     """Return what looks like the id of an entry that cannot be decoded, or ""."""
     found = _ID.search(text)
-    return found[1].decode("utf-8", "replace") if found is not None else ""
+    return found[1].decode(errors="replace") if found is not None else ""
 
 
 def _round_to_seconds(duration_ms: float) -> float:
