--- a/tarragonway/versions/record_files.py
+++ b/tarragonway/versions/record_files.py
@@ -114,7 +114,6 @@
         file = self._current
         if file.has_rest:
             self._files.truncate(file.name, file.size)
-            file.has_rest = False
         file.has_rest = True
         self._files.append(file.name, data)
         self._files.sync(file.name)
