--- a/tarragonway/versions/record_files.py
+++ b/tarragonway/versions/record_files.py
@@ -8,6 +8,7 @@
 
 from tarragonway.consensus.files import Files
 from tarragonway.consensus.frames import encode_frame, read_frames
+from tarragonway.core.decoding import decode_stored
 from tarragonway.core.errors import CorruptDataError
 from tarragonway.core.ids import StreamKey
 from tarragonway.versions.model import StreamOrigin
@@ -139,12 +140,12 @@
         try:
             data = self._files.read(file.name) or b""
             for frame in read_frames(data, file.name):
-                batch = _decoder.decode(frame.payload)
+                batch = decode_stored(_decoder, frame.payload, file.name)
                 rows = zip(batch.keys, batch.expires_at, strict=False)
                 records += (StoredRecord(key, batch.origin, at) for key, at in rows)
                 file.size = frame.end
                 file.expires_at = max(file.expires_at, *batch.expires_at)
-        except (CorruptDataError, msgspec.MsgspecError, OSError) as error:
+        except (CorruptDataError, OSError) as error:
             _log.warning(
                 "rest of a file with records of streams cannot be read",
                 file=file.name,
