--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -89,6 +90,21 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the program has been started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def set_disk_full(self, is_full: bool) -> None:
+        """Let the system refuse all writes of the process to files, or none."""
+        if self._process is not None and self.is_running:
+            limit = 0 if is_full else resource.RLIM_INFINITY
+            resource.prlimit(
+                self._process.pid,
+                resource.RLIMIT_FSIZE,
+                (limit, resource.RLIM_INFINITY),
+            )
+
     async def wait(self, timeout_s: float) -> None:
         """Wait until the process exits; kill it after ``timeout_s`` seconds."""
         if self._process is None:
