Ignore signals once a process has stopped

A signal that arrived after a planned stop, while the interpreter ended, gave the process the status of a crash: with a signal every 2 ms after SIGTERM, status -1 for SIGHUP, -10 for SIGUSR1 and -15 for SIGTERM, instead of 0, 0 and 3, for gateway and coordinator.

Cause: the event loop's close restores the signals' default action, which ends the process. The process ignores the signals now before the loop closes; they are blocked while the handlers are replaced.

Ruled out: SIGHUP to a running process with settings that are cut, empty, binary, missing, a folder, nested or with an unusable seed did not end it.

--- a/soak/tests/test_start.py
+++ b/soak/tests/test_start.py
@@ -1,6 +1,7 @@
 """Signals and faults during the start of the real programs."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import resource
@@ -218,3 +219,28 @@
         await end(process)
         os.close(unread)
         os.close(standard_error)
+
+
+# Guards against a signal after a stop, while the interpreter ends, that makes the stop
+# look like a crash.
+@pytest.mark.parametrize(
+    ("number", "status"),
+    [(signal.SIGHUP, 0), (signal.SIGUSR1, 0), (signal.SIGTERM, 3)],
+)
+@pytest.mark.parametrize("kind", ["gateway", "coordinator"])
+async def test_signals_during_the_stop_leave_its_status(
+    deployment, kind, number, status
+):
+    process = await start_program(deployment, kind, stderr=asyncio.subprocess.DEVNULL)
+    try:
+        await read_events(process, '"started"')
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(SIGNAL_DEADLINE_S):
+            while process.returncode is None:
+                # The process's own method also polls its end, which hides the status.
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, number)
+                await asyncio.sleep(0.002)
+        assert process.returncode == status
+    finally:
+        await end(process)
--- a/tarragonway/process/runner.py
+++ b/tarragonway/process/runner.py
@@ -17,7 +17,12 @@
 from tarragonway.core.errors import SettingsError, TarragonwayError
 from tarragonway.core.logs import LogFormat, configure_logs
 from tarragonway.process.loop_errors import LoopErrorLog
-from tarragonway.signals import release_signals
+from tarragonway.signals import (
+    HELD_SIGNALS,
+    hold_signals,
+    ignore_signals,
+    release_signals,
+)
 
 SETTINGS_VARIABLE = "TARRAGONWAY_SETTINGS"
 EXIT_SETTINGS = 2
@@ -185,6 +190,23 @@
     loop.add_signal_handler(signal.SIGUSR1, requests.put_nowait, _print_dump)
     loop.add_signal_handler(signal.SIGHUP, requests.put_nowait, reload)
     release_signals()
+    try:
+        return await _run_until_signal(build, stop_deadline_s, signals, requests)
+    finally:
+        # A closing loop would restore the signals' default action, which ends the
+        # process.
+        hold_signals()
+        for held in HELD_SIGNALS:
+            loop.remove_signal_handler(held)
+        ignore_signals()
+
+
+async def _run_until_signal(
+    build: Callable[[], Daemon],
+    stop_deadline_s: float,
+    signals: asyncio.Queue[int],
+    requests: asyncio.Queue[Callable[[Daemon], None]],
+) -> int:
     daemon = await _start(build, signals)
     if daemon is None:
         _log.info("stopped before the start was complete")
