Decide from the rejected request whether its error response has a body

Whether a response omits its body was stored when the body of a request was complete and kept for the connection. After a HEAD, a later request on the same connection that is rejected before that point (400, 408, 413, 431) got a head with Content-Length 16 and no body; the end of the message then raised LocalProtocolError in the protocol's callback. After 400, 413 and 431 the transport closed the connection; after 408 the error was raised in a timer and the connection stayed open for good. Callers saw an answer of the gateway that is cut.

The flag is now set from the head of each request and cleared when its exchange ends. A response without a body needs no end of message, which also mends the answer to a HEAD whose handler failed with headers that cannot be encoded.

Ruled out: the same for responses of handlers, which always follow a complete request.

--- a/tarragonway/http1/server.py
+++ b/tarragonway/http1/server.py
@@ -263,7 +263,7 @@
         self.send(h11.Response(status_code=status, headers=[*headers, *close]))
         if not self.omits_body:
             self.send(h11.Data(data=body))
-        self.send(h11.EndOfMessage())
+            self.send(h11.EndOfMessage())
 
     async def drain(self) -> None:
         """Wait while the send buffer is full, because the caller does not read."""
@@ -337,6 +337,7 @@
             self._set_timer(self._limits.header_timeout_s, self._expire_request)
 
     def _start_request(self, event: h11.Request) -> bool:
+        self.omits_body = event.method == b"HEAD"
         size = sum(len(name) + len(value) + 4 for name, value in event.headers)
         if size > self._limits.header_bytes:
             self._reject(
@@ -363,7 +364,6 @@
             bytes(self._body),
             asyncio.get_running_loop().time(),
         )
-        self.omits_body = request.method == "HEAD"
         self._head = None
         self._receiving = False
         self._body.clear()
@@ -397,6 +397,7 @@
         except h11.LocalProtocolError:
             self._close_gracefully()
             return
+        self.omits_body = False
         self._limits = self._server.read_limits()
         self._set_timer(self._limits.idle_timeout_s, self._expire_idle)
         if self._pending_bytes > MAX_PIPELINED_BYTES:
--- a/tarragonway/http1/tests/test_server.py
+++ b/tarragonway/http1/tests/test_server.py
@@ -146,3 +146,28 @@
     received = await exchange_bytes(recorder, data)
     assert received.count(b"HTTP/1.1 200") == 2
     assert b"\r\n\r\n/a/" not in received and received.endswith(b"/b/")
+
+
+# Guards against an error response without its body, and a connection that stays open,
+# because an earlier request on the connection was a HEAD.
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHo", 408),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 5000 + b"\r\n\r\n", 431),
+        (
+            b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + b"a" * 2000,
+            413,
+        ),
+    ],
+)
+async def test_request_rejected_after_head_gets_a_whole_response(
+    recorder, rest, status
+):
+    head = b"HEAD / HTTP/1.1\r\nHost: h\r\n\r\n"
+    received = await exchange_bytes(recorder, head + rest, wait_s=2.0)
+    assert received.endswith(b'{"error": "%d"}' % status)
+    received = await exchange_bytes(recorder, head.replace(b"h\r", b"h" * 5000 + b"\r"))
+    assert received.startswith(b"HTTP/1.1 431") and received.endswith(b"\r\n\r\n")
+    assert len(recorder.requests) == 1
