Decide as the leader only with the former leaders' entries applied

A replica is a ready leader as soon as an entry of its term is committed. The driver applies committed entries only after it has written its own output, and it retries that for as long as the disk refuses. In between, which lasts until the disk accepts a write again, the tasks of the leader ran on a state machine without the last changes of the former leader. PartHolds and StreamOrigins take over that state once a term and compare it with the machine's later: what the former leader had put under quarantine, or the versions whose streams can be resumed, was missing from it and would then be removed from the log by a proposal of the new leader.

The test holds the disk of a new leader: is_leader was true while the machine lacked the committed quarantine. It failed before and passes now. That a quarantine is then lifted follows from the code and was not run.

is_leader, which all decisions ask, now also requires that the first entry of the term is applied. Proposals and reads are accepted as before, since they are ordered by the log. Usage counts were not affected, as the log keeps the first decision.

--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -136,6 +136,11 @@
         """Whether this replica is the leader and has committed an entry of its term."""
         return self.role is Role.LEADER and self.commit >= self._term_start_index
 
+    @property
+    def term_start_index(self) -> int:
+        """Index of the first entry of this replica's latest leadership."""
+        return self._term_start_index
+
     def get_match_index(self, member_id: MemberId) -> int:
         """Return the last index that a follower is known to store; 0 if unknown."""
         row = self._progress.get(member_id)
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -166,6 +166,16 @@
 
     @property
     def is_leader(self) -> bool:
+        """Whether this replica may decide on its state machine's state as the leader.
+
+        It has then applied all entries of former leaders, which may take long after
+        their commit if its disk does not accept a write.
+        """
+        has_applied = self.applied >= self.replica.term_start_index
+        return has_applied and self._accepts_commands
+
+    @property
+    def _accepts_commands(self) -> bool:
         """Whether this replica is a ready leader with enough voters for commands."""
         voters = len(self.replica.membership.voters)
         enough = voters >= min(MIN_VOTERS, self._config.declared)
@@ -277,7 +287,7 @@
             self._counters.increment("log.misdirected")
 
     def _propose(self, command: Any, future: asyncio.Future) -> None:
-        if not self.is_leader:
+        if not self._accepts_commands:
             _set_result(future, NotLeader("not the leader, or the group is forming"))
             return
         try:
@@ -293,7 +303,7 @@
 
     def _read(self, future: asyncio.Future) -> None:
         token = next(self._read_tokens)
-        if self.is_leader and self.replica.read(token):
+        if self._accepts_commands and self.replica.read(token):
             self._reads[token] = future
         else:
             _set_result(future, NotLeader("not the leader"))
--- a/tarragonway/replication/tests/test_restored_log.py
+++ b/tarragonway/replication/tests/test_restored_log.py
@@ -17,7 +17,11 @@
 )
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.consensus.membership_history import MembershipHistory
-from tarragonway.coordinator.machine import CoordinatorMachine, PutConfiguration
+from tarragonway.coordinator.machine import (
+    CoordinatorMachine,
+    PutConfiguration,
+    PutHeldContents,
+)
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
 from tarragonway.core.numbers import encode_integer
@@ -70,3 +74,30 @@
     assert not task.done()
     task.cancel()
     await asyncio.wait([task])
+
+
+# Guards against a leader that decides from a state without its predecessors' changes,
+# such as while its disk stands still, and proposes to undo them.
+async def test_process_leads_once_it_has_applied_the_former_leaders_entries(
+    tmp_path, monkeypatch
+):
+    driver = make_driver(tmp_path, 0)
+    held = {"f": ("e1", "e2", "e3")}
+    payload = driver.machine.encode_command(PutHeldContents(held), 0)
+    members = (Member(MemberId("a#1"), ProcessName("a")),)
+    driver.replica._memberships = MembershipHistory(0, Membership(members))
+    driver.replica._log.append(Entry(1, 1, EntryKind.COMMAND, payload))
+    driver.replica._start_election(pre=False)
+    disk_works = asyncio.Event()
+    monkeypatch.setattr(driver, "_make_durable", lambda output: disk_works.wait())
+    applied = asyncio.Event()
+    driver.on_state_change = applied.set
+    task = asyncio.create_task(driver.run())
+    await asyncio.sleep(0.05)
+    assert driver.replica.is_ready_leader and not driver.machine.held_contents
+    assert not driver.is_leader
+    disk_works.set()
+    await applied.wait()
+    assert driver.is_leader and driver.machine.held_contents == held
+    task.cancel()
+    await asyncio.wait([task])
