Sync the name of a new file that another thread's sync has missed

FolderFiles noted that the folder's names had changed before it created a file. The log and the records of streams share one instance in two threads. If the other thread synced the folder between the note and the creation, the note counted as done, and the first sync of the new file did not sync its name: after a loss of power the file was gone, with records of streams that had been synced. Callers that resume such streams would be refused.

The note is now taken after the creation; a sync before it no longer counts. The new test runs the other thread's write right before the creation. It failed before: the file had no content after the loss of power.

The log's own file is created by a replacement, which syncs the folder itself, and was not affected.

--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -187,10 +187,12 @@
     def _open(self, name: str) -> _OpenFile:
         if name not in self._open_files:
             path = self._folder / name
-            if not path.exists():
-                self._names_version = object()
+            is_new = not path.exists()
             flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
             descriptor = os.open(path, flags, 0o600)
+            if is_new:
+                # Only now, as another thread may have synced the folder in between.
+                self._names_version = object()
             size = os.fstat(descriptor).st_size
             self._open_files[name] = _OpenFile(descriptor, size, size)
         return self._open_files[name]
--- a/tarragonway/consensus/tests/test_disk_faults.py
+++ b/tarragonway/consensus/tests/test_disk_faults.py
@@ -218,6 +218,37 @@
     assert path.read_bytes() == b""
 
 
+class InterruptedOs(FaultyOs):
+    """Another thread runs right before a file is created."""
+
+    interrupt = None
+
+    def open(self, path, flags, mode=0o777):
+        interrupt, self.interrupt = self.interrupt, None
+        if interrupt is not None:
+            interrupt()
+        return super().open(path, flags, mode)
+
+
+# Guards against a synced file without a name after a loss of power, because another
+# thread synced the folder right before the file was created.
+def test_new_file_is_durable_while_another_thread_syncs_its_own(tmp_path):
+    machine = InterruptedOs(tmp_path)
+    with mock.patch("tarragonway.consensus.files.os", machine):
+        files = FolderFiles(tmp_path)
+
+        def write(name):
+            files.append(name, b"data")
+            files.sync(name)
+
+        write(LOG_FILE)
+        machine.interrupt = lambda: write(LOG_FILE)
+        write("origins-0")
+        machine.lose_power(0)
+        assert files.read("origins-0") == b"data"
+        files.close()
+
+
 # Guards against a log that no start can read, once entries follow a snapshot that was
 # received before a crash.
 def test_log_can_be_read_after_a_crash_during_a_received_snapshot():
