Read records of streams up to a frame whose payload is odd

The files of the records of streams were decoded directly, so that errors of the decoder other than its own ended the start of a coordinator, as did a frame without records. No release writes such frames and each has a checksum, so this was not seen in use.

--- a/tarragonway/versions/record_files.py
+++ b/tarragonway/versions/record_files.py
@@ -115,6 +115,7 @@
         file = self._current
         if file.has_rest:
             self._files.truncate(file.name, file.size)
+            file.has_rest = False
         file.has_rest = True
         self._files.append(file.name, data)
         self._files.sync(file.name)
@@ -144,7 +145,7 @@
                 rows = zip(batch.keys, batch.expires_at, strict=False)
                 records += (StoredRecord(key, batch.origin, at) for key, at in rows)
                 file.size = frame.end
-                file.expires_at = max(file.expires_at, *batch.expires_at)
+                file.expires_at = max((file.expires_at, *batch.expires_at))
         except (CorruptDataError, OSError) as error:
             _log.warning(
                 "rest of a file with records of streams cannot be read",
--- a/tarragonway/versions/tests/test_record_files.py
+++ b/tarragonway/versions/tests/test_record_files.py
@@ -1,8 +1,11 @@
 from unittest import mock
 
+import msgspec
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tarragonway.consensus.frames import encode_frame
 from tarragonway.consensus.tests.cluster import CrashError, FakeDisk
 from tarragonway.versions import StreamOrigin, record_files
 from tarragonway.versions.record_files import FILE_NAMES, RecordFiles, StoredRecord
@@ -97,3 +100,19 @@
             assert history.files.size <= 2 * 3000
         sizes = [len(history.disk.durable[name]) for name in FILE_NAMES]
         assert sum(sizes) == history.files.size
+
+
+EMPTY_BATCH = msgspec.msgpack.encode((("s", "v1"), (), ()))
+DEEP_BATCH = b"\x94" + EMPTY_BATCH[1:] + b"\x91" * 5000 + b"\x90"
+
+
+# Guards against a start that ends at a frame that this release does not write.
+@pytest.mark.parametrize(
+    "payload", [b"\xc0", DEEP_BATCH, EMPTY_BATCH], ids=["nil", "deep", "empty"]
+)
+def test_odd_payload_leaves_the_records_before_it(payload):
+    disk, record = FakeDisk(), StoredRecord(1, StreamOrigin("s", "v1"), 60.0)
+    RecordFiles(disk).write([record], 0.0)
+    disk.append(FILE_NAMES[0], encode_frame(payload))
+    disk.sync(FILE_NAMES[0])
+    assert RecordFiles(disk).recover(0.0) == [record]
