Commit quarantined contents in a command that earlier releases can apply

Coordinators are upgraded one at a time. Quarantined contents were committed with a command of their own. A coordinator of an earlier release refuses its tag while it applies the log, so its permanent task would end, and with it the process, at every start, until it is upgraded; with two such coordinators of three the group would have no majority.

The contents are now an optional field of PutHeldParts, which earlier releases skip. A command of an earlier leader has no such field and leaves the contents as they are. Both kinds of change now raise held_revision alike at all releases, so that gateways compare the same numbers.

The new test reads what the leader proposes with the struct of the earlier release. Before, it failed with ValidationError: Invalid value 'PutHeldContents'. The end of a real process of the earlier release was not played.

The command that is removed was never part of a release, so no log has it.

--- a/tarragonway/coordinator/machine.py
+++ b/tarragonway/coordinator/machine.py
@@ -56,15 +56,14 @@
 
 
 class PutHeldParts(msgspec.Struct, frozen=True, tag=True):
-    """Replaces the prompt parts that must not be sent to endpoints."""
+    """Replaces the prompt parts and contents that must not be sent to endpoints.
 
-    held: dict[PartId, HeldPart]
-
-
-class PutHeldContents(msgspec.Struct, frozen=True, tag=True):
-    """Replaces the contents that must not be sent, by the endpoints they crashed."""
+    ``contents`` are named with the endpoints that failed on each; None changes none.
+    Earlier releases do not read them.
+    """
 
-    contents: dict[Fingerprint, tuple[str, ...]]
+    held: dict[PartId, HeldPart]
+    contents: dict[Fingerprint, tuple[str, ...]] | None = None
 
 
 class PutVersions(msgspec.Struct, frozen=True, tag=True):
@@ -73,14 +72,7 @@
     versions: dict[ServiceName, tuple[SoftwareVersion, ...]]
 
 
-Command = (
-    PutConfiguration
-    | DecideUsage
-    | MarkReported
-    | PutHeldParts
-    | PutHeldContents
-    | PutVersions
-)
+Command = PutConfiguration | DecideUsage | MarkReported | PutHeldParts | PutVersions
 Result = ConfigurationStored | UsageDecided | None
 
 
@@ -203,12 +195,10 @@
                     del content.usage[oldest]
                     content.reported.pop(oldest, None)
                 return UsageDecided(window, decided)
-            case PutHeldParts(held):
+            case PutHeldParts(held, contents):
                 content.held = held
-                content.held_revision += 1
-                return None
-            case PutHeldContents(contents):
-                content.held_contents = contents
+                if contents is not None:
+                    content.held_contents = contents
                 content.held_revision += 1
                 return None
             case PutVersions(versions):
--- a/tarragonway/coordinator/part_holds.py
+++ b/tarragonway/coordinator/part_holds.py
@@ -9,11 +9,7 @@
 
 import structlog
 
-from tarragonway.coordinator.machine import (
-    CoordinatorMachine,
-    PutHeldContents,
-    PutHeldParts,
-)
+from tarragonway.coordinator.machine import CoordinatorMachine, PutHeldParts
 from tarragonway.coordinator.suspects import SuspectedContents
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ProcessName
@@ -81,15 +77,16 @@
                 continue
             self.restore()
             self._quarantine.update(loop.time())
-            held = self._quarantine.held
-            if held != self._machine.held:
-                self._counters.increment("quarantine.changes")
-                await self._driver.propose(PutHeldParts(held))
             self._suspects.expire(loop.time())
-            contents = self._suspects.held
-            if contents != self._machine.held_contents:
+            held, contents = self._quarantine.held, self._suspects.held
+            has_new_parts = held != self._machine.held
+            has_new_contents = contents != self._machine.held_contents
+            if has_new_parts:
+                self._counters.increment("quarantine.changes")
+            if has_new_contents:
                 self._counters.increment("quarantine.content_changes")
-                await self._driver.propose(PutHeldContents(contents))
+            if has_new_parts or has_new_contents:
+                await self._driver.propose(PutHeldParts(held, contents))
 
     def restore(self) -> None:
         """As the leader, take over the quarantine of former leaders, once a term."""
--- a/tarragonway/coordinator/tests/test_part_holds.py
+++ b/tarragonway/coordinator/tests/test_part_holds.py
@@ -1,6 +1,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from tarragonway.coordinator.machine import (
@@ -40,8 +41,10 @@
         self.machine = machine
         self.is_leader = True
         self.replica = SimpleNamespace(term=1)
+        self.proposed = []
 
     async def propose(self, command):
+        self.proposed.append(command)
         return self.machine.apply(command)
 
 
@@ -160,3 +163,26 @@
     await run_shortly(coordinator.holds)
     assert coordinator.machine.held_contents == {}
     assert encode_message(HeldParts(2, ())) in coordinator.link.sent
+
+
+class EarlierPutHeldParts(msgspec.Struct, tag="PutHeldParts"):
+    """The one command on quarantines that earlier releases know."""
+
+    held: dict[str, HeldPart]
+
+
+# Guards against an entry that ends the coordinators of an earlier release, and each of
+# their starts, while coordinators of both releases run.
+async def test_earlier_release_can_apply_what_a_leader_proposes(coordinator):
+    coordinator.holds.restore()
+    crash_three_endpoints(coordinator.suspects, "f")
+    await run_shortly(coordinator.holds)
+    payloads = [
+        coordinator.machine.encode_command(command, 0)
+        for command in coordinator.driver.proposed
+    ]
+    found = [msgspec.msgpack.decode(row, type=EarlierPutHeldParts) for row in payloads]
+    assert [row.held for row in found] == [{}]
+    # A leader of the earlier release knows of no contents and releases none.
+    coordinator.machine.apply_payload(msgspec.msgpack.encode(EarlierPutHeldParts({})))
+    assert coordinator.machine.held_contents == {"f": ("e1", "e2", "e3")}
--- a/tarragonway/replication/tests/test_restored_log.py
+++ b/tarragonway/replication/tests/test_restored_log.py
@@ -20,7 +20,7 @@
 from tarragonway.coordinator.machine import (
     CoordinatorMachine,
     PutConfiguration,
-    PutHeldContents,
+    PutHeldParts,
 )
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
@@ -83,7 +83,7 @@
 ):
     driver = make_driver(tmp_path, 0)
     held = {"f": ("e1", "e2", "e3")}
-    payload = driver.machine.encode_command(PutHeldContents(held), 0)
+    payload = driver.machine.encode_command(PutHeldParts({}, held), 0)
     members = (Member(MemberId("a#1"), ProcessName("a")),)
     driver.replica._memberships = MembershipHistory(0, Membership(members))
     driver.replica._log.append(Entry(1, 1, EntryKind.COMMAND, payload))
