Remove appended data also if the sync of its folder fails

The batch stayed in the log file and was appended once more, which a start bears, but which the description of the file operations excludes.

--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -133,13 +133,13 @@
         try:
             file.cut()
             os.fdatasync(file.descriptor)
+            if self._synced_names_version is not self._names_version:
+                self._sync_folder()
         except OSError:
             # A later sync may succeed without writing the data of the failed one.
             file.mark_torn(file.synced_bytes)
             raise
         file.synced_bytes = file.valid_bytes
-        if self._synced_names_version is not self._names_version:
-            self._sync_folder()
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to ``size`` bytes durably."""
