Publish no endpoint list of an earlier leadership to gateways that have one

A coordinator that is elected again sent each gateway, in reply to its first report, the list that it had read when it was the leader before, under its new term. Gateways take a list of a higher term for current. Until the leader's next read, or for as long as the platform did not answer, requests were not sent to endpoints that had been added since, and were sent to ones that were gone.

Cause: list_version and the view outlive a leadership, and refresh_gateway sent the list to every gateway whose term or version differs. The publisher now records the term in which it has read a list, and until then sends its list only to a gateway that has none.

The new test failed before: the gateway with a list of a later leader was sent the old rows as a full list. Ruled out: deltas, which a gateway applies only to the version before. It was not played with real processes.

--- a/tarragonway/coordinator/list_publisher.py
+++ b/tarragonway/coordinator/list_publisher.py
@@ -24,6 +24,9 @@
 # gateways are sent the full list after a later report.
 MAX_UNSENT_LIST_BYTES = 16 * 1024 * 1024
 
+# Term and version that a gateway reports before it has any list.
+NO_LIST = (0, 0)
+
 _log = structlog.get_logger()
 
 
@@ -67,6 +70,7 @@
         self._calls_per_s = calls_per_s
         self._full_list_sent_at: dict[Link, float] = {}
         self._encoded_full_list: tuple[tuple[int, int], bytes] = ((0, 0), b"")
+        self._published_term = -1
         self.list_version = 0
         self.read_at = float("-inf")
 
@@ -94,6 +98,9 @@
     def refresh_gateway(self, link: Link, held: tuple[int, int], now: float) -> None:
         """Send the full list to a gateway that has another version.
 
+        Until it has read the list in its present term, this process knows only that of
+        an earlier leadership. Then a gateway is sent it only if it has no list at all.
+
         It is not sent again for :data:`FULL_LIST_RESEND_DELAY_S`, since reports that
         the gateway sends before the list arrives still name the old version. It is not
         sent either while bytes on the link are unsent, or while the unsent bytes of all
@@ -113,6 +120,9 @@
             self.list_version,
         ):
             return
+        is_current = self._published_term == self._driver.replica.term
+        if not is_current and held != NO_LIST:
+            return
         sent_recently = (
             now - self._full_list_sent_at.get(link, float("-inf"))
             < FULL_LIST_RESEND_DELAY_S
@@ -146,6 +156,7 @@
 
     def _publish(self, rows: list[ListedEndpoint]) -> None:
         changed, removed = self._view.apply_full_list(rows)
+        self._published_term = self._driver.replica.term
         if changed or removed or not self.list_version:
             self._send_delta(changed, removed)
 
--- a/tarragonway/coordinator/tests/test_list_publisher.py
+++ b/tarragonway/coordinator/tests/test_list_publisher.py
@@ -6,6 +6,7 @@
 from tarragonway.coordinator.list_publisher import (
     FULL_LIST_RESEND_DELAY_S,
     MAX_UNSENT_LIST_BYTES,
+    NO_LIST,
 )
 from tarragonway.coordinator.tests.conftest import TERM, make_rows
 from tarragonway.links.link import COMPRESSED_BIT
@@ -73,3 +74,24 @@
     slow.unsent_bytes = 0
     publisher.refresh_gateway(other, (TERM, 0), 0.35)
     assert count_full_lists(other) == 1
+
+
+# Guards against gateways that go back to the list which a process read when it was the
+# leader before, and take it for a current one.
+def test_leader_publishes_no_list_of_its_earlier_leadership(publisher):
+    link = FakeLink()
+    publisher._driver.replica.term = TERM + 2
+    publisher.refresh_gateway(link, (TERM + 1, 7), 0.0)
+    publisher.mark_leaving(["e1.1"])
+    assert link.sent == []
+    publisher._publish(make_rows(4))
+    publisher.refresh_gateway(link, (TERM + 1, 7), 0.1)
+    assert [update.term for update in link.sent] == [TERM + 2]
+    assert [row.platform_id for row in link.sent[0].rows] == ["e0", "e1", "e2", "e3"]
+
+
+def test_gateway_without_a_list_gets_that_of_an_earlier_leadership(publisher):
+    link = FakeLink()
+    publisher._driver.replica.term = TERM + 2
+    publisher.refresh_gateway(link, NO_LIST, 0.0)
+    assert count_full_lists(link) == 1
