Order endpoints only by a list of the present leadership

A process that leads again compared and planned with the endpoints that it had listed when it was the leader before, until it had read the platform's list. The wait for a former leader's calls covers this as long as the platform's list answers within it.

FleetReconciler now waits until the publisher has read the list in its term.

The new test failed before: with an old list of one endpoint and no load, one endpoint was ordered for each zone at once. It passes now, and a current list of four endpoints gives a need of four although 0.1 of load is reported.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -190,6 +190,7 @@
             self._lease,
             self._gateway_reports,
             self._view,
+            lambda: self._publisher.has_current_list,
             self._configuration.read,
             CallClient(address),
             duties.make_scale_call,
--- a/tarragonway/coordinator/list_publisher.py
+++ b/tarragonway/coordinator/list_publisher.py
@@ -74,6 +74,11 @@
         self.list_version = 0
         self.read_at = float("-inf")
 
+    @property
+    def has_current_list(self) -> bool:
+        """Whether the view was read from the platform in the present term."""
+        return self._published_term == self._driver.replica.term
+
     async def run(self) -> None:
         """Read and publish the list periodically until the task is cancelled."""
         loop = asyncio.get_running_loop()
@@ -120,8 +125,7 @@
             self.list_version,
         ):
             return
-        is_current = self._published_term == self._driver.replica.term
-        if not is_current and held != NO_LIST:
+        if not self.has_current_list and held != NO_LIST:
             return
         sent_recently = (
             now - self._full_list_sent_at.get(link, float("-inf"))
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -70,6 +70,8 @@
     driver, lease, gateway_reports, view
         The replicated log, the lease for calls to the platform, the gateways' reports,
         the endpoint list.
+    has_current_list : callable
+        Returns whether the endpoint list was read in the present leadership.
     read_configuration : callable
         Returns the configuration in force, or None.
     client : CallClient
@@ -88,6 +90,7 @@
         lease: DutyLease,
         gateway_reports: GatewayReports,
         view: EndpointView,
+        has_current_list: Callable[[], bool],
         read_configuration: Callable[[], Configuration | None],
         client: CallClient,
         make_call: MakeScaleCall,
@@ -99,6 +102,7 @@
         self._lease = lease
         self._gateway_reports = gateway_reports
         self._view = view
+        self._has_current_list = has_current_list
         self._read_configuration = read_configuration
         self._client = client
         self._make_call = make_call
@@ -121,11 +125,15 @@
                 self._orders.clear()
                 self._need_history.clear()
                 self._services_with_load.clear()
-            elif configuration is not None and self._view.rows:
+            elif configuration is not None and self._knows_endpoints:
                 for service in configuration.services:
                     if service.scaling is not None:
                         await self._reconcile(service, service.scaling)
 
+    @property
+    def _knows_endpoints(self) -> bool:
+        return bool(self._view.rows) and self._has_current_list()
+
     def notify_endpoints_changed(self) -> None:
         """Request an immediate check, since the endpoint list has changed."""
         self._changed.set()
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -59,6 +59,7 @@
             limits=platform.limits,
         ),
         view,
+        lambda: True,
         lambda: Configuration(1, (), (SERVICE,), ConnectionLimits()),
         platform,
         lambda holder, fence, service, zone, count, kind: (zone, count, kind),
@@ -122,3 +123,27 @@
     fleet._view.apply_delta([row], [])
     await fleet._reconcile(SERVICE, TRAITS)
     assert platform.orders and not fleet._unplanned
+
+
+# Guards against a leader that orders too few endpoints at once, because it infers the
+# need from those that it knew when it was the leader before.
+async def test_need_is_not_inferred_from_an_earlier_leadership(fleet, platform):
+    fleet._driver.is_leader = True
+    fleet._has_current_list = lambda: False
+    fleet._gateway_reports.sum_offered_load = lambda service, now: 0.0
+    task = asyncio.create_task(fleet.run())
+    fleet.notify_endpoints_changed()
+    await asyncio.sleep(0.05)
+    assert not platform.orders
+    fleet._view.apply_full_list(
+        ListedEndpoint(f"e{n}", f"e{n}", "llm", "127.0.0.1:1", "ab"[n % 2], 4, False)
+        for n in range(4)
+    )
+    fleet._has_current_list = lambda: True
+    # The reports of most gateways have not arrived yet.
+    fleet._gateway_reports.sum_offered_load = lambda service, now: 0.1
+    fleet.notify_endpoints_changed()
+    await asyncio.sleep(0.05)
+    assert [count for _, count, _ in platform.orders] == [2, 2]
+    task.cancel()
+    await asyncio.wait([task])
