--- a/tarragonway/coordinator/operators.py
+++ b/tarragonway/coordinator/operators.py
@@ -16,7 +16,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.numbers import encode_integer
 from tarragonway.http1.client import Headers
-from tarragonway.http1.server import Request, ResponseWriter
+from tarragonway.http1.response import Request, ResponseWriter
 from tarragonway.replication import LogDriver, NotLeader
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
@@ -130,14 +130,8 @@
 
         An earlier release may have acknowledged what is not accepted any more.
         """
-        if not await self._wait_for_leader():
-            await self._redirect_to_leader(request, writer)
+        if not await self._confirm_leadership(request, writer):
             return
-        index = await self._await_confirmation(self._driver.confirm_read_index())
-        if not isinstance(index, int):
-            await self._send_unconfirmed(writer, index)
-            return
-        await self._driver.wait_applied(index)
         if self._read_stored() != request.body:
             await self._reject(writer, error)
             return
@@ -167,14 +161,8 @@
             return None
 
     async def _handle_read(self, request: Request, writer: ResponseWriter) -> None:
-        if not await self._wait_for_leader():
-            await self._redirect_to_leader(request, writer)
+        if not await self._confirm_leadership(request, writer):
             return
-        index = await self._await_confirmation(self._driver.confirm_read_index())
-        if not isinstance(index, int):
-            await self._send_unconfirmed(writer, index)
-            return
-        await self._driver.wait_applied(index)
         text = self._read_stored()
         if text is None:
             problem = b"cannot be read" if self._machine.data else b"missing"
@@ -183,6 +171,23 @@
             return
         await writer.send(200, JSON_HEADERS, text)
 
+    async def _confirm_leadership(
+        self, request: Request, writer: ResponseWriter
+    ) -> bool:
+        """Return whether this process leads and has applied what is committed.
+
+        If not, the call is answered.
+        """
+        if not await self._wait_for_leader():
+            await self._redirect_to_leader(request, writer)
+            return False
+        index = await self._await_confirmation(self._driver.confirm_read_index())
+        if not isinstance(index, int):
+            await self._send_unconfirmed(writer, index)
+            return False
+        await self._driver.wait_applied(index)
+        return True
+
     async def _wait_for_leader(self) -> bool:
         """Wait until a leader is known; return whether it is this process.
 
--- a/tarragonway/coordinator/tests/test_operators.py
+++ b/tarragonway/coordinator/tests/test_operators.py
@@ -9,7 +9,7 @@
 from tarragonway.coordinator.operators import OperatorInterface
 from tarragonway.core.counters import Counters
 from tarragonway.core.decoding import MAX_DEPTH
-from tarragonway.http1.server import Request
+from tarragonway.http1.response import Request
 from tarragonway.platform.configuration import decode_configuration, decode_submitted
 from tarragonway.platform.tests.test_configuration import TEXT
 
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -8,7 +8,7 @@
 from tarragonway.gateway.origin_guard import OriginNotFound
 from tarragonway.gateway.part_guard import Probe
 from tarragonway.http1.client import ResponseHead
-from tarragonway.http1.server import Request, ResponseWriter
+from tarragonway.http1.response import Request, ResponseWriter
 from tarragonway.routes.model import Account, Route
 from tarragonway.versions import StreamOrigin
 
--- a/tarragonway/gateway/error_responses.py
+++ b/tarragonway/gateway/error_responses.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from tarragonway.http1.client import Headers
-from tarragonway.http1.server import ResponseWriter
+from tarragonway.http1.response import ResponseWriter
 
 # Value of Retry-After if neither a quota nor an endpoint gives a better estimate.
 DEFAULT_RETRY_AFTER_S = 0.25
--- a/tarragonway/http1/__init__.py
+++ b/tarragonway/http1/__init__.py
@@ -3,7 +3,8 @@
 from tarragonway.http1.call import Call, CallClient, CallFailed, CallResponse
 from tarragonway.http1.client import ConnectionEnded, EndpointConnection, ResponseHead
 from tarragonway.http1.pool import ConnectFailed, ConnectionPool
-from tarragonway.http1.server import HttpServer, Request, ResponseWriter
+from tarragonway.http1.response import Request, ResponseWriter
+from tarragonway.http1.server import HttpServer
 
 __all__ = [
     "Call",
--- a/tarragonway/node/metrics.py
+++ b/tarragonway/node/metrics.py
@@ -8,7 +8,8 @@
 import structlog
 
 from tarragonway.core.counters import Counters
-from tarragonway.http1.server import HttpServer, Request, ResponseWriter
+from tarragonway.http1.response import Request, ResponseWriter
+from tarragonway.http1.server import HttpServer
 from tarragonway.routes.model import ConnectionLimits
 
 METRICS_PATH = "/metrics"
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -15,7 +15,7 @@
     ResponseInfo,
 )
 from tarragonway.http1.client import Headers, ResponseHead
-from tarragonway.http1.server import Request
+from tarragonway.http1.response import Request
 from tarragonway.platform import names
 
 
--- a/tarragonway/platform/tests/test_numbers.py
+++ b/tarragonway/platform/tests/test_numbers.py
@@ -7,7 +7,7 @@
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import Load
 from tarragonway.http1.client import ResponseHead
-from tarragonway.http1.server import Request
+from tarragonway.http1.response import Request
 from tarragonway.links.link import encode_message
 from tarragonway.links.messages import (
     ConfigurationText,
