Release the folder's lock if the folder cannot be listed at the start

FolderFiles empties the files of unfinished replacements after it has taken the folder's lock. If the listing failed, such as with ENFILE, after which the runner tries the start again, the descriptor of the lock stayed open. All further tries found the folder locked, by the process itself, and the process ended once the time for its start was over.

The lock is now released before the error is passed on. The new test failed before with DataFolderLockedError at the second try. The constructor's other errors were checked: the folder and the lock file are made before the lock is taken, and the truncations suppress their errors.

--- a/tarragonway/consensus/files.py
+++ b/tarragonway/consensus/files.py
@@ -105,7 +105,13 @@
                 f"data folder {folder} is locked by another process; "
                 "stop that process before starting this one"
             ) from error
-        for path in folder.glob(f"*{TEMPORARY_SUFFIX}"):
+        try:
+            unfinished = list(folder.glob(f"*{TEMPORARY_SUFFIX}"))
+        except OSError:
+            # The start may be tried again, and takes the lock again.
+            os.close(self._lock)
+            raise
+        for path in unfinished:
             _release_room(path)
 
     def read(self, name: str) -> bytes | None:
--- a/tarragonway/consensus/tests/test_disk_faults.py
+++ b/tarragonway/consensus/tests/test_disk_faults.py
@@ -1,6 +1,8 @@
 """Storage of the log under failing writes, renames and syncs, and losses of power."""
 
 import contextlib
+import errno
+import os
 import pathlib
 import tempfile
 from unittest import mock
@@ -269,3 +271,15 @@
     disk = FakeDisk()
     DataFolder(disk).write_snapshot(snapshot, HardState(), LogTail(snapshot.index))
     return disk.durable[SNAPSHOT_FILE]
+
+
+# Guards against a start that fails for want of a descriptor, and then for good, as the
+# process waits for its own lock.
+def test_folder_can_be_opened_again_after_it_could_not_be_listed(tmp_path):
+    refusal = OSError(errno.ENFILE, os.strerror(errno.ENFILE))
+    with (
+        mock.patch.object(pathlib.Path, "glob", side_effect=refusal),
+        pytest.raises(OSError, match="open files"),
+    ):
+        FolderFiles(tmp_path)
+    FolderFiles(tmp_path).close()
