Let deployments of the soak start whole before tests act on them

Cause: two of three coordinators acknowledge the first configuration before the third has started. The test then changed the settings files, so that the third read bootstrap = false, took another identity and asked to be admitted by a leader whose disk was full by then: two of three founding members were missing, which is not allowed at once.

Deployment.start now returns once all coordinators listen.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -21,6 +21,7 @@
 ENDPOINT_COUNTS = {"plain": 3, "model": 4}
 # Software versions that the endpoints of each service have in turn.
 SOFTWARE_VERSIONS = ("v1", "v2")
+START_TIMEOUT_S = 20.0
 PEER_PORT_OFFSET = 0
 OPERATOR_PORT_OFFSET = 1
 CLIENT_PORT_OFFSET = 2
@@ -203,7 +204,11 @@
         ]
 
     async def start(self) -> None:
-        """Start the platform, the proxies, the endpoints and all processes."""
+        """Start the platform, the proxies, the endpoints and all processes.
+
+        Return once all coordinators listen: a majority serves before the last one has
+        read its settings, which must not change until then.
+        """
         await self.platform.start()
         for proxy in [*self.peer_proxies, *self._operator_proxies]:
             await proxy.start()
@@ -211,6 +216,20 @@
             await endpoint.start()
         for process in [*self.coordinators, *self.gateways]:
             await process.start()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for process in self.coordinators:
+                await self._wait_listening(process)
+
+    async def _wait_listening(self, process: Process) -> None:
+        host, _, port = self.find_listen_address(process.name).rpartition(":")
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                await asyncio.sleep(0.05)
+            else:
+                writer.close()
+                return
 
     def disable_bootstrap(self) -> None:
         """Make restarted coordinators join the group instead of forming a new one."""
