Answer calls to plain services that HTTP does not allow as not executed

A call with a header value that HTTP does not allow raised an error out of CallSender, so that its caller got no outcome and its claim stayed open until it expired.

Connections now raise RequestNotEncodable where the sender of plain calls expected the parser's own error; text that has no UTF-8 form was never expected. Nothing is sent in either case, so both are NotExecuted.

entry/tests/test_sender.py: three cases failed before. Ruled out: the other two users of these connections, which expect the error.

--- a/tarragonway/entry/sender.py
+++ b/tarragonway/entry/sender.py
@@ -3,7 +3,6 @@
 import asyncio
 from urllib.parse import SplitResult, quote, urlsplit
 
-import h11
 import msgspec
 
 from tarragonway.claims import Answer
@@ -11,7 +10,7 @@
 from tarragonway.endpoints import Endpoint
 from tarragonway.entry.request_checks import Caller
 from tarragonway.http1 import ConnectionEnded, EndpointConnection
-from tarragonway.http1.client import Headers
+from tarragonway.http1.client import Headers, RequestNotEncodable
 from tarragonway.lists import Service
 
 CONNECT_TIMEOUT_S = 1.0
@@ -96,7 +95,7 @@
         try:
             async with asyncio.timeout(self._timeout_s):
                 return await _exchange(connection, call, url, key)
-        except h11.LocalProtocolError as error:
+        except RequestNotEncodable as error:
             return NotExecuted(f"the call cannot be encoded: {error}")
         except TimeoutError:
             return MaybeExecuted(f"no complete answer within {self._timeout_s:g} s")
@@ -140,7 +139,10 @@
         headers.append(("Idempotency-Key", key))
     if call.body or call.method not in ("GET", "HEAD"):
         headers.append(("Content-Length", str(len(call.body))))
-    return [
-        (name.encode(), value.encode("utf-8", "surrogateescape"))
-        for name, value in headers
-    ]
+    try:
+        return [
+            (name.encode(), value.encode("utf-8", "surrogateescape"))
+            for name, value in headers
+        ]
+    except UnicodeEncodeError as error:
+        raise RequestNotEncodable(str(error)) from error
--- a/tarragonway/entry/tests/test_sender.py
+++ b/tarragonway/entry/tests/test_sender.py
@@ -1,6 +1,8 @@
 import asyncio
 import gzip
 
+import pytest
+
 from tarragonway.claims import Answer
 from tarragonway.endpoints import Endpoint
 from tarragonway.entry.sender import CallSender, NotExecuted, PlainCall
@@ -57,3 +59,21 @@
         call = PlainCall(None, None, "GET", "/", "", (), b"")
         result = await CallSender(2.0).send(call, Endpoint("e1", "s", "z", url))
         assert isinstance(result, NotExecuted)
+
+
+# Guards against a call that ends without an outcome, so that its caller gets no answer
+# and its claim stays open.
+@pytest.mark.parametrize("value", ["a\r\nb", "a\0", "\ud800"])
+async def test_call_that_http_does_not_allow_is_not_executed(unused_tcp_port, value):
+    received = []
+
+    async def serve(reader, writer):
+        received.append(await reader.read(1))
+        writer.close()
+
+    call = PlainCall(None, None, "GET", "/", "", (("X", value),), b"")
+    async with await asyncio.start_server(serve, "127.0.0.1", unused_tcp_port):
+        endpoint = Endpoint("e1", "s", "z", f"http://127.0.0.1:{unused_tcp_port}")
+        result = await CallSender(2.0).send(call, endpoint)
+    assert isinstance(result, NotExecuted)
+    assert not any(received)
