--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -1,6 +1,7 @@
 """The deployment under test: real processes, each at its own loopback address."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import random
@@ -229,6 +230,8 @@
                 await asyncio.sleep(0.05)
             else:
                 writer.close()
+                with contextlib.suppress(OSError):
+                    await writer.wait_closed()
                 return
 
     def disable_bootstrap(self) -> None:
