--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -60,10 +60,7 @@
 from tarragonway.platform import configuration, duties, listing, names
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.replication.admission import admit_member
-from tarragonway.routes.model import (
-    MAX_CONFIGURATION_BYTES,
-    ConnectionLimits,
-)
+from tarragonway.routes.model import MAX_CONFIGURATION_BYTES, ConnectionLimits
 
 JOIN_INTERVAL_S = 0.3
 MAX_NAMED_MEMBERS = 32
