--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -30,6 +30,7 @@
 )
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
+from tarragonway.rollouts import RolloutCounts, RolloutOrders, RolloutShare
 from tarragonway.versions import StreamOrigin
 
 # Units of a quota: more than any configuration that is accepted counts for a request.
@@ -299,7 +300,8 @@
     to a new leader; ``limits_version`` is the version of those of the leader.
     ``request_rates``, the requests per second for each service, are sent with speeds.
     ``leaving`` are listed endpoints that have said themselves that they leave, sent
-    with the first report to a new leader.
+    with the first report to a new leader. ``rollouts`` are the counts of the rollouts
+    in progress.
     """
 
     name: ProcessName
@@ -318,6 +320,7 @@
     limits_version: int = msgspec.field(name="limit", default=-1)
     request_rates: dict[ServiceName, Amount] | None = None
     leaving: tuple[str, ...] = ()
+    rollouts: tuple[RolloutCounts, ...] = ()
 
 
 class GatewayReportReply(
@@ -333,7 +336,8 @@
     ``watched`` are the parts of which the leader wants to know begun answers; None if
     the gateway has their ``watch_version``. ``limits`` are the request limits of
     endpoints; None if the gateway has their ``limits_version``. ``near_quota`` are the
-    client accounts that have used most of their quota.
+    client accounts that have used most of their quota. ``rollouts`` are the leader's
+    decisions on the rollouts in progress.
     """
 
     term: Count
@@ -350,6 +354,7 @@
     limits_version: int = msgspec.field(name="limit", default=-1)
     limits: dict[str, Amount] | None = None
     near_quota: tuple[AccountId, ...] = ()
+    rollouts: tuple[RolloutShare, ...] = ()
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
@@ -396,4 +401,5 @@
     | VersionsRequest
     | VersionsReply
     | EndpointUpdate
+    | RolloutOrders
 )
--- /dev/null
+++ b/tarragonway/rollouts/__init__.py
@@ -0,0 +1,21 @@
+"""Rollouts: gradual moves of a service's traffic to another software version."""
+
+from tarragonway.rollouts.messages import (
+    RolloutCounts,
+    RolloutOrders,
+    RolloutShare,
+    RouteCounts,
+    VersionCounts,
+)
+from tarragonway.rollouts.model import Rollout, RolloutOrder, RolloutState
+
+__all__ = [
+    "Rollout",
+    "RolloutCounts",
+    "RolloutOrder",
+    "RolloutOrders",
+    "RolloutShare",
+    "RolloutState",
+    "RouteCounts",
+    "VersionCounts",
+]
