--- a/tarragonway/node/settings.py
+++ b/tarragonway/node/settings.py
@@ -60,6 +60,10 @@
     has ``grace_s`` to stop. A usage report covers ``report_window_s``, and is due
     ``usage_late_s`` after the window's end. In any ``quota_window_s``, a client account
     may exceed its quota by the fraction ``quota_overrun`` and ``quota_slack`` tokens.
+    An operator's order is acknowledged within ``ack_ms``. A bad software version gets
+    at most the fraction ``exposure_share`` of its service's requests during a rollout
+    and ``exposure_slack`` more, and none later than ``rollback_ms`` after its 50th bad
+    answer; rollouts are not served if ``exposure_share`` is 0.
     """
 
     lease_ms: Milliseconds = 3000
@@ -72,6 +76,24 @@
     quota_window_s: Annotated[float, Meta(gt=0)] = 8.0
     quota_overrun: Annotated[float, Meta(ge=0)] = 0.0
     quota_slack: Annotated[float, Meta(ge=0)] = 0.0
+    ack_ms: Milliseconds = 5000
+    exposure_share: Annotated[float, Meta(ge=0, le=1)] = 0.0
+    exposure_slack: Annotated[float, Meta(ge=0)] = 0.0
+    rollback_ms: Milliseconds = 5000
+
+
+class InstanceLimits(_Table, frozen=True):
+    """Limits of the instance that the process runs on; 0 means that it is not known.
+
+    The processor gives ``cpu_share`` of a core that is ``cores`` times as fast as a
+    usual one. ``link_mbps`` is the bandwidth of its network link.
+    """
+
+    cpu_share: Annotated[float, Meta(ge=0)] = 0.0
+    cores: Annotated[float, Meta(ge=0)] = 0.0
+    memory_mb: Annotated[float, Meta(ge=0)] = 0.0
+    max_fds: Annotated[float, Meta(ge=0)] = 0.0
+    link_mbps: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class NodeSettings(_Table, frozen=True):
@@ -88,6 +110,7 @@
     seeds: list[str]
     platform: PlatformSettings
     bounds: Bounds = Bounds()
+    limits: InstanceLimits = InstanceLimits()
     data_folder: str = ""
     bootstrap: bool = False
 
