Choose endpoints by their pace, learned by all gateways

Endpoints of the new deployments report a fourth figure, how long work takes at this moment, for which the whole load was dropped. It is decoded now. Where endpoints of a service state a slowdown, delays are estimated with the pace, loads decay between reports, and one of the best of a few endpoints is chosen, which are drawn in proportion to their speed. Plain services get an estimate from their measured service time.

--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -19,6 +19,7 @@
     GatewayReportReply,
     LimitStated,
 )
+from tarragonway.pace import CombinedPaces
 from tarragonway.quarantine import PartQuarantine, ProbeId
 from tarragonway.replication import LogDriver
 
@@ -48,7 +49,8 @@
     """The latest report of each gateway.
 
     ``suspects`` are the contents on which endpoints have failed, ``parts`` the prompt
-    parts. ``limits`` are the request limits that endpoints state.
+    parts. ``limits`` are the request limits that endpoints state, ``paces`` their
+    combined paces.
 
     Parameters
     ----------
@@ -70,6 +72,7 @@
         self.suspects = SuspectedContents()
         self.parts = PartQuarantine()
         self.limits = RequestLimits()
+        self.paces = CombinedPaces()
 
     def clear(self) -> None:
         """Remove all reports; called while this process is not the leader.
@@ -78,6 +81,7 @@
         """
         self._gateways.clear()
         self.limits.clear()
+        self.paces.clear()
 
     def handle_report(
         self,
@@ -121,6 +125,12 @@
             self.limits.version,
             self._list_limits(gateway_report),
             near_quota,
+            paces=self.paces.exchange(
+                gateway_report.paces,
+                gateway_report.sequence,
+                gateway_report.speeds is not None,
+                now,
+            ),
         )
 
     def record_crash(
--- a/tarragonway/coordinator/tests/test_gateways.py
+++ b/tarragonway/coordinator/tests/test_gateways.py
@@ -8,6 +8,7 @@
 from tarragonway.core.clock import WallClock
 from tarragonway.exchange import EngineSpeed
 from tarragonway.links.messages import CrashReport, GatewayReport, WindowCounts
+from tarragonway.pace import EndpointPace, PaceTracker
 
 
 @pytest.fixture
@@ -115,3 +116,21 @@
 def test_reports_without_speeds_get_none_back(reports):
     reply = reports.handle_report(make_gateway_report(reports, "g"), 0, 0.0, 0.0)
     assert reply.speeds is None
+
+
+# Guards against paces that each gateway has to learn alone.
+def test_paces_of_one_gateway_reach_the_others(reports):
+    tracker = PaceTracker()
+    for _ in range(4):
+        tracker.record_statement("s", "e1", 2.0, 0.0)
+    report = msgspec.structs.replace(
+        make_gateway_report(reports, "g1"), paces=tracker.take_report()
+    )
+    # Only replies to reports with speeds contain paces.
+    assert reports.handle_report(report, 0, 0.0, 0.0).paces == {}
+    report = msgspec.structs.replace(make_gateway_report(reports, "g2"), speeds={})
+    reply = reports.handle_report(report, 0, 0.0, 1.0)
+    assert reply.paces == {"s": {"e1": EndpointPace(200, 100)}}
+    assert reports.paces.get_pace("e1") == 2.0
+    reports.clear()
+    assert reports.paces.get_pace("e1") == 1.0
--- a/tarragonway/exchange/model.py
+++ b/tarragonway/exchange/model.py
@@ -86,11 +86,16 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """Load that an endpoint reports: running and waiting requests, and its slots."""
+    """Load that an endpoint reports: running and waiting requests, and its slots.
+
+    ``slowdown`` is how long work takes there at this moment, relative to the usual
+    time; None if the endpoint does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseInfo(msgspec.Struct, frozen=True):
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -1,5 +1,6 @@
 """Choice of an endpoint for one request."""
 
+import functools
 import random
 from collections.abc import Iterable
 
@@ -8,7 +9,14 @@
 from tarragonway.core.hashes import rank_by_hash
 from tarragonway.core.ids import EndpointId, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
-from tarragonway.exchange import EngineSpeed, Load, Prompt
+from tarragonway.exchange import Load, Prompt
+from tarragonway.pace import (
+    ENGINE_LOAD_HALF_LIFE_S,
+    PLAIN_LOAD_HALF_LIFE_S,
+    PaceTracker,
+    ServiceTimes,
+    UsualLoads,
+)
 from tarragonway.routing.engine_speed import EngineSpeeds
 from tarragonway.routing.loads import LoadTracker
 
@@ -19,6 +27,8 @@
 MAX_DOUBLINGS = 16
 # Number of endpoints that all gateways prefer for the same shared prompt parts.
 AFFINITY_ENDPOINTS = 2
+# Rankings that are kept, since shared prompt parts recur.
+MAX_RANKINGS = 256
 # Half-life of a measured delay; endpoints work off their backlog within about a second.
 DELAY_HALF_LIFE_S = 0.7
 # Endpoints whose estimated delays differ by at most this are chosen among at random.
@@ -27,6 +37,19 @@
 EXCESS_REQUEST_MS = 100.0
 # Estimated additional delay during an endpoint's cold start.
 COLD_START_MS = 200.0
+# Fraction of the latency objective by which the estimated delays of endpoints with
+# paces may differ and still count as equal. Callers lose nothing while an answer begins
+# within the objective, but queues grow where all requests go to the fastest endpoint.
+TOLERANCE_FRACTION = 0.1
+# Endpoints with paces that are drawn for a request, of which the best is chosen. Since
+# all gateways know the same paces, and loads only from old reports, the best of all
+# would be sent too much (Mitzenmacher, "How useful is old information?", 2000).
+DRAWN_ENDPOINTS = 3
+# Among few endpoints, more draws would exclude the slow ones.
+DRAWN_OF_FEW = 2
+FEW_ENDPOINTS = 8
+# Further endpoints that are drawn before a request is found to be late at the first.
+REDRAWN_ENDPOINTS = 8
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -34,12 +57,15 @@
 
     ``work_ms`` is the part of ``delay_ms`` that the request itself causes;
     ``prompt_tokens`` is the number of its prompt tokens that are probably not cached.
+    ``expected_ms`` is the time that a usual endpoint with this load would take; None if
+    the endpoint has no free slot, or its service has no paces.
     """
 
     endpoint: ListedEndpoint
     delay_ms: float
     work_ms: float
     prompt_tokens: int = 0
+    expected_ms: float | None = None
 
 
 class _Health(msgspec.Struct):
@@ -60,6 +86,11 @@
     of requests that this gateway has sent there and that have no first event yet, and
     the measured delay of answered requests beyond their own work.
 
+    Where endpoints of a service state slowdowns, the delay is multiplied by the pace of
+    the endpoint, and a few endpoints are drawn in proportion to their speed, of which
+    the one with the least delay is chosen. Those that probably have the prompt cached
+    are always among them.
+
     Parameters
     ----------
     load_tracker : LoadTracker
@@ -68,14 +99,23 @@
         Speed of each service's engines.
     source : random.Random
         Chooses among endpoints with nearly the same estimated delay.
+    paces : PaceTracker, optional
+        Paces of endpoints.
     """
 
     def __init__(
-        self, load_tracker: LoadTracker, speeds: EngineSpeeds, source: random.Random
+        self,
+        load_tracker: LoadTracker,
+        speeds: EngineSpeeds,
+        source: random.Random,
+        paces: PaceTracker | None = None,
     ) -> None:
         self._load_tracker = load_tracker
         self._speeds = speeds
         self._random = source
+        self.paces = paces or PaceTracker()
+        self.service_times = ServiceTimes()
+        self._usual_loads = UsualLoads()
         self._health: dict[str, _Health] = {}
         self._backlogs: dict[str, _Backlog] = {}
 
@@ -85,6 +125,7 @@
         service: ServiceName,
         prompt: Prompt | None,
         now: float,
+        objective_ms: float = 0.0,
     ) -> Choice | None:
         """Return the endpoint with the least estimated delay, or None.
 
@@ -100,25 +141,40 @@
             Size and shared parts of the request, if known.
         now : float
             Time of the event loop's clock, in seconds.
+        objective_ms : float
+            Latency objective of the request in milliseconds, 0 if it has none.
         """
         candidates = list(rows)
-        healthy = [row for row in candidates if not self.is_unhealthy(row.key, now)]
-        pool = healthy or candidates
+        unhealthy = self._list_unhealthy(now)
+        pool = [row for row in candidates if row.key not in unhealthy] or candidates
         if not pool:
             return None
         warm = self._select_warm(pool, prompt)
+        if self.paces.has_paces(service):
+            return self._choose_paced(pool, warm, service, prompt, now, objective_ms)
         speed = self._speeds.get(service)
-        choices = [
-            self._estimate(row, prompt, row.key in warm, speed, now) for row in pool
+        cold_tokens = _count_computed_tokens(prompt, False)
+        warm_tokens = _count_computed_tokens(prompt, True)
+        delays_ms = [
+            self._estimate_ms(
+                row,
+                (warm_tokens if row.key in warm else cold_tokens)
+                * speed.prompt_token_ms,
+                speed.running_request_ms,
+                now,
+            )
+            for row in pool
         ]
-        min_delay_ms = min(choice.delay_ms for choice in choices)
-        return self._random.choice(
+        limit_ms = min(delays_ms) + TIE_TOLERANCE_MS
+        row, delay_ms = self._random.choice(
             [
-                choice
-                for choice in choices
-                if choice.delay_ms <= min_delay_ms + TIE_TOLERANCE_MS
+                (row, delay_ms)
+                for row, delay_ms in zip(pool, delays_ms, strict=True)
+                if delay_ms <= limit_ms
             ]
         )
+        tokens = warm_tokens if row.key in warm else cold_tokens
+        return Choice(row, delay_ms, tokens * speed.prompt_token_ms, tokens)
 
     def is_unhealthy(self, key: str, now: float) -> bool:
         """Return whether the endpoint was recently unreachable or is ejected."""
@@ -126,6 +182,13 @@
         unhealthy = health is not None and health.unhealthy_until > now
         return unhealthy or self._load_tracker.is_ejected(EndpointId(key), now)
 
+    def _list_unhealthy(self, now: float) -> set[str]:
+        ejected: set[str] = {*self._load_tracker.list_ejected(now)}
+        for key, health in self._health.items():
+            if health.unhealthy_until > now:
+                ejected.add(key)
+        return ejected
+
     def record_send(self, choice: Choice) -> None:
         """Record that a request is sent to the chosen endpoint."""
         key = choice.endpoint.key
@@ -168,9 +231,14 @@
         """Return the expected number of requests on an endpoint."""
         return self._load_tracker.get_expected(EndpointId(key))
 
-    def record_load(self, key: str, load: Load) -> None:
+    def record_load(self, endpoint: ListedEndpoint, load: Load, now: float) -> None:
         """Record the load that an endpoint reported."""
-        self._load_tracker.record_report(EndpointId(key), load.running + load.waiting)
+        key, requests = endpoint.key, load.running + load.waiting
+        self._load_tracker.record_report(EndpointId(key), requests)
+        if self.paces.has_paces(endpoint.service):
+            self._usual_loads.record(
+                endpoint.service, key, requests, endpoint.slots, now
+            )
 
     def forget_unlisted(self, keys: set[str]) -> None:
         """Remove the state of endpoints whose key is not in ``keys``."""
@@ -179,6 +247,8 @@
             del self._health[key]
         for key in set(self._backlogs) - keys:
             del self._backlogs[key]
+        self.paces.retain(keys)
+        self._usual_loads.retain(keys)
 
     def _select_warm(
         self, pool: list[ListedEndpoint], prompt: Prompt | None
@@ -190,24 +260,17 @@
         """
         if prompt is None or not prompt.affinity_key:
             return frozenset()
-        ranked = rank_by_hash(prompt.affinity_key, [row.key for row in pool])
-        return frozenset(ranked[:AFFINITY_ENDPOINTS])
+        return _rank_warm(prompt.affinity_key, tuple(row.key for row in pool))
 
-    def _estimate(
+    def _estimate_ms(
         self,
         row: ListedEndpoint,
-        prompt: Prompt | None,
-        warm: bool,
-        speed: EngineSpeed,
+        work_ms: float,
+        running_request_ms: float,
         now: float,
-    ) -> Choice:
-        tokens = 0
-        if prompt is not None:
-            cached_tokens = prompt.shared_tokens if warm else 0
-            tokens = max(0, prompt.input_tokens - cached_tokens)
-        work_ms = tokens * speed.prompt_token_ms
+    ) -> float:
         load = self._load_tracker.get_expected(EndpointId(row.key))
-        delay_ms = work_ms + load * speed.running_request_ms
+        delay_ms = work_ms + load * running_request_ms
         if row.slots and load >= row.slots:
             delay_ms += (load - row.slots + 1) * EXCESS_REQUEST_MS
         if row.cold_s > 0:
@@ -215,8 +278,128 @@
         backlog = self._backlogs.get(row.key)
         if backlog is not None:
             delay_ms += max(backlog.pending_ms, self._decay_delay(backlog, now))
-        return Choice(row, delay_ms, work_ms, tokens)
+        return delay_ms
+
+    def _choose_paced(
+        self,
+        pool: list[ListedEndpoint],
+        warm: frozenset[str],
+        service: ServiceName,
+        prompt: Prompt | None,
+        now: float,
+        objective_ms: float,
+    ) -> Choice:
+        """Return one of the best of a few endpoints, which are drawn by their speeds.
+
+        Of those with nearly the same delay, one with the prompt cached is preferred,
+        and then the one drawn first, so that they share requests by their speeds.
+        """
+        usual = self.paces.usual
+        weights = [(row.slots or 1) / usual.get(row.key, 1.0) for row in pool]
+        count = DRAWN_OF_FEW if len(pool) <= FEW_ENDPOINTS else DRAWN_ENDPOINTS
+        drawn = {row.key: row for row in self._random.choices(pool, weights, k=count)}
+        if warm:
+            drawn.update((row.key, row) for row in pool if row.key in warm)
+
+        def estimate(row: ListedEndpoint) -> Choice:
+            if prompt is None:
+                return self._estimate_plain(row, service, now)
+            return self._estimate_paced(row, service, prompt, row.key in warm, now)
+
+        choices = [estimate(row) for row in drawn.values()]
+        best = min(choices, key=_get_delay)
+        if objective_ms and best.delay_ms > objective_ms:
+            more = self._random.choices(pool, weights, k=REDRAWN_ENDPOINTS)
+            others = {row.key: row for row in more if row.key not in drawn}
+            return min([best, *map(estimate, others.values())], key=_get_delay)
+        if best.endpoint.key in warm:
+            return best
+        tolerance_ms = max(TIE_TOLERANCE_MS, TOLERANCE_FRACTION * objective_ms)
+        near = [c for c in choices if c.delay_ms <= best.delay_ms + tolerance_ms]
+        return next((c for c in near if c.endpoint.key in warm), near[0])
+
+    def _estimate_paced(
+        self,
+        row: ListedEndpoint,
+        service: ServiceName,
+        prompt: Prompt,
+        is_warm: bool,
+        now: float,
+    ) -> Choice:
+        speed = self._speeds.get(service)
+        pace = self.paces.get_pace(row.key, now)
+        tokens = _count_computed_tokens(prompt, is_warm)
+        work_ms = tokens * speed.prompt_token_ms
+        load = self._foresee_load(row, ENGINE_LOAD_HALF_LIFE_S, now)
+        expected_ms = work_ms + load * speed.running_request_ms
+        has_slot = load < row.slots
+        excess_ms = 0.0 if has_slot else (load - row.slots + 1) * EXCESS_REQUEST_MS
+        delay_ms = (expected_ms + excess_ms) * pace
+        if row.cold_s > 0:
+            delay_ms += COLD_START_MS
+        backlog = self._backlogs.get(row.key)
+        if backlog is not None:
+            delay_ms += max(backlog.pending_ms, self._decay_delay(backlog, now))
+        is_usual = has_slot and row.cold_s <= 0
+        return Choice(
+            row, delay_ms, work_ms * pace, tokens, expected_ms if is_usual else None
+        )
+
+    def _estimate_plain(
+        self, row: ListedEndpoint, service: ServiceName, now: float
+    ) -> Choice:
+        """Estimate the time until the answer of a plain service.
+
+        Each request on the endpoint counts, also below the number of slots: the load is
+        known from old reports, so a partly busy endpoint may be full on arrival.
+        """
+        service_ms = self.service_times.get(service)
+        pace = self.paces.get_pace(row.key, now)
+        load = self._foresee_load(row, PLAIN_LOAD_HALF_LIFE_S, now)
+        slots = max(1, row.slots)
+        delay_ms = service_ms * (1 + load / slots) * pace
+        if row.cold_s > 0:
+            delay_ms += COLD_START_MS
+        backlog = self._backlogs.get(row.key)
+        if backlog is not None:
+            delay_ms += self._decay_delay(backlog, now)
+        is_usual = load < slots and row.cold_s <= 0
+        return Choice(
+            row, delay_ms, service_ms * pace, 0, service_ms if is_usual else None
+        )
+
+    def _foresee_load(
+        self, row: ListedEndpoint, half_life_s: float, now: float
+    ) -> float:
+        """Return the load of an endpoint, at least this gateway's own requests."""
+        key = EndpointId(row.key)
+        load = self._usual_loads.foresee(
+            row.service,
+            row.key,
+            self._load_tracker.get_expected(key),
+            row.slots,
+            half_life_s,
+            now,
+        )
+        return max(load, float(self._load_tracker.get_running(key)))
 
     def _decay_delay(self, backlog: _Backlog, now: float) -> float:
         age = (now - backlog.measured_at) / DELAY_HALF_LIFE_S
         return backlog.delay_ms * 0.5**age
+
+
+def _get_delay(choice: Choice) -> float:
+    return choice.delay_ms
+
+
+@functools.lru_cache(maxsize=MAX_RANKINGS)
+def _rank_warm(affinity_key: str, keys: tuple[str, ...]) -> frozenset[str]:
+    return frozenset(rank_by_hash(affinity_key, list(keys))[:AFFINITY_ENDPOINTS])
+
+
+def _count_computed_tokens(prompt: Prompt | None, is_warm: bool) -> int:
+    """Return how many tokens of a prompt an endpoint probably has to compute."""
+    if prompt is None:
+        return 0
+    cached_tokens = prompt.shared_tokens if is_warm else 0
+    return max(0, prompt.input_tokens - cached_tokens)
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -46,6 +46,7 @@
     VersionsReply,
     VersionsRequest,
 )
+from tarragonway.pace import PaceTracker
 from tarragonway.routes.model import Configuration
 from tarragonway.routing.engine_speed import EngineSpeeds
 
@@ -78,6 +79,8 @@
         Measurements that are reported to the leader.
     speeds : EngineSpeeds
         Speeds that are reported to the leader and combined by it.
+    paces : PaceTracker, optional
+        Paces of endpoints that are reported to the leader and combined by it.
     decode : callable
         Decodes the text of a configuration; raises ConfigurationError.
     counters : Counters
@@ -94,6 +97,7 @@
         speeds: EngineSpeeds,
         decode: Callable[[bytes], Configuration],
         counters: Counters,
+        paces: PaceTracker | None = None,
     ) -> None:
         self._name = name
         self._seeds = list(seeds)
@@ -104,6 +108,7 @@
         self._watch_version = -1
         self._offered_load = offered_load
         self._speeds = speeds
+        self._paces = paces or PaceTracker()
         self._usage = usage
         self._configurations = ConfigurationFetcher(gateway_state, decode, counters)
         self._counters = counters
@@ -217,6 +222,7 @@
             "held_contents": sorted(self._state.held_contents),
             "versions": self._origins.history,
             "request_limits": self._limit_guard.limits,
+            "paces": self._paces.make_dump(),
         }
 
     # Messages
@@ -354,6 +360,7 @@
             if has_speeds or self._full_report
             else None,
             self._list_self_announced() if self._full_report else (),
+            paces=self._paces.take_report() if has_speeds or self._full_report else {},
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -394,6 +401,9 @@
         gateway_state.suspects = frozenset(reply.suspects)
         if reply.speeds is not None:
             self._speeds.set_shared(reply.speeds)
+        if reply.paces:
+            self._paces.set_shared(reply.paces)
+            self._counters.increment("control.paces_received")
         if reply.watched is not None:
             self._guard.begun.watch(reply.watched)
             self._watch_version = reply.watch_version
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -21,6 +21,7 @@
 from tarragonway.http1 import CallClient, HttpServer, Request, ResponseWriter
 from tarragonway.node.metrics import listen_for_metrics, make_metrics_server
 from tarragonway.node.settings import NodeSettings
+from tarragonway.pace import PaceTracker
 from tarragonway.platform import configuration, listing, names, requests
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.retries.budget import RetryBudget
@@ -68,7 +69,8 @@
         self._state = GatewayState(settings.bounds.drain_ms / 1000)
         self._usage = UsageCounter(settings.bounds.report_window_s)
         speeds = EngineSpeeds()
-        self._chooser = EndpointChooser(LoadTracker(), speeds, random.Random())
+        paces = PaceTracker()
+        self._chooser = EndpointChooser(LoadTracker(), speeds, random.Random(), paces)
         self._offered_load = OfferedLoadMeter(speeds)
         # Usage counts are cumulative and start at zero in each process, so each one
         # reports under a unique name.
@@ -82,6 +84,7 @@
             speeds,
             configuration.decode_configuration,
             self._counters,
+            paces,
         )
         self._forwarder = Forwarder(
             self._state,
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -38,6 +38,7 @@
     is_false_promise,
 )
 from tarragonway.gateway.limit_guard import LimitGuard
+from tarragonway.gateway.measurements import AnswerMeasurements
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.origin_guard import OriginGuard
 from tarragonway.gateway.part_guard import PartGuard
@@ -125,8 +126,8 @@
         self._admission = admission
         self._usage = usage
         self._offered_load = offered_load
-        self._speeds = speeds
         self._chooser = chooser
+        self._measurements = AnswerMeasurements(speeds, chooser, counters)
         self._make_budget = make_budget
         self._content_reports = ContentReports(state, reporter)
         self._guard = guard
@@ -184,21 +185,16 @@
     ) -> None:
         """Record what an endpoint states of itself."""
         self._self_reports.record(endpoint, info)
-        if info.load is not None:
-            self._chooser.record_load(endpoint.key, info.load)
         now = asyncio.get_running_loop().time()
+        if info.load is not None:
+            self._measurements.record_load(endpoint, info.load, now)
         self._limit_guard.record_answer(endpoint, info.limits, attempt.sent_at, now)
 
     def handle_running(self, attempt: Attempt) -> None:
         """Record that the endpoint began to answer, and count the request once."""
         if attempt.choice is not None:
             now = asyncio.get_running_loop().time()
-            taken_ms = (now - attempt.sent_at) * 1000
-            self._chooser.record_first_event(attempt.choice, taken_ms, now)
-            if attempt.facts.prompt is not None:
-                self._speeds.get_fit(attempt.service).record_first_event(
-                    attempt.choice.prompt_tokens, attempt.load_at_send, taken_ms
-                )
+            self._measurements.record_first_event(attempt, attempt.choice, now)
             self._notices.record_began(attempt.choice.endpoint.key)
             attempt.choice = None
             attempt.probe = None
@@ -316,8 +312,8 @@
             attempt.broken.add(endpoint.key)
         if isinstance(outcome, Refused):
             self._notices.record_refusal(endpoint.key, loop.time())
-        if isinstance(outcome, Streamed):
-            self._record_stream(attempt, outcome)
+        engine = self._find_engine(attempt.service)
+        self._measurements.record_outcome(attempt, choice, outcome, engine, loop.time())
         if isinstance(outcome, SendFailed):
             self._counters.increment("request.send_failed")
         if misdirected or isinstance(outcome, Unsent | SendFailed):
@@ -338,18 +334,6 @@
             )
         return outcome
 
-    def _record_stream(self, attempt: Attempt, outcome: Streamed) -> None:
-        engine, prompt = self._find_engine(attempt.service), attempt.facts.prompt
-        is_whole = attempt.sends == 1 and attempt.facts.last_event_id is None
-        if engine is not None and prompt is not None and is_whole:
-            self._speeds.get_fit(attempt.service).record_stream(
-                attempt.load_at_send + 1,
-                outcome.events * engine.tokens_per_event,
-                prompt.output_tokens,
-                outcome.pauses_ms,
-                engine.tokens_per_event,
-            )
-
     def _find_engine(self, service: ServiceName) -> EngineTraits | None:
         table = self._state.table
         known = table.services.get(service) if table else None
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -195,7 +195,11 @@
         ready = [row for row in rows if not self._notices.backs_off(row.key, now)]
         has_healthy = any(not self._chooser.is_unhealthy(row.key, now) for row in ready)
         return self._chooser.choose(
-            ready if has_healthy else rows, attempt.service, attempt.facts.prompt, now
+            ready if has_healthy else rows,
+            attempt.service,
+            attempt.facts.prompt,
+            now,
+            attempt.route.latency_objective_s * 1000,
         )
 
     def _compute_connection_limit(self, service: ServiceName) -> float:
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -158,13 +158,14 @@
         self.leader_versions = self.versions
         self.usage = UsageCounter(5.0)
         speeds = EngineSpeeds()
+        self.chooser = EndpointChooser(LoadTracker(), speeds, random.Random(1))
         self.forwarder = Forwarder(
             self.state,
             Admission(self.state, self.guard, self.quota, Counters()),
             self.usage,
             OfferedLoadMeter(speeds),
             speeds,
-            EndpointChooser(LoadTracker(), speeds, random.Random(1)),
+            self.chooser,
             lambda: RetryBudget(0.5, 5.0, 5.0),
             self,
             self.guard,
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -30,6 +30,7 @@
 )
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
+from tarragonway.pace.messages import EndpointPace, MeasuredPace
 from tarragonway.rollouts import RolloutCounts, RolloutOrders, RolloutShare
 from tarragonway.versions import StreamOrigin
 
@@ -301,7 +302,8 @@
     ``request_rates``, the requests per second for each service, are sent with speeds.
     ``leaving`` are listed endpoints that have said themselves that they leave, sent
     with the first report to a new leader. ``rollouts`` are the counts of the rollouts
-    in progress.
+    in progress. ``paces`` are what was newly learned about the paces of each service's
+    endpoints, sent with speeds.
     """
 
     name: ProcessName
@@ -321,6 +323,7 @@
     request_rates: dict[ServiceName, Amount] | None = None
     leaving: tuple[str, ...] = ()
     rollouts: tuple[RolloutCounts, ...] = ()
+    paces: dict[ServiceName, dict[str, MeasuredPace]] = {}
 
 
 class GatewayReportReply(
@@ -337,7 +340,8 @@
     the gateway has their ``watch_version``. ``limits`` are the request limits of
     endpoints; None if the gateway has their ``limits_version``. ``near_quota`` are the
     client accounts that have used most of their quota. ``rollouts`` are the leader's
-    decisions on the rollouts in progress.
+    decisions on the rollouts in progress. ``paces`` are the combined paces of each
+    service's endpoints, sent with speeds.
     """
 
     term: Count
@@ -355,6 +359,7 @@
     limits: dict[str, Amount] | None = None
     near_quota: tuple[AccountId, ...] = ()
     rollouts: tuple[RolloutShare, ...] = ()
+    paces: dict[ServiceName, dict[str, EndpointPace]] = {}
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
--- a/tarragonway/platform/requests.py
+++ b/tarragonway/platform/requests.py
@@ -143,6 +143,8 @@
     match counts:
         case [int(running), int(waiting), int(slots)]:
             return Load(running, waiting, slots)
+        case [int(running), int(waiting), int(slots), int(percent)] if percent > 0:
+            return Load(running, waiting, slots, percent / 100)
         case _:
             return None
 
--- a/tarragonway/platform/tests/test_numbers.py
+++ b/tarragonway/platform/tests/test_numbers.py
@@ -71,3 +71,24 @@
         ):
             frame = encode_message(message)
             assert decode_integer(decoder.decode(frame[4:]).revision) == revision
+
+
+# Guards against losing the whole load of endpoints that report their slowdown too.
+def test_fourth_figure_of_a_load_is_the_slowdown():
+    head = ResponseHead(200, [(names.LOAD, b"5,1,64,250")])
+    assert requests.decode_answer(head).load == Load(5, 1, 64, 2.5)
+
+
+# Guards against an endpoint that attracts all requests by claiming that work takes no
+# time, and against loads of which only a part could be read.
+@pytest.mark.parametrize(
+    "text", [b"5,1,64,", b"5,1,64,x", b"5,1,64,0", b"5,1,64,-3", b"5,1,64,100,7"]
+)
+def test_malformed_slowdown_makes_the_load_count_as_absent(text):
+    head = ResponseHead(200, [(names.LOAD, text)])
+    assert requests.decode_answer(head).load is None
+
+
+def test_load_without_a_slowdown_has_none():
+    head = ResponseHead(200, [(names.LOAD, b"5,1,64")])
+    assert requests.decode_answer(head).load == Load(5, 1, 64)
--- a/tarragonway/routing/loads.py
+++ b/tarragonway/routing/loads.py
@@ -23,7 +23,6 @@
     running: int = 0
     latency_s: float = 0.0
     failures: int = 0
-    ejected_until: float = float("-inf")
 
 
 class LoadTracker:
@@ -47,6 +46,8 @@
 
     def __init__(self) -> None:
         self._loads: dict[EndpointId, _Load] = {}
+        # End of the ejection of each endpoint that has been ejected.
+        self._ejected_until: dict[EndpointId, float] = {}
 
     def record_report(self, endpoint: EndpointId, load: float) -> None:
         """Record a load report: the number of requests on an endpoint."""
@@ -117,7 +118,7 @@
         if row.failures >= EJECTION_FAILURE_COUNT:
             doublings = min(row.failures - EJECTION_FAILURE_COUNT, MAX_DOUBLINGS)
             ejection_s = MIN_EJECTION_S * 2**doublings
-            row.ejected_until = now + min(MAX_EJECTION_S, ejection_s)
+            self._ejected_until[endpoint] = now + min(MAX_EJECTION_S, ejection_s)
 
     def get_expected(self, endpoint: EndpointId) -> float:
         """Return the expected number of requests.
@@ -127,15 +128,24 @@
         row = self._get_or_create(endpoint)
         return max(row.reported + row.since_report, float(row.running), 0.0)
 
+    def get_running(self, endpoint: EndpointId) -> int:
+        """Return the number of this process's own running requests."""
+        return self._get_or_create(endpoint).running
+
     def is_ejected(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether an endpoint is ejected because of failures."""
-        return now < self._get_or_create(endpoint).ejected_until
+        return now < self._ejected_until.get(endpoint, float("-inf"))
+
+    def list_ejected(self, now: float) -> set[EndpointId]:
+        """Return the endpoints that are ejected because of failures."""
+        return {key for key, end in self._ejected_until.items() if now < end}
 
     def discard_unlisted(self, endpoints: set[EndpointId]) -> None:
         """Discard unlisted endpoints on which this process runs no request."""
         for endpoint in set(self._loads) - endpoints:
             if not self._loads[endpoint].running:
                 del self._loads[endpoint]
+                self._ejected_until.pop(endpoint, None)
 
     def make_dump(self) -> dict[str, float]:
         """Return the expected load by endpoint."""
