Treat responses that end before their request as truncated

Cause: the end of the received stream ended a response without length and chunks, whatever had become of the request. An endpoint that responds at once to a long upload and half-closes gave its caller a part as a complete response, on both interfaces. A reset after the half-close was not seen: reading returns the end of the stream, and only SO_ERROR has the reset. h11 accepts statuses 200 to 999 and aiohttp 0 to 999, so 600 and 999 were passed on, and 000 counted as a success of an order and as an engine's statement that a stream did not start.

Ruled out: responses with a length or chunks, which are complete by themselves and whose upload goes on unchanged; 1000, "+20", " 20", "2 0", other digits and a missing status, which the parsers reject.

Change: at the connection's end, the transport's buffer and SIOCOUTQ tell whether the endpoint's system has received the request. After a request of over 16 KiB, a reset is awaited for 25 ms. Other responses are not delayed. The streams of engines use http1 instead of aiohttp, which does not tell a close from a reset. Numbers outside 100 to 599 are no response in every HTTP client.

--- a/tarragonway/endpoints/watcher.py
+++ b/tarragonway/endpoints/watcher.py
@@ -11,6 +11,7 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.core.decoding import UndecodableError, decode_json, drop_deep_values
+from tarragonway.core.http_status import reject_invalid_status
 from tarragonway.core.ids import EndpointId
 from tarragonway.endpoints.model import (
     Endpoint,
@@ -156,7 +157,9 @@
     async def run(self) -> None:
         """Poll until the task is cancelled."""
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            timeout=timeout, raise_for_status=reject_invalid_status
+        ) as session:
             while True:
                 if self._is_leader():
                     await self._poll(session)
--- a/tarragonway/engines/client.py
+++ b/tarragonway/engines/client.py
@@ -5,8 +5,10 @@
 which generation resumes, and the handle of an imported KV cache.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Any, TypeVar
+from urllib.parse import SplitResult, urlsplit
 
 import aiohttp
 import msgspec
@@ -19,13 +21,23 @@
     decode_json,
     drop_deep_values,
 )
+from tarragonway.core.http_status import reject_invalid_status
 from tarragonway.core.numbers import Count, parse_bounded_number
 from tarragonway.endpoints import Endpoint
+from tarragonway.engines.lines import LineTooLong, read_lines
+from tarragonway.http1 import (
+    ConnectionEnded,
+    EndpointConnection,
+    ResponseHead,
+    open_connection,
+)
+from tarragonway.http1.client import RequestNotEncodable
 from tarragonway.routing.notices import MAX_PAUSE_S
 
 STATUS_UNAVAILABLE = 503
-CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
+# Longest wait for the end of a stream without length and chunks after its last event.
+END_WAIT_S = 0.1
 CONTROL_REQUEST_TIMEOUT_S = 1.5
 MAX_REASON_BYTES = 200
 # ``ValueError`` is raised for an address that the system cannot use.
@@ -137,11 +149,13 @@
 
     def open(self) -> None:
         """Create the client session; needs a running loop."""
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
-        )
+        timeout = aiohttp.ClientTimeout(total=CONTROL_REQUEST_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            raise_for_status=reject_invalid_status,
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -155,31 +169,26 @@
 
         The last event is EngineFinished, EngineRefused or EngineInterrupted.
         """
-        assert self._session is not None
-        url = f"{endpoint.url}/v1/chat/completions"
         try:
             body = _extend_body(call)
         except UndecodableError as error:
             yield EngineRefused(f"the body cannot be read: {error}", permanent=True)
             return
-        headers = {"Content-Type": "application/json", "X-Stream-Id": call.stream}
         try:
-            async with self._session.post(url, data=body, headers=headers) as response:
-                if response.status != 200:
-                    yield await _describe_refusal(response)
-                    return
-                async for event in _read_events(response):
-                    yield event
-                    if isinstance(event, EngineFinished | EngineInterrupted):
-                        return
-        except aiohttp.ClientConnectorError as error:
-            yield EngineRefused(f"the connection failed: {error}")
+            url = urlsplit(f"{endpoint.url}/v1/chat/completions")
+            connection = await open_connection(url)
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            yield EngineRefused(f"the connection failed: {error!r}")
             return
-        except (*CALL_ERRORS, HttpProcessingError) as error:
-            # The last one is raised for a line over the reader's limit.
+        try:
+            async for event in _exchange(connection, url, call.stream, body):
+                yield event
+        except (ConnectionEnded, TimeoutError, LineTooLong) as error:
             yield EngineInterrupted(repr(error))
-            return
-        yield EngineInterrupted("the stream ended before its [DONE] event")
+        except RequestNotEncodable as error:
+            yield EngineRefused(f"the request cannot be encoded: {error}")
+        finally:
+            connection.abort()
 
     async def cancel(self, endpoint: Endpoint, stream: str) -> None:
         """Ask the engine to stop a stream; failures are ignored."""
@@ -213,11 +222,8 @@
         self, method: str, url: str, body: Any = None
     ) -> bytes | None:
         assert self._session is not None
-        timeout = aiohttp.ClientTimeout(total=CONTROL_REQUEST_TIMEOUT_S)
         try:
-            async with self._session.request(
-                method, url, json=body, timeout=timeout
-            ) as response:
+            async with self._session.request(method, url, json=body) as response:
                 data = await response.read()
                 return data if response.status == 200 else None
         except (*CALL_ERRORS, HttpProcessingError):
@@ -245,23 +251,77 @@
     return msgspec.json.encode(fields)
 
 
-async def _describe_refusal(response: aiohttp.ClientResponse) -> EngineRefused:
-    data = await response.content.read(MAX_REASON_BYTES)
-    text = data.decode(errors="replace")
-    leaving = response.headers.get("X-Endpoint-State") == "leaving"
-    permanent = 400 <= response.status < 500 and response.status != 429
+async def _exchange(
+    connection: EndpointConnection, url: SplitResult, stream: str, body: bytes
+) -> AsyncIterator[EngineEvent]:
+    """Send the request and yield the events of its answer.
+
+    Raises
+    ------
+    ConnectionEnded, TimeoutError, LineTooLong
+        If the answer broke off or cannot be read.
+    RequestNotEncodable
+        If nothing was sent.
+    """
+    headers = [
+        (b"Host", url.netloc.encode()),
+        (b"Connection", b"close"),
+        (b"Content-Type", b"application/json"),
+        (b"Content-Length", b"%d" % len(body)),
+        (b"X-Stream-Id", stream.encode()),
+    ]
+    connection.send("POST", url.path, headers, body)
+    async with asyncio.timeout(READ_TIMEOUT_S):
+        head = await connection.read_head(lambda head: True)
+    if head.status != 200:
+        yield await _describe_refusal(head, connection)
+        return
+    async for event in _read_events(connection):
+        if isinstance(event, EngineFinished):
+            if not head.is_framed:
+                await _check_unframed_end(connection)
+            connection.close()
+        yield event
+        if isinstance(event, EngineFinished | EngineInterrupted):
+            return
+    yield EngineInterrupted("the stream ended before its [DONE] event")
+
+
+async def _check_unframed_end(connection: EndpointConnection) -> None:
+    """Check that an answer without length and chunks belongs to the whole request.
+
+    Raises
+    ------
+    ConnectionEnded
+        If the connection ends before the engine has received the request, or with a
+        reset.
+    """
+    try:
+        async with asyncio.timeout(END_WAIT_S):
+            while await connection.read_data() is not None:
+                pass
+    except TimeoutError:
+        if connection.has_undelivered_request:
+            raise ConnectionEnded("[DONE] before the request was received") from None
+
+
+async def _describe_refusal(
+    head: ResponseHead, connection: EndpointConnection
+) -> EngineRefused:
+    async with asyncio.timeout(READ_TIMEOUT_S):
+        data = await connection.read_data() or b""
+    text = data[:MAX_REASON_BYTES].decode(errors="replace")
+    leaving = head.get(b"x-endpoint-state") == b"leaving"
+    permanent = 400 <= head.status < 500 and head.status != 429
     pause_s = 0.0
-    if response.status == STATUS_UNAVAILABLE:
-        pause = response.headers.get("Retry-After", "")
+    if head.status == STATUS_UNAVAILABLE:
+        pause = (head.get(b"retry-after") or b"").decode("latin-1")
         pause_s = parse_bounded_number(pause, MAX_PAUSE_S) or 0.0
-    return EngineRefused(f"{response.status}: {text}", leaving, permanent, pause_s)
+    return EngineRefused(f"{head.status}: {text}", leaving, permanent, pause_s)
 
 
-async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[EngineEvent]:
-    while True:
-        line = await response.content.readline()
-        if not line:
-            return
+async def _read_events(connection: EndpointConnection) -> AsyncIterator[EngineEvent]:
+    async for line in read_lines(connection, READ_TIMEOUT_S):
         if not line.startswith(b"data: "):
             continue
         data = line[6:].strip()
--- a/tarragonway/entry/fetch.py
+++ b/tarragonway/entry/fetch.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from tarragonway.core.hashes import compute_mac, verify_mac
+from tarragonway.core.http_status import reject_invalid_status
 from tarragonway.core.ids import ProcessName, RequestId
 from tarragonway.core.numbers import parse_bounded_count
 from tarragonway.core.outcomes import Outcome, Refusal, RefusalReason
@@ -60,7 +61,9 @@
     def open(self) -> None:
         """Create the connection pool; needs a running loop."""
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        self._session = aiohttp.ClientSession(
+            timeout=timeout, raise_for_status=reject_invalid_status
+        )
 
     async def close(self) -> None:
         """Close all connections."""
--- a/tarragonway/entry/sender.py
+++ b/tarragonway/entry/sender.py
@@ -9,11 +9,10 @@
 from tarragonway.core.ids import AccountId
 from tarragonway.endpoints import Endpoint
 from tarragonway.entry.request_checks import Caller
-from tarragonway.http1 import ConnectionEnded, EndpointConnection
+from tarragonway.http1 import ConnectionEnded, EndpointConnection, open_connection
 from tarragonway.http1.client import Headers, RequestNotEncodable
 from tarragonway.lists import Service
 
-CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Characters that stand for themselves, beside letters, digits and ``_.-~``.
 PATH_CHARACTERS = "/!$&'()*+,;=:@"
@@ -62,7 +61,8 @@
 
     An answer has no id, so only its connection ties it to a call: a faulty endpoint may
     write an earlier answer once more. An answer with neither a length nor chunks ends
-    with its connection, and is complete only if that was closed and not reset.
+    with its connection, and is complete only if the endpoint had received the whole
+    call before it closed the connection, and did not reset it.
 
     Parameters
     ----------
@@ -89,7 +89,7 @@
         """
         try:
             url = urlsplit(endpoint.url)
-            connection = await _open(url)
+            connection = await open_connection(url)
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             return NotExecuted(repr(error))
         try:
@@ -105,17 +105,6 @@
             connection.abort()
 
 
-async def _open(url: SplitResult) -> EndpointConnection:
-    if not url.hostname:
-        raise ValueError(f"{url.geturl()} names no host")
-    port = url.port or (443 if url.scheme == "https" else 80)
-    async with asyncio.timeout(CONNECT_TIMEOUT_S):
-        _, connection = await asyncio.get_running_loop().create_connection(
-            EndpointConnection, url.hostname, port, ssl=url.scheme == "https" or None
-        )
-    return connection
-
-
 async def _exchange(
     connection: EndpointConnection, call: PlainCall, url: SplitResult, key: str
 ) -> SendResult:
--- a/tarragonway/fencing/order_sender.py
+++ b/tarragonway/fencing/order_sender.py
@@ -9,6 +9,7 @@
 
 from tarragonway.core.counters import Counters
 from tarragonway.core.decoding import UndecodableError, decode_json
+from tarragonway.core.http_status import reject_invalid_status
 from tarragonway.core.ids import MemberId
 from tarragonway.endpoints import Endpoint
 from tarragonway.fencing.store import OrderLeaseGranted, TakeOrderLease
@@ -91,7 +92,9 @@
     async def run(self) -> None:
         """Compare engines and send orders until the task is cancelled."""
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            timeout=timeout, raise_for_status=reject_invalid_status
+        ) as session:
             while True:
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 for desired in self._list_desired() if self._is_leader() else []:
--- a/tarragonway/http1/__init__.py
+++ b/tarragonway/http1/__init__.py
@@ -2,6 +2,7 @@
 
 from tarragonway.http1.call import Call, CallClient, CallFailed, CallResponse
 from tarragonway.http1.client import ConnectionEnded, EndpointConnection, ResponseHead
+from tarragonway.http1.opening import open_connection
 from tarragonway.http1.pool import ConnectFailed, ConnectionPool
 from tarragonway.http1.response import Request, ResponseWriter
 from tarragonway.http1.server import HttpServer
@@ -19,4 +20,5 @@
     "Request",
     "ResponseHead",
     "ResponseWriter",
+    "open_connection",
 ]
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Callable
 
 import h11
 import msgspec
 
-Headers = list[tuple[bytes, bytes]]
+from tarragonway.http1.sockets import (
+    has_socket_error,
+    has_undelivered_bytes,
+    reset_on_close,
+)
 
-# A ``struct linger`` that is on with a time of 0: closing the socket resets it.
-LINGER_RESET = struct.pack("ii", 1, 0)
+Headers = list[tuple[bytes, bytes]]
 
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 # Reading pauses while more received bytes are not parsed yet, since their reader waits.
@@ -21,6 +23,17 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 # Successes that never have a body: No Content and Reset Content.
 BODYLESS_STATUSES = (204, 205)
+# Responses whose end needs neither length nor chunks nor the connection's end.
+SELF_DELIMITED_STATUSES = (204, 304)
+# RFC 9110, section 15: other numbers are not status codes. h11 accepts up to 999.
+MIN_STATUS, MAX_STATUS = 100, 599
+# An endpoint's system may acknowledge a request that the endpoint never reads, and then
+# resets the connection only when the endpoint closes it. After an end of the connection
+# that also ends the response, the reset is awaited for this time if the request is
+# longer than this limit. Shorter ones are rarely answered before they are read, and
+# their responses are not delayed.
+RESET_WAIT_S = 0.025
+MIN_BYTES_FOR_RESET_WAIT = 16 * 1024
 # Other tasks run after this many parsed parts, which may be as short as one byte.
 MAX_PARTS_PER_TURN = 64
 
@@ -78,6 +91,10 @@
         self._wake: asyncio.Event = asyncio.Event()
         self._lost = False
         self._reset = False
+        self._ended_early = False
+        self._request_bytes = 0
+        # Whether only the connection's end tells where the response's body ends.
+        self._ends_with_connection = False
         self._idle = True
         self._unusable = False
         self._unparsed_bytes = 0
@@ -112,17 +129,28 @@
         self._wake.set()
 
     def eof_received(self) -> bool:
-        """Parse the end of the received stream; no further request can be sent."""
+        """Parse the end of the received stream; no further request can be sent.
+
+        The connection stays open for a later reset if the response ends with it and
+        that must be awaited.
+        """
         self._unusable = True
         if not self._idle and self._http.their_state is not h11.ERROR:
             self._http.receive_data(b"")
         self._wake.set()
-        return False
+        transport = self._transport
+        if transport is None or self._idle:
+            return False
+        self._ended_early = has_undelivered_bytes(transport)
+        self._reset = has_socket_error(transport)
+        # With TLS, asyncio closes the connection in any case.
+        has_tls = transport.get_extra_info("sslcontext") is not None
+        return self._awaits_reset and not has_tls
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end of the connection; an exception means that it was reset."""
         self._lost = True
-        self._reset = exc is not None
+        self._reset = self._reset or exc is not None
         self._transport = None
         self._wake.set()
 
@@ -147,6 +175,13 @@
             and not self._http.trailing_data[0]
         )
 
+    @property
+    def has_undelivered_request(self) -> bool:
+        """Whether the endpoint's system has not received the whole request."""
+        if self._transport is None:
+            return self._ended_early
+        return has_undelivered_bytes(self._transport)
+
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Send one complete request.
 
@@ -172,7 +207,9 @@
             parts = [self._http.send(event) or b"" for event in self._sent]
         except (h11.LocalProtocolError, ValueError) as error:
             raise RequestNotEncodable(str(error)) from error
-        self._transport.write(b"".join(parts))
+        data = b"".join(parts)
+        self._request_bytes = len(data)
+        self._transport.write(data)
 
     async def read_head(
         self, is_expected: Callable[[ResponseHead], bool]
@@ -187,7 +224,8 @@
         Raises
         ------
         ConnectionEnded
-            If the connection ends before such a response, or sends too many others.
+            If the connection ends before such a response, sends too many others or a
+            number that is not a status code.
         """
         informational = 0
         while True:
@@ -201,7 +239,14 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise ConnectionEnded("closed before the head of a response")
+            if not MIN_STATUS <= event.status_code <= MAX_STATUS:
+                raise ConnectionEnded(f"{event.status_code} is not a status code")
             head = ResponseHead(event.status_code, list(event.headers))
+            self._ends_with_connection = not (
+                head.is_framed
+                or head.status in SELF_DELIMITED_STATUSES
+                or self._method == b"HEAD"
+            )
             if is_expected(head):
                 return head
             await self._skip_response()
@@ -209,6 +254,9 @@
     async def read_data(self) -> bytes | None:
         """Return the next part of the body, or None at the end of a complete body.
 
+        A body that ends with its connection is complete only if the endpoint had
+        received the whole request by then, and did not reset the connection afterwards.
+
         Raises
         ------
         ConnectionEnded
@@ -218,6 +266,8 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self._ends_with_connection:
+                await self._check_end()
             return None
         raise ConnectionEnded("closed before the end of the response body")
 
@@ -260,6 +310,33 @@
         self._idle = True
         self.idle_since = now
 
+    @property
+    def _method(self) -> bytes:
+        request = self._sent[0] if self._sent else None
+        return request.method if isinstance(request, h11.Request) else b""
+
+    @property
+    def _awaits_reset(self) -> bool:
+        return self._request_bytes > MIN_BYTES_FOR_RESET_WAIT
+
+    async def _check_end(self) -> None:
+        """Check the connection's end as the end of a response.
+
+        Raises
+        ------
+        ConnectionEnded
+            If the end came before the whole request had been received, or a reset
+            followed.
+        """
+        if self._ended_early:
+            raise ConnectionEnded("closed before the whole request was received")
+        if self._awaits_reset and not (self._reset or self._lost):
+            await asyncio.sleep(RESET_WAIT_S)
+        if self._transport is not None and has_socket_error(self._transport):
+            self._reset = True
+        if self._reset:
+            raise ConnectionEnded("the connection was reset after its end")
+
     async def _read_event(self) -> object:
         self._parts_in_turn += 1
         if self._parts_in_turn >= MAX_PARTS_PER_TURN:
@@ -298,10 +375,3 @@
             self._http.receive_data(rest)
         if has_ended:
             self._http.receive_data(b"")
-
-
-def reset_on_close(transport: asyncio.Transport) -> None:
-    """Make closing the transport reset the connection, so that no data follows."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
--- a/tarragonway/operator/client.py
+++ b/tarragonway/operator/client.py
@@ -9,6 +9,7 @@
 
 from tarragonway.core.decoding import UndecodableError, decode_json
 from tarragonway.core.errors import TarragonwayError
+from tarragonway.core.http_status import reject_invalid_status
 from tarragonway.settings import ClusterSettings
 
 KEY_VARIABLE = "TARRAGONWAY_OPERATOR_KEY"
@@ -121,7 +122,11 @@
 
     def _open(self) -> aiohttp.ClientSession:
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-        return aiohttp.ClientSession(headers=self._headers, timeout=timeout)
+        return aiohttp.ClientSession(
+            headers=self._headers,
+            timeout=timeout,
+            raise_for_status=reject_invalid_status,
+        )
 
 
 async def _request(
