Divide an account's quota among its requests by urgency

An account that sends nine times its usual load had its quota used first come, first served, so thousands of short streams starved its long streams and calls. While the measured demand of an account exceeds its quota, the leader now gives the units to its requests by route priority, small before large, with floors for each class. The account's bucket bounds its use as before. Refused callers are told to return spread over the time in which room is foreseen.

test_odd_messages of coordinator and gateway cannot be collected, before this change too: the drawn messages don't know enumerations, which RolloutOrders has.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -122,9 +122,7 @@
         self._configuration = StoredConfiguration(
             self._machine, configuration.decode_compressed, self._counters
         )
-        self._quotas = QuotaBuckets(
-            QuotaPolicy(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
-        )
+        self._quotas = QuotaBuckets(QuotaPolicy.from_bounds(bounds), self._counters)
         self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
         self._gateway_reports = GatewayReports(self._driver, self._lease, self._clock)
         self._part_holds = PartHolds(
--- a/tarragonway/coordinator/quotas.py
+++ b/tarragonway/coordinator/quotas.py
@@ -1,9 +1,15 @@
-"""Token buckets with which the leader enforces the quotas of client accounts."""
+"""Token buckets with which the leader enforces the quotas of client accounts.
+
+A bucket bounds what its account is granted. While the demand of an account exceeds its
+quota, :mod:`tarragonway.quotas` decides which of its requests get the units.
+"""
 
 from collections.abc import Mapping
 
 import msgspec
+import structlog
 
+from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId, ProcessName
 from tarragonway.limits.overdraft import OverdraftBucket
 from tarragonway.links.messages import (
@@ -12,6 +18,8 @@
     QuotaRequest,
     QuotaReturn,
 )
+from tarragonway.node.settings import Bounds
+from tarragonway.quotas import ClassShares, QuotaAsk, RequestClass
 from tarragonway.routes.model import Account
 
 # A bucket starts with the quota of this time when this process becomes the leader, so
@@ -33,6 +41,12 @@
 # Shortest time between two examinations of all accounts for this.
 NEAR_QUOTA_INTERVAL_S = 0.1
 UNKNOWN_ACCOUNT_RETRY_DELAY_S = 0.2
+# A division is logged again once the fraction of a class has changed by this.
+LOGGED_CHANGE = 0.25
+# Shortest time between two such lines on one account.
+LOG_INTERVAL_S = 1.0
+
+_log = structlog.get_logger()
 
 
 class QuotaPolicy(msgspec.Struct, frozen=True):
@@ -47,6 +61,11 @@
     overrun: float = 0.0
     slack: float = 0.0
 
+    @classmethod
+    def from_bounds(cls, bounds: Bounds) -> "QuotaPolicy":
+        """Return the policy that the settings of a process state."""
+        return cls(bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack)
+
     def compute_capacity(self, account: Account) -> float:
         """Return the bucket's capacity: the units that the account may use at once.
 
@@ -73,6 +92,8 @@
     ----------
     policy : QuotaPolicy
         How the deployment measures quotas.
+    counters : Counters, optional
+        Receives ``quota.divided.*`` counters by priority and size class.
 
     Examples
     --------
@@ -84,13 +105,16 @@
     QuotaReply(sequence=2, granted=False, wait_s=0.65)
     """
 
-    def __init__(self, policy: QuotaPolicy) -> None:
+    def __init__(self, policy: QuotaPolicy, counters: Counters | None = None) -> None:
         self._policy = policy
+        self._counters = counters or Counters()
         self._histories: dict[ProcessName, GrantHistory] = {}
         self._has_restored_levels = False
         self._leader_since: float | None = None
         self._buckets: dict[AccountId, OverdraftBucket] = {}
         self._small_buckets: dict[AccountId, OverdraftBucket] = {}
+        self._classes: dict[AccountId, ClassShares] = {}
+        self._logged: dict[AccountId, tuple[dict[RequestClass, float], float]] = {}
         self._near_quota: tuple[AccountId, ...] = ()
         self._examined: tuple[Mapping[AccountId, Account] | None, float] = (None, 0.0)
 
@@ -98,6 +122,8 @@
         """Remove all buckets; called while this process is not the leader."""
         self._buckets.clear()
         self._small_buckets.clear()
+        self._classes.clear()
+        self._logged.clear()
         self._histories.clear()
         self._has_restored_levels = False
         self._leader_since = None
@@ -168,7 +194,8 @@
     ) -> QuotaReply:
         """Grant the units if the bucket's level is positive, or return a wait.
 
-        A small request may be granted even if the bucket is overdrawn.
+        While the account's demand exceeds its quota, the request's class needs room
+        too. A small request may be granted even if the bucket is overdrawn.
         """
         account = accounts.get(quota_request.account)
         if account is None:
@@ -178,13 +205,70 @@
             )
         if account.per_s <= 0:
             return QuotaReply(quota_request.sequence, True)
+        ask = QuotaAsk(
+            quota_request.priority,
+            quota_request.units,
+            quota_request.time_left_s,
+            quota_request.is_repeated,
+        )
+        classes = self._get_classes(account, now)
+        classes.record(ask, now)
+        if classes.is_update_due(now):
+            self._divide(account, classes, now)
+        level = self._refill(account, now)
+        wait_s = classes.find_wait(ask.request_class, level, account.per_s, now)
+        if wait_s <= 0:
+            capacity = self._policy.compute_capacity(account)
+            bucket = self._get_bucket(account, now)
+            wait_s = bucket.take(ask.units, account.per_s, capacity, now)
+        if wait_s > 0 and self._take_small(account, ask.units, now):
+            self._get_bucket(account, now).level -= ask.units
+            wait_s = 0.0
+        if classes.is_divided:
+            verb = "refused" if wait_s > 0 else "granted"
+            priority, size = ask.request_class
+            self._counters.increment(f"quota.divided.{verb}.p{priority}.s{size}")
+        if wait_s <= 0:
+            classes.take(ask.request_class, ask.units)
+            return QuotaReply(quota_request.sequence, True)
+        wait_s = round(classes.foresee_return(ask, wait_s, account.per_s, now), 3)
+        return QuotaReply(quota_request.sequence, False, wait_s)
+
+    def _refill(self, account: Account, now: float) -> float:
+        """Return the units in the account's bucket."""
         bucket = self._get_bucket(account, now)
+        bucket.refill(account.per_s, self._policy.compute_capacity(account), now)
+        return bucket.level
+
+    def _get_classes(self, account: Account, now: float) -> ClassShares:
+        classes = self._classes.get(account.id)
+        if classes is None:
+            classes = self._classes[account.id] = ClassShares(now)
+        return classes
+
+    def _divide(self, account: Account, classes: ClassShares, now: float) -> None:
+        """Divide the account's quota by its demand, and log a notable change."""
+        level = self._refill(account, now)
         capacity = self._policy.compute_capacity(account)
-        wait_s = bucket.take(quota_request.units, account.per_s, capacity, now)
-        if wait_s > 0 and self._take_small(account, quota_request.units, now):
-            bucket.level -= quota_request.units
-            wait_s = 0.0
-        return QuotaReply(quota_request.sequence, wait_s == 0.0, wait_s)
+        classes.update(account.per_s, level, capacity, now)
+        logged, logged_at = self._logged.get(account.id, ({}, float("-inf")))
+        fractions = classes.fractions
+        is_notable = bool(logged) != bool(fractions) or any(
+            abs(fraction - logged.get(key, 1.0)) > LOGGED_CHANGE
+            for key, fraction in fractions.items()
+        )
+        if is_notable and now - logged_at >= LOG_INTERVAL_S:
+            self._logged[account.id] = (fractions, now)
+            _log.info(
+                "division of a quota changed",
+                account=account.id,
+                quota_per_s=account.per_s,
+                demand_per_s=round(classes.demand_per_s),
+                level=round(level),
+                fractions={
+                    f"p{p}.s{s}": round(f, 2) for (p, s), f in fractions.items()
+                },
+            )
 
     def list_near_quota(
         self, accounts: Mapping[AccountId, Account], now: float
@@ -205,9 +289,7 @@
 
     def _is_near_quota(self, account: Account, now: float) -> bool:
         capacity = self._policy.compute_capacity(account)
-        bucket = self._get_bucket(account, now)
-        bucket.refill(account.per_s, capacity, now)
-        return bucket.level < NEAR_QUOTA_FRACTION * capacity
+        return self._refill(account, now) < NEAR_QUOTA_FRACTION * capacity
 
     def _take_small(self, account: Account, units: float, now: float) -> bool:
         """Return whether a small request is admitted despite an overdrawn bucket."""
--- a/tarragonway/gateway/admission.py
+++ b/tarragonway/gateway/admission.py
@@ -1,5 +1,6 @@
 """Admission of requests: routes, keys, drain, quarantine and quotas."""
 
+import asyncio
 import math
 import random
 
@@ -104,13 +105,12 @@
         if isinstance(decision, Admitted):
             decision = await self._check_parts(decision, facts)
         if isinstance(decision, Admitted):
-            decision = await self._take_quota(decision, facts)
+            decision = await self._take_quota(decision, request, facts)
         if isinstance(decision, GatewayRefusal):
             await self._refuse(writer, facts, decision)
             return None
-        timeout_s = facts.timeout_s or DEFAULT_TIMEOUT_S
         route = decision.route
-        deadline = request.arrived_s + min(timeout_s, route.timeout_s)
+        deadline = compute_deadline(route, request, facts)
         service = select_service(route, self._random)
         return Attempt(
             request,
@@ -180,16 +180,21 @@
         return fingerprint in state.quarantined or fingerprint in state.held_contents
 
     async def _take_quota(
-        self, admitted: Admitted, facts: CallerRequest
+        self, admitted: Admitted, request: Request, facts: CallerRequest
     ) -> Admitted | GatewayRefusal:
         account = admitted.account
         if account is None:
             return admitted
         units = count_units(account, facts)
         max_wait_s = admitted.route.latency_objective_s * QUOTA_WAIT_FRACTION
+        deadline = compute_deadline(admitted.route, request, facts)
+        time_left_s = max(0.0, deadline - asyncio.get_running_loop().time())
+        priority = admitted.route.priority
         wait_s = math.inf
         try:
-            wait_s = await self._quota.admit(account, units, max_wait_s)
+            wait_s = await self._quota.admit(
+                account, units, max_wait_s, priority, time_left_s
+            )
         finally:
             if wait_s > 0 and admitted.probe is not None:
                 self._guard.end_probe(admitted.probe)
@@ -220,6 +225,12 @@
         await send_error_response(writer, cause, refusal.retry_after_s)
 
 
+def compute_deadline(route: Route, request: Request, facts: CallerRequest) -> float:
+    """Return when a request's answer is due, on the clock of the event loop."""
+    timeout_s = facts.timeout_s or DEFAULT_TIMEOUT_S
+    return request.arrived_s + min(timeout_s, route.timeout_s)
+
+
 def count_units(account: Account, facts: CallerRequest) -> float:
     """Return the units that a request counts against its client account's quota.
 
--- a/tarragonway/gateway/quota.py
+++ b/tarragonway/gateway/quota.py
@@ -3,7 +3,8 @@
 The leader keeps one token bucket for each client account. A gateway requests units from
 it for each request, which costs a round trip within the region. Dividing a quota among
 gateways in advance would refuse far too many requests: a single long prompt needs more
-units than most gateways' part of a second's quota. While there is no leader, a gateway
+units than most gateways' part of a second's quota. The route's priority is sent too: an
+account that exceeds its quota is served by urgency. While there is no leader, a gateway
 admits requests at the rate of its recent grants, so that all gateways together stay
 within the quota.
 """
@@ -13,6 +14,7 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 import structlog
 
 from tarragonway.core.counters import Counters
@@ -20,6 +22,7 @@
 from tarragonway.gateway.state import DEFAULT_GATEWAYS
 from tarragonway.limits.overdraft import OverdraftBucket
 from tarragonway.links.messages import (
+    DEFAULT_PRIORITY,
     GrantHistory,
     QuotaReply,
     QuotaRequest,
@@ -151,19 +154,41 @@
         self.near_quota: frozenset[AccountId] | None = None
 
     async def admit(
-        self, account: Account, units: float, max_wait_s: float = 0.0
+        self,
+        account: Account,
+        units: float,
+        max_wait_s: float = 0.0,
+        priority: int = DEFAULT_PRIORITY,
+        time_left_s: float = 0.0,
     ) -> float:
         """Take units; return 0, or the seconds after which a retry may succeed.
 
         If the leader's wait is at most ``max_wait_s`` seconds, this waits and requests
         the units once more.
+
+        Parameters
+        ----------
+        account : Account
+            Account whose quota is used.
+        units : float
+            Units that the request counts.
+        max_wait_s : float
+            Longest wait of the request here.
+        priority : int
+            Priority of the request's route.
+        time_left_s : float
+            Time until the caller's deadline, 0 if it is not known.
         """
         if account.per_s <= 0:
             return 0.0
-        sequence, reply = await self._request_units(account.id, units)
+        request = QuotaRequest(0, account.id, units, priority, time_left_s)
+        sequence, reply = await self._request_units(request)
         if reply is not None and not reply.granted and reply.wait_s <= max_wait_s:
             await asyncio.sleep(reply.wait_s)
-            sequence, reply = await self._request_units(account.id, units)
+            left_s = max(0.0, time_left_s - reply.wait_s)
+            sequence, reply = await self._request_units(
+                QuotaRequest(0, account.id, units, priority, left_s, is_repeated=True)
+            )
         if reply is not None:
             if reply.granted:
                 now = asyncio.get_running_loop().time()
@@ -216,11 +241,12 @@
         self._unanswered.clear()
 
     async def _request_units(
-        self, account: AccountId, units: float
+        self, request: QuotaRequest
     ) -> tuple[int, QuotaReply | None]:
-        """Return the request's sequence number and the leader's reply, if any."""
+        """Return the request's new sequence number and the leader's reply, if any."""
+        account, units = request.account, request.units
         sequence = next(self._sequence)
-        if not self._send(QuotaRequest(sequence, account, units)):
+        if not self._send(msgspec.structs.replace(request, sequence=sequence)):
             return sequence, None
         future: asyncio.Future[QuotaReply] = asyncio.get_running_loop().create_future()
         self._pending[sequence] = future
--- a/tarragonway/gateway/tests/harness.py
+++ b/tarragonway/gateway/tests/harness.py
@@ -97,7 +97,7 @@
     def __init__(self) -> None:
         self.returned = 0.0
 
-    async def admit(self, account, units, max_wait_s):
+    async def admit(self, account, units, max_wait_s, priority, time_left_s):
         return 0.0
 
     def refund(self, account, units):
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -35,6 +35,9 @@
 
 # Units of a quota: more than any configuration that is accepted counts for a request.
 Units = Annotated[float, Meta(ge=0, le=1e31)]
+# Priority of a route, of which an earlier release does not tell.
+Priority = Annotated[int, Meta(ge=0, le=2**53)]
+DEFAULT_PRIORITY = 5
 # Version of a list; -1 matches none.
 ListVersion = Annotated[int, Meta(ge=-1, le=2**53)]
 Addresses = Annotated[tuple[str, ...], Meta(max_length=256)]
@@ -85,12 +88,20 @@
     counts: dict[AccountId, Count]
 
 
-class QuotaRequest(msgspec.Struct, frozen=True, tag="QuotaAsk"):
-    """Request to the leader for quota units of a client account, for one request."""
+class QuotaRequest(msgspec.Struct, frozen=True, tag="QuotaAsk", omit_defaults=True):
+    """Request to the leader for quota units of a client account, for one request.
+
+    ``priority`` is that of the route, not of the account. ``time_left_s`` is the time
+    until the caller's deadline, 0 if it is not known. ``is_repeated`` means that the
+    gateway asks again for a caller that it holds.
+    """
 
     sequence: int
     account: AccountId
     units: Units
+    priority: Priority = DEFAULT_PRIORITY
+    time_left_s: Age = 0.0
+    is_repeated: bool = False
 
 
 class QuotaReply(msgspec.Struct, frozen=True, tag="QuotaAnswer"):
