Draw values of enumerations in the tests of odd messages

The state of a rollout is the first enumeration in a message, for which the generator raised AttributeError, so that these tests could not be collected. It draws all values and texts that are none.

--- a/tarragonway/links/tests/odd_messages.py
+++ b/tarragonway/links/tests/odd_messages.py
@@ -1,5 +1,6 @@
 """Drawn messages of valid types whose fields hold extreme values."""
 
+import enum
 import math
 import types
 import typing
@@ -69,6 +70,8 @@
         return st.sampled_from(TEXTS) | st.text(max_size=4)
     if kind is bytes:
         return st.binary(max_size=9)
+    if issubclass(kind, enum.Enum):
+        return st.sampled_from([member.value for member in kind] + TEXTS)
     return _draw_struct(kind)
 
 
