--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -9,6 +9,8 @@
 from tarragonway.gateway.part_guard import Probe
 from tarragonway.http1.client import ResponseHead
 from tarragonway.http1.response import Request, ResponseWriter
+from tarragonway.rollouts.send_counts import RolloutSend
+from tarragonway.rollouts.traffic import RoutedRequest
 from tarragonway.routes.model import Account, Route
 from tarragonway.versions import StreamOrigin
 
@@ -33,6 +35,8 @@
     unless the caller resumes a stream.
     ``probe`` is the right to send held prompt parts; it is None without such parts, and
     once the leader knows the probe's outcome.
+    ``routed`` is the choice of a version while rollouts restrict the service,
+    ``rollout_send`` the record of the latest send for the evidence of rollouts.
     """
 
     request: Request
@@ -58,6 +62,8 @@
     load_at_send: float = 0.0
     origin: StreamOrigin | None = None
     probe: Probe | None = None
+    routed: RoutedRequest | None = None
+    rollout_send: RolloutSend | None = None
 
     @property
     def resumed_id(self) -> str | None:
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -46,6 +46,7 @@
     VersionsReply,
     VersionsRequest,
 )
+from tarragonway.rollouts import RolloutOrders
 from tarragonway.routes.model import Configuration
 from tarragonway.routing.engine_speed import EngineSpeeds
 
@@ -139,6 +140,7 @@
         """Connect to the seeds and report to the leader until cancelled."""
         self._link_pool.connect_to(self._seeds)
         while True:
+            self._state.rollouts.log_shares(asyncio.get_running_loop().time())
             self._send_report()
             await asyncio.sleep(REPORT_INTERVAL_S)
 
@@ -246,8 +248,8 @@
                 self._limit_guard.handle_reply(message)
             case OriginReply() | VersionsInService() | VersionsReply():
                 self._origins.handle(link.peer, message)
-            case HeldParts():
-                self._handle_held(message)
+            case HeldParts() | RolloutOrders():
+                self._handle_published(message)
             case _:
                 self._counters.increment("control.unexpected")
 
@@ -354,6 +356,12 @@
             if has_speeds or self._full_report
             else None,
             self._list_self_announced() if self._full_report else (),
+            self._state.rollouts.make_report(
+                self._state.endpoints.rows.values(),
+                self._sequence,
+                self._full_report,
+                now,
+            ),
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -376,7 +384,17 @@
             reports.append(msgspec.structs.replace(crash, age_s=now - reported_at))
         return tuple(reversed(reports))
 
-    def _handle_held(self, message: HeldParts) -> None:
+    def _handle_published(self, message: HeldParts | RolloutOrders) -> None:
+        """Apply what every coordinator publishes from the log.
+
+        A coordinator sends the rollouts first, so that a gateway which accepts requests
+        once it knows the held parts knows the rollouts too.
+        """
+        if isinstance(message, RolloutOrders):
+            now = asyncio.get_running_loop().time()
+            clock_s = self._state.clock.now()
+            self._state.rollouts.set_orders(message, now, clock_s)
+            return
         if self._guard.set_held(message):
             self._state.held_contents = frozenset(message.contents)
         self._state.knows_held_parts = self._guard.is_informed
@@ -389,6 +407,7 @@
         gateway_state = self._state
         if reply.gateways:
             gateway_state.gateways = self._quota.gateways = reply.gateways
+        gateway_state.rollouts.set_shares(reply.rollouts, sent_at)
         self._quota.near_quota = frozenset(reply.near_quota)
         gateway_state.quarantined = frozenset(reply.quarantined)
         gateway_state.suspects = frozenset(reply.suspects)
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -24,6 +24,7 @@
 from tarragonway.platform import configuration, listing, names, requests
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.retries.budget import RetryBudget
+from tarragonway.rollouts.traffic import RolloutTraffic
 from tarragonway.routes.model import ConnectionLimits
 from tarragonway.routing.engine_speed import EngineSpeeds
 from tarragonway.routing.loads import LoadTracker
@@ -43,6 +44,9 @@
 # safety margin.
 RETRY_BUDGET_FRACTION = 0.7
 STOP_MARGIN_S = 0.6
+# Part of ``bounds.rollback_ms`` for which streams go on at a version that is rolled
+# back. The leader needs the rest to find that the version is bad.
+RESUME_FRACTION = 0.5
 # Time for which arriving requests are still served after the drain has begun: this
 # fraction of the grace period, so that the rest suffices to answer them.
 INTAKE_FRACTION = 0.375
@@ -65,8 +69,12 @@
         super().__init__()
         self._settings = settings
         self._counters = Counters()
-        self._state = GatewayState(settings.bounds.drain_ms / 1000)
-        self._usage = UsageCounter(settings.bounds.report_window_s)
+        bounds = settings.bounds
+        rollouts = RolloutTraffic(
+            bounds.rollback_ms / 1000 * RESUME_FRACTION, self._counters
+        )
+        self._state = GatewayState(bounds.drain_ms / 1000, rollouts)
+        self._usage = UsageCounter(bounds.report_window_s)
         speeds = EngineSpeeds()
         self._chooser = EndpointChooser(LoadTracker(), speeds, random.Random())
         self._offered_load = OfferedLoadMeter(speeds)
@@ -168,6 +176,7 @@
             "gateways": self._state.gateways,
             "endpoints": list(self._state.endpoints.rows.values()),
             "list_age_s": loop.time() - self._state.list_current_at,
+            "rollouts": self._state.rollouts.make_dump(loop.time()),
             "control": self._link.make_dump(),
             "counters": self._counters.snapshot(),
         }
--- /dev/null
+++ b/tarragonway/gateway/delay_checks.py
@@ -0,0 +1,33 @@
+"""Whether a request is still served in time after a pause or at a loaded endpoint."""
+
+from tarragonway.gateway.attempt import Attempt, Paused
+from tarragonway.gateway.choice import Choice
+
+# A request is refused at once if the estimated delay until its first event exceeds the
+# latency objective by this factor.
+OVERLOAD_FACTOR = 1.5
+# Fraction of the latency objective within which a request may wait until an endpoint's
+# pause ends.
+PAUSE_WAIT_FRACTION = 0.5
+
+
+def may_wait(attempt: Attempt, paused: Paused, now: float) -> bool:
+    """Return whether the request is still served in time after a pause.
+
+    Its caller may have no further try.
+    """
+    ends_at = now + paused.return_s
+    objective_s = PAUSE_WAIT_FRACTION * attempt.route.latency_objective_s
+    return ends_at < min(attempt.deadline, attempt.request.arrived_s + objective_s)
+
+
+def is_overloaded(attempt: Attempt, choice: Choice, now: float) -> bool:
+    """Return whether the estimated delay is too far above the latency objective."""
+    if attempt.origin is not None:
+        # The latency objective was decided by the first event, and no other version
+        # can take the stream; it only has to go on before the caller leaves.
+        return choice.delay_ms > (attempt.deadline - now) * 1000
+    objective_ms = attempt.route.latency_objective_s * 1000
+    if attempt.facts.prompt is None or not objective_ms:
+        return False
+    return choice.delay_ms > OVERLOAD_FACTOR * objective_ms
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -27,6 +27,7 @@
 )
 from tarragonway.gateway.choice import Choice, EndpointChooser
 from tarragonway.gateway.content_reports import ContentReports, EndpointReporter
+from tarragonway.gateway.delay_checks import is_overloaded, may_wait
 from tarragonway.gateway.error_responses import (
     end_failed_response,
     send_error_response,
@@ -42,6 +43,7 @@
 from tarragonway.gateway.origin_guard import OriginGuard
 from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.resumption import StreamResumption
+from tarragonway.gateway.rollout_records import RolloutRecords
 from tarragonway.gateway.selection import EndpointSelector
 from tarragonway.gateway.self_reports import SelfReports
 from tarragonway.gateway.sender import Codec, Sender
@@ -55,12 +57,6 @@
 
 # Number of endpoints to which a request may fail to connect before it is given up.
 MAX_FAILED_CONNECTS = 3
-# A request is refused at once if the estimated delay until its first event exceeds the
-# latency objective by this factor.
-OVERLOAD_FACTOR = 1.5
-# Fraction of the latency objective within which a request may wait until an endpoint's
-# pause ends.
-PAUSE_WAIT_FRACTION = 0.5
 MAX_PRIORITY = 9
 MAX_LOGGED_PARTS = 16
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
@@ -137,6 +133,7 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self.pool = ConnectionPool()
         self._notices = EndpointNotices()
+        self._rollouts = RolloutRecords(state)
         self._self_reports = SelfReports(
             state, self._notices, reporter.report_leaving, counters
         )
@@ -189,12 +186,17 @@
         now = asyncio.get_running_loop().time()
         self._limit_guard.record_answer(endpoint, info.limits, attempt.sent_at, now)
 
+    def handle_sent(self, attempt: Attempt) -> None:
+        """Count the request as sent to its endpoint's version."""
+        self._rollouts.record_sent(attempt)
+
     def handle_running(self, attempt: Attempt) -> None:
         """Record that the endpoint began to answer, and count the request once."""
         if attempt.choice is not None:
             now = asyncio.get_running_loop().time()
             taken_ms = (now - attempt.sent_at) * 1000
             self._chooser.record_first_event(attempt.choice, taken_ms, now)
+            self._rollouts.record_first_part(attempt, taken_ms)
             if attempt.facts.prompt is not None:
                 self._speeds.get_fit(attempt.service).record_first_event(
                     attempt.choice.prompt_tokens, attempt.load_at_send, taken_ms
@@ -237,7 +239,7 @@
         self._selector.record_request(attempt.service, work_s)
         while True:
             choice = await self._selector.select(attempt, work_s)
-            if isinstance(choice, Paused) and self._may_wait(attempt, choice):
+            if isinstance(choice, Paused) and may_wait(attempt, choice, loop.time()):
                 await asyncio.sleep(choice.return_s)
                 continue
             if isinstance(choice, REFUSALS) and isinstance(outcome, Refused | None):
@@ -246,7 +248,7 @@
                 if attempt.origin is not None:
                     outcome = self._resumption.explain_failure(attempt, outcome)
                 break
-            if outcome is None and self._is_overloaded(attempt, choice):
+            if outcome is None and is_overloaded(attempt, choice, loop.time()):
                 outcome = Overloaded(choice.delay_ms)
                 break
             attempt.tried.add(choice.endpoint.key)
@@ -259,28 +261,6 @@
         await self._finish(attempt, outcome)
         self._log_end(attempt, type(outcome).__name__.lower(), started)
 
-    def _may_wait(self, attempt: Attempt, paused: Paused) -> bool:
-        """Return whether the request is still served in time after a pause.
-
-        Its caller may have no further try.
-        """
-        now = asyncio.get_running_loop().time()
-        ends_at = now + paused.return_s
-        objective_s = PAUSE_WAIT_FRACTION * attempt.route.latency_objective_s
-        return ends_at < min(attempt.deadline, attempt.request.arrived_s + objective_s)
-
-    def _is_overloaded(self, attempt: Attempt, choice: Choice) -> bool:
-        """Return whether the estimated delay is too far above the latency objective."""
-        if attempt.origin is not None:
-            # The latency objective was decided by the first event, and no other version
-            # can take the stream; it only has to go on before the caller leaves.
-            left_s = attempt.deadline - asyncio.get_running_loop().time()
-            return choice.delay_ms > left_s * 1000
-        objective_ms = attempt.route.latency_objective_s * 1000
-        if attempt.facts.prompt is None or not objective_ms:
-            return False
-        return choice.delay_ms > OVERLOAD_FACTOR * objective_ms
-
     async def _send(self, attempt: Attempt, choice: Choice) -> SendOutcome:
         loop = asyncio.get_running_loop()
         endpoint = choice.endpoint
@@ -300,8 +280,10 @@
         attempt.load_at_send = self._chooser.get_load(endpoint.key) - 1
         attempt.endpoint, attempt.estimated_ms = endpoint.platform_id, choice.delay_ms
         failed = False
+        result: SendOutcome | None = None
+        self._rollouts.record_start(attempt, endpoint)
         try:
-            outcome = await self._sender.send(
+            outcome = result = await self._sender.send(
                 attempt, endpoint, self._get_priority(attempt)
             )
             misdirected = (
@@ -311,6 +293,7 @@
         finally:
             began = attempt.choice is None
             self._chooser.record_completion(choice, began, failed, loop.time())
+            self._rollouts.record_end(attempt, endpoint, result, loop.time())
         self._content_reports.report(attempt, outcome, endpoint, began)
         if isinstance(outcome, Broken):
             attempt.broken.add(endpoint.key)
--- a/tarragonway/gateway/resumption.py
+++ b/tarragonway/gateway/resumption.py
@@ -94,5 +94,8 @@
             leaving=[row.key for row in rows if row.leaving and origin.matches(row)],
             list_age_s=round(list_age_s, 2),
         )
-        is_listed = any(origin.matches(row) and not row.leaving for row in rows)
+        loop_s = asyncio.get_running_loop().time()
+        is_listed = self._state.rollouts.may_resume(
+            origin.service, origin.version, loop_s
+        ) and any(origin.matches(row) and not row.leaving for row in rows)
         return outcome if outcome is not None or is_listed else VersionGone()
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from tarragonway.core.clock import read_monotonic
 from tarragonway.core.ids import AccountId, AttemptId, ServiceName
@@ -14,12 +14,14 @@
     VersionUnregistered,
 )
 from tarragonway.gateway.choice import Choice, EndpointChooser
+from tarragonway.gateway.delay_checks import is_overloaded
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.state import GatewayState
 from tarragonway.http1 import ConnectionPool
 from tarragonway.limits.request_limits import Permit, PermitDenied
 from tarragonway.limits.request_weights import RequestWeights
+from tarragonway.rollouts.traffic import RoutedRequest
 from tarragonway.routing.notices import EndpointNotices
 
 # Requests that ask for a permit, for each permit that limited endpoints leave.
@@ -87,7 +89,36 @@
 
         A limited endpoint needs a permit. If it gets none, the request goes to one
         without a limit.
+
+        """
+        while True:
+            choice = await self._select(attempt, work_s)
+            if not self._must_select_again(attempt, choice):
+                return choice
+
+    def _must_select_again(
+        self,
+        attempt: Attempt,
+        choice: Choice | Limited | Paused | VersionUnregistered | None,
+    ) -> bool:
+        """Return whether a rollout calls for another choice.
+
+        A request that the new version cannot take now goes to others. A choice that is
+        not allowed any more after the wait for a permit is made again: at a share of 1
+        the gateway has reported that it sends nothing to old endpoints.
         """
+        if attempt.routed is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        if isinstance(choice, Choice) and (
+            attempt.tried or not is_overloaded(attempt, choice, now)
+        ):
+            return self._guard.has_limits and not self._is_allowed(attempt, choice)
+        return self._state.rollouts.give_up_new(attempt.routed, now)
+
+    async def _select(
+        self, attempt: Attempt, work_s: float
+    ) -> Choice | Limited | Paused | VersionUnregistered | None:
         rows = self._list_usable(attempt)
         if rows and attempt.origin is None and attempt.route.resumable:
             facts = attempt.facts
@@ -161,7 +192,7 @@
         origin = attempt.origin
         rows = [
             row
-            for row in self._state.endpoints.rows.values()
+            for row in self._list_allowed(attempt)
             if row.service == attempt.service
             and (origin is None or origin.matches(row))
             and (row.key not in attempt.tried or row.key in attempt.broken)
@@ -181,6 +212,25 @@
             if row.key not in attempt.tried and self._still_takes_streams(row)
         ]
 
+    def _list_allowed(self, attempt: Attempt) -> Iterable[ListedEndpoint]:
+        """Return the listed endpoints that no rollout keeps from the request."""
+        rows = self._state.endpoints.rows.values()
+        rollouts = self._state.rollouts
+        if not rollouts.restricts(attempt.service):
+            return rows
+        if attempt.routed is None:
+            attempt.routed = RoutedRequest(
+                attempt.service, attempt.route.name, attempt.tried
+            )
+        resumed = attempt.origin.version if attempt.origin is not None else None
+        now = asyncio.get_running_loop().time()
+        return rollouts.list_allowed(rows, attempt.routed, resumed, now)
+
+    def _is_allowed(self, attempt: Attempt, choice: Choice) -> bool:
+        return any(
+            row.key == choice.endpoint.key for row in self._list_allowed(attempt)
+        )
+
     def _still_takes_streams(self, row: ListedEndpoint) -> bool:
         """Return whether a leaving endpoint has enough time to go on with a stream."""
         since = self._state.endpoints.leaving_since.get(row.key)
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -80,6 +80,10 @@
         """Handle the facts that an answer states about its endpoint."""
         ...
 
+    def handle_sent(self, attempt: Attempt) -> None:
+        """Handle that the request has been written to its endpoint."""
+        ...
+
     def handle_running(self, attempt: Attempt) -> None:
         """Handle each arriving part of an answer, which shows that the request runs."""
         ...
@@ -175,6 +179,7 @@
             return Unsent(str(error))
         attempt.sends += 1
         may_have_run_before, attempt.may_have_run = attempt.may_have_run, True
+        self._observer.handle_sent(attempt)
         head = await connection.read_head(
             lambda head: self._is_for_attempt(head, attempt)
         )
--- a/tarragonway/gateway/state.py
+++ b/tarragonway/gateway/state.py
@@ -5,6 +5,7 @@
 
 from tarragonway.core.clock import WallClock
 from tarragonway.endpoints.endpoint_list import EndpointView
+from tarragonway.rollouts.traffic import RolloutTraffic
 from tarragonway.routes.table import RouteTable
 
 # Number of gateways that is assumed until the leader sends it. Too high a number only
@@ -21,7 +22,8 @@
     ``quarantined`` are the contents that the leader has quarantined, ``held_contents``
     those of which the replicated log knows; neither may be sent to endpoints.
     ``knows_held_parts`` is set once a coordinator has sent the prompt parts and
-    contents that must not be sent to endpoints.
+    contents that must not be sent to endpoints. Coordinators send the rollouts first,
+    so that they are known too.
     ``intake_ends_at`` is the time from which arriving requests are refused, None unless
     the gateway drains.
 
@@ -30,10 +32,15 @@
     drain_s : float
         Seconds after which an endpoint that is listed as leaving must not be sent
         requests any more.
+    rollouts : RolloutTraffic, optional
+        Rollouts of software versions, of which none is known at first.
     """
 
-    def __init__(self, drain_s: float = DEFAULT_DRAIN_S) -> None:
+    def __init__(
+        self, drain_s: float = DEFAULT_DRAIN_S, rollouts: RolloutTraffic | None = None
+    ) -> None:
         self.drain_s = drain_s
+        self.rollouts = rollouts or RolloutTraffic()
         self.table: RouteTable | None = None
         self.endpoints = EndpointView()
         self.list_current_at = float("-inf")
