--- a/bench/costs.py
+++ b/bench/costs.py
@@ -23,11 +23,15 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import OwnerEpoch, ProcessName
 from tarragonway.endpoints import Endpoint, ObserveEndpoints
+from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.entry.streams import format_events
 from tarragonway.lists.store import ApplyLists
 from tarragonway.requests.live import LiveRequest
 from tarragonway.requests.messages import CopyProgress, ProgressPart
 from tarragonway.requests.model import RequestRecord
+from tarragonway.rollouts import Rollout, RolloutOrder, RolloutOrders, RolloutShare
+from tarragonway.rollouts.send_counts import SendResult
+from tarragonway.rollouts.traffic import RolloutTraffic, RoutedRequest
 from tarragonway.state import StateMachine
 from tarragonway.state.machine import encode_command
 from tarragonway.transport import Mailbox
@@ -261,6 +265,50 @@
     ]
 
 
+def measure_rollouts(seed: int, quick: bool) -> list[Slope]:
+    """Measure the time that a rollout adds to the choice of an endpoint.
+
+    Half of the endpoints have the new version, and a fourth of those takes its share.
+    """
+    sizes = [15, 30, 60]
+    count = 1000 if quick else 5000
+    slopes = []
+    for share in (0.0, 0.1, 1.0):
+        costs = [
+            _measure_cpu_us(lambda n=n, s=share: _route_requests(n, s, count)) / count  # type: ignore[misc]
+            for n in sizes
+        ]
+        title = f"time a request, share {share:g}, an endpoint"
+        slopes.append(fit_slope("rollouts", title, "us", sizes, costs))
+    return slopes
+
+
+def _route_requests(endpoints: int, share: float, count: int) -> None:
+    rows = [
+        ListedEndpoint(
+            f"e{n}@1",
+            f"e{n}",
+            "radgjafi",  # type: ignore[arg-type]
+            f"10.0.0.{n}:8000",  # type: ignore[arg-type]
+            "a",  # type: ignore[arg-type]
+            12,
+            False,
+            version=f"v{1 + n % 2}",  # type: ignore[arg-type]
+        )
+        for n in range(endpoints)
+    ]
+    traffic = RolloutTraffic(source=random.Random(1))
+    order = RolloutOrder("radgjafi", "v2", 60.0)  # type: ignore[arg-type]
+    traffic.set_orders(RolloutOrders(1, (Rollout(1, order, 0.0),)), 0.0, 0.0)
+    traffic.set_shares([RolloutShare(1, share, 0.25)], 0.0)
+    for _ in range(count):
+        request = RoutedRequest(order.service, "chat", set())
+        allowed = traffic.list_allowed(rows, request, None, 0.1)
+        send = traffic.start_send(allowed[0], "chat")
+        traffic.record_sent(send)
+        traffic.end_send(send, SendResult.ANSWERED, 100.0, True)
+
+
 def _make_record() -> RequestRecord:
     return RequestRecord(
         "0123456789abcdef_entry-1_entry-2_entry-3",  # type: ignore[arg-type]
--- a/bench/run.py
+++ b/bench/run.py
@@ -9,6 +9,7 @@
 from bench.costs import (
     measure_log,
     measure_messages,
+    measure_rollouts,
     measure_state,
     measure_tokens,
 )
@@ -34,6 +35,7 @@
     "log": measure_log,
     "messages": measure_messages,
     "tokens": measure_tokens,
+    "rollouts": measure_rollouts,
     "idle": measure_idle,
     "load": measure_load,
     "path": measure_end_to_end,
--- a/tarragonway/gateway/tests/test_rollouts.py
+++ b/tarragonway/gateway/tests/test_rollouts.py
@@ -240,6 +240,23 @@
     assert (count_requests(old), count_requests(new)) == (3, 0)
 
 
+# Guards against a request that is refused since the few new endpoints are loaded.
+async def test_request_goes_to_the_old_version_if_the_new_one_is_loaded(
+    harness, monkeypatch
+):
+    old, new = await make_versions(harness)
+    set_share(harness, 0.999999)
+    for module in ("forward", "selection"):
+        monkeypatch.setattr(
+            f"tarragonway.gateway.{module}.is_overloaded",
+            lambda attempt, choice, now: choice.endpoint.version == "v2",
+        )
+    assert await ask(harness, "/single/", 3) == [b"200"] * 3
+    assert (count_requests(old), count_requests(new)) == (3, 0)
+    set_share(harness, 1.0)
+    assert await ask(harness, "/single/", 1) == [b"503"]
+
+
 # Guards against requests to a bad version after the decision, by any path.
 async def test_rolled_back_version_gets_no_request(harness):
     old, new = await make_versions(harness)
--- a/tarragonway/rollouts/tests/test_traffic.py
+++ b/tarragonway/rollouts/tests/test_traffic.py
@@ -119,7 +119,7 @@
 def test_reply_to_an_old_report_does_not_extend_the_share():
     traffic = make_traffic()
     reply(traffic, 0.0, now=3.0)
-    reply(traffic, 1.0, now=1.0)
+    reply(traffic, 1.0, now=2.0)
     assert list_versions(traffic, now=3.0) == ["v1"]
 
 
