--- a/tarragonway/rollouts/messages.py
+++ b/tarragonway/rollouts/messages.py
@@ -29,13 +29,15 @@
     ``share`` is the fraction of each route's new requests that goes to the new version,
     and ``endpoint_fraction`` the fraction of its endpoints that take them. An answer on
     a route counts as slow after ``slow_ms`` milliseconds; routes that are missing have
-    no such time yet.
+    no such time yet. ``route_shares`` holds the routes whose share is larger, since
+    they have few requests.
     """
 
     number: Count
     share: Share
     endpoint_fraction: Share = 1.0
     slow_ms: dict[str, Amount] = {}
+    route_shares: dict[str, Share] = {}
 
 
 class VersionCounts(msgspec.Struct, frozen=True, array_like=True):
--- a/tarragonway/rollouts/model.py
+++ b/tarragonway/rollouts/model.py
@@ -37,7 +37,9 @@
 
     ``number`` grows with each order. ``begun_s`` and ``ended_s`` are wall-clock times
     in seconds; ``ended_s`` is 0 while the rollout is in progress. ``replaced`` are the
-    versions that a completed rollout has retired.
+    versions that a completed rollout has retired. ``excluded`` are the versions that
+    earlier orders have retired or rolled back and no later order has named; they take
+    no requests either.
     """
 
     number: Count
@@ -46,6 +48,7 @@
     state: RolloutState = RolloutState.IN_PROGRESS
     ended_s: ClockTime = 0.0
     replaced: tuple[SoftwareVersion, ...] = ()
+    excluded: tuple[SoftwareVersion, ...] = ()
 
     @property
     def is_in_progress(self) -> bool:
