Accept orders of rollouts, and decide on them at the leader

Orders and ends are in the log. Shares and counts pass with the gateways' reports, so a new leader reaches the same decision. Capacity ordering does not count the endpoints that a rollout starts.

--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -11,9 +11,11 @@
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.coordinator.bootstrap import (
     TICK_INTERVAL_S,
+    find_operator_address,
     get_peer_address,
     make_driver,
 )
+from tarragonway.coordinator.dump import make_state_dump
 from tarragonway.coordinator.endpoint_messages import (
     EndpointMessage,
     EndpointMessageHandler,
@@ -22,12 +24,13 @@
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.coordinator.list_publisher import ListPublisher
 from tarragonway.coordinator.machine import CoordinatorMachine
-from tarragonway.coordinator.operators import OperatorInterface
+from tarragonway.coordinator.operator_server import make_operator_server
 from tarragonway.coordinator.origin_store import OriginStore
 from tarragonway.coordinator.part_holds import PartHolds
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
+from tarragonway.coordinator.rollouts import RolloutCoordinator
 from tarragonway.coordinator.scaling import FleetReconciler
-from tarragonway.coordinator.status import StatusPublisher
+from tarragonway.coordinator.status import StatusPublisher, make_status
 from tarragonway.coordinator.stored_configuration import StoredConfiguration
 from tarragonway.coordinator.stream_origins import StreamOrigins
 from tarragonway.coordinator.usage import UsageReporter
@@ -38,7 +41,7 @@
 from tarragonway.core.numbers import encode_integer
 from tarragonway.endpoints.endpoint_list import EndpointView
 from tarragonway.endpoints.reader import ListReader
-from tarragonway.http1 import CallClient, HttpServer
+from tarragonway.http1 import CallClient
 from tarragonway.links import Link, LinkPool
 from tarragonway.links.messages import (
     ConfigurationText,
@@ -57,10 +60,10 @@
 )
 from tarragonway.node.metrics import listen_for_metrics, make_metrics_server
 from tarragonway.node.settings import NodeSettings
-from tarragonway.platform import configuration, duties, listing, names
+from tarragonway.platform import configuration, duties, listing, names, rollouts
 from tarragonway.process.tasks import BackgroundTasks
 from tarragonway.replication.admission import admit_member
-from tarragonway.routes.model import MAX_CONFIGURATION_BYTES, ConnectionLimits
+from tarragonway.rollouts.decision import RolloutPolicy
 
 JOIN_INTERVAL_S = 0.3
 MAX_NAMED_MEMBERS = 32
@@ -180,6 +183,18 @@
             duties.make_usage_call,
             self._counters,
         )
+        self._rollouts = RolloutCoordinator(
+            RolloutPolicy(bounds.exposure_share, bounds.exposure_slack),
+            self._driver,
+            self._machine,
+            self._lease,
+            self._clock,
+            self._gateway_reports,
+            self._view,
+            lambda: self._publisher.has_current_list,
+            self._gateways,
+            self._counters,
+        )
         self._fleet = FleetReconciler(
             settings.name,
             [ZoneName(zone) for zone in settings.zones],
@@ -192,18 +207,20 @@
             CallClient(address),
             duties.make_scale_call,
             self._counters,
+            lambda: self._machine.rollouts.rollouts,
         )
-        interface = OperatorInterface(
+        self._operators = make_operator_server(
             self._driver,
             self._machine,
-            configuration.decode_submitted,
-            configuration.decode_configuration,
+            self._configuration,
+            self._clock,
+            bounds,
+            (configuration.decode_submitted, configuration.decode_configuration),
             (names.PUT_CONFIGURATION_PATH, names.GET_CONFIGURATION_PATH),
+            rollouts.CALLS,
             self._find_leader_operator_address,
             self._counters,
         )
-        limits = ConnectionLimits(body_bytes=MAX_CONFIGURATION_BYTES)
-        self._operators = HttpServer(interface.handle, lambda: limits)
         self._metrics = make_metrics_server(self._counters, self.make_dump)
         self._status = StatusPublisher(self._make_status, lambda: list(self._gateways))
 
@@ -225,6 +242,8 @@
         self._start_permanent_task(self._origins.run())
         self._start_permanent_task(self._origin_store.run())
         self._start_permanent_task(self._publisher.run())
+        if self._rollouts.is_enabled:
+            self._start_permanent_task(self._rollouts.run())
         if "usage" in self._settings.platform.duties:
             self._start_permanent_task(self._usage.run())
         if "scaling" in self._settings.platform.duties:
@@ -261,27 +280,14 @@
 
     def make_dump(self) -> dict[str, Any]:
         """Return the process's state for the state dump."""
-        replica = self._driver.replica
-        return {
-            "process": self._settings.name,
-            "member": replica.own_id,
-            "role": replica.role.value,
-            "term": replica.term,
-            "leader": replica.leader,
-            "commit": replica.commit,
-            "applied": self._driver.applied,
-            "disk_refusal_s": self._driver.disk_refusal_s,
-            "voters": [member.id for member in replica.membership.voters],
-            "learners": [member.id for member in replica.membership.learners],
-            "revision": self._machine.revision,
-            "windows": sorted(self._machine.usage)[-4:],
-            "gateways": list(self._gateways.values()),
-            "held_parts": self._machine.held,
-            "held_contents": self._machine.held_contents,
-            "versions": self._machine.versions,
-            "request_limits": self._gateway_reports.limits.stated,
-            "counters": self._counters.snapshot(),
-        }
+        return make_state_dump(
+            self._settings.name,
+            self._driver,
+            self._machine,
+            self._gateways.values(),
+            self._gateway_reports,
+            self._counters,
+        )
 
     # Membership
 
@@ -351,6 +357,7 @@
                 link.peer = name
                 self._gateways[link] = name
                 link.send(self._make_status())
+                self._rollouts.send_orders(link)
                 self._part_holds.send_held(link)
                 self._origins.send_versions(link)
             case StreamsBegan() | OriginRequest() | VersionsRequest():
@@ -404,6 +411,7 @@
             min(1e6, now - self._publisher.read_at),
             now,
             self._quotas.list_near_quota(accounts, now),
+            self._rollouts.handle_report(gateway_report, now),
         )
         link.send(reply)
 
@@ -422,16 +430,7 @@
     # Status
 
     def _make_status(self) -> Status:
-        replica = self._driver.replica
-        members = tuple(member.name for member in replica.membership.members)
-        leader = get_peer_address(replica.leader) if replica.leader else ""
-        return Status(
-            replica.term,
-            leader,
-            self._driver.is_leader,
-            members,
-            encode_integer(self._machine.revision),
-        )
+        return make_status(self._driver, self._machine.revision)
 
     async def _publish_status_periodically(self) -> None:
         while True:
@@ -444,8 +443,4 @@
 
     def _find_leader_operator_address(self) -> str:
         """Return the leader's operator address, or "" if unknown or this process."""
-        leader = self._driver.leader
-        if not leader or leader == self._driver.own_member.id:
-            return ""
-        port = self._settings.listen.operators.rpartition(":")[2]
-        return f"{get_peer_address(leader).rpartition(':')[0]}:{port}"
+        return find_operator_address(self._driver, self._settings.listen.operators)
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -21,6 +21,7 @@
 )
 from tarragonway.quarantine import PartQuarantine, ProbeId
 from tarragonway.replication import LogDriver
+from tarragonway.rollouts import RolloutShare
 
 # Time after its last report for which a gateway counts as live.
 GATEWAY_TIMEOUT_S = 3.0
@@ -86,6 +87,7 @@
         list_age_s: float,
         now: float,
         near_quota: tuple[AccountId, ...] = (),
+        rollouts: tuple[RolloutShare, ...] = (),
     ) -> GatewayReportReply:
         """Record a gateway's report and return the reply.
 
@@ -101,6 +103,8 @@
             The event loop's time in seconds.
         near_quota : tuple of AccountId
             Client accounts that have used most of their quota.
+        rollouts : tuple of RolloutShare
+            Decisions on the rollouts in progress.
         """
         gateway = self._record_report(gateway_report, now)
         live = self._list_live(now)
@@ -121,6 +125,7 @@
             self.limits.version,
             self._list_limits(gateway_report),
             near_quota,
+            rollouts,
         )
 
     def record_crash(
--- a/tarragonway/coordinator/machine.py
+++ b/tarragonway/coordinator/machine.py
@@ -1,4 +1,7 @@
-"""Replicated state of the coordinators: configuration, usage, quarantine, versions."""
+"""Replicated state of the coordinators.
+
+It holds the configuration, usage, quarantine, versions and rollouts.
+"""
 
 import zlib
 from typing import Any
@@ -15,6 +18,13 @@
 )
 from tarragonway.core.numbers import EncodedInteger, decode_integer
 from tarragonway.quarantine import HeldPart
+from tarragonway.rollouts.store import (
+    BeginRollout,
+    EndRollout,
+    RolloutAccepted,
+    RolloutConflict,
+    RolloutStore,
+)
 
 RETAINED_WINDOWS = 64
 
@@ -72,8 +82,16 @@
     versions: dict[ServiceName, tuple[SoftwareVersion, ...]]
 
 
-Command = PutConfiguration | DecideUsage | MarkReported | PutHeldParts | PutVersions
-Result = ConfigurationStored | UsageDecided | None
+Command = (
+    PutConfiguration
+    | DecideUsage
+    | MarkReported
+    | PutHeldParts
+    | PutVersions
+    | BeginRollout
+    | EndRollout
+)
+Result = ConfigurationStored | UsageDecided | RolloutAccepted | RolloutConflict | None
 
 
 class _Content(msgspec.Struct):
@@ -86,6 +104,7 @@
     versions: dict[ServiceName, tuple[SoftwareVersion, ...]] = {}
     versions_revision: int = 0
     held_contents: dict[Fingerprint, tuple[str, ...]] = {}
+    rollouts: RolloutStore = msgspec.field(default_factory=RolloutStore)
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -150,6 +169,11 @@
         """Number of changes of the software versions, 0 if none are known."""
         return self._content.versions_revision
 
+    @property
+    def rollouts(self) -> RolloutStore:
+        """The latest rollout of each service."""
+        return self._content.rollouts
+
     @property
     def last_window(self) -> int:
         """The newest window with decided counts, or -1."""
@@ -190,10 +214,7 @@
                 return ConfigurationStored(self.revision)
             case DecideUsage(window, counts):
                 decided = content.usage.setdefault(window, counts)
-                while len(content.usage) > RETAINED_WINDOWS:
-                    oldest = min(content.usage)
-                    del content.usage[oldest]
-                    content.reported.pop(oldest, None)
+                self._remove_old_windows()
                 return UsageDecided(window, decided)
             case PutHeldParts(held, contents):
                 content.held = held
@@ -205,11 +226,20 @@
                 content.versions = versions
                 content.versions_revision += 1
                 return None
+            case BeginRollout() | EndRollout():
+                return content.rollouts.apply(command)
             case MarkReported(window):
                 if window in content.usage:
                     content.reported[window] = True
                 return None
 
+    def _remove_old_windows(self) -> None:
+        content = self._content
+        while len(content.usage) > RETAINED_WINDOWS:
+            oldest = min(content.usage)
+            del content.usage[oldest]
+            content.reported.pop(oldest, None)
+
 
 def compress_configuration(text: bytes) -> bytes:
     """Return a configuration text in the compressed form that the log stores."""
--- a/tarragonway/coordinator/operators.py
+++ b/tarragonway/coordinator/operators.py
@@ -1,4 +1,4 @@
-"""HTTP interface for operators: replace and read the configuration."""
+"""HTTP interface for operators: the configuration, and calls about rollouts."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,29 +6,25 @@
 import msgspec
 import structlog
 
+from tarragonway.coordinator.leader_calls import JSON_HEADERS, LeaderCalls
 from tarragonway.coordinator.machine import (
     ConfigurationStored,
     CoordinatorMachine,
     PutConfiguration,
     compress_configuration,
 )
+from tarragonway.coordinator.rollout_orders import RolloutOrderInterface
 from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.counters import Counters
 from tarragonway.core.numbers import encode_integer
-from tarragonway.http1.client import Headers
 from tarragonway.http1.response import Request, ResponseWriter
-from tarragonway.replication import LogDriver, NotLeader
+from tarragonway.replication import LogDriver
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
     Configuration,
     ConfigurationError,
 )
 
-CONFIRMATION_TIMEOUT_S = 0.9
-LEADER_TIMEOUT_S = 0.7
-LEADER_POLL_INTERVAL_S = 0.05
-JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
-
 _log = structlog.get_logger()
 
 
@@ -52,6 +48,8 @@
         Returns the operator address of another process that leads, or "".
     counters : Counters
         Receives ``operator.*`` counters.
+    rollouts : RolloutOrderInterface, optional
+        Answers the calls about rollouts; without it there are none.
     """
 
     def __init__(
@@ -63,14 +61,16 @@
         paths: tuple[str, str],
         find_leader: Callable[[], str],
         counters: Counters,
+        rollouts: RolloutOrderInterface | None = None,
     ) -> None:
         self._driver = driver
         self._machine = machine
         self._decode = decode
         self._decode_stored = decode_stored
         self._put_path, self._get_path = paths
-        self._find_leader = find_leader
+        self._calls = LeaderCalls(driver, find_leader, counters)
         self._counters = counters
+        self._rollouts = rollouts
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Answer one call."""
@@ -79,7 +79,7 @@
             await self._handle_replace(request, writer)
         elif (request.method, path) == ("GET", self._get_path):
             await self._handle_read(request, writer)
-        else:
+        elif self._rollouts is None or not await self._rollouts.handle(request, writer):
             await writer.send(404, JSON_HEADERS, b'{"error": "unknown call"}')
 
     async def _handle_replace(self, request: Request, writer: ResponseWriter) -> None:
@@ -91,14 +91,13 @@
             else:
                 await self._reject(writer, error)
             return
-        if not await self._wait_for_leader():
-            await self._redirect_to_leader(request, writer)
+        if not await self._calls.require_leader(request, writer):
             return
         command = PutConfiguration(
             encode_integer(configuration.revision),
             compress_configuration(request.body),
         )
-        result = await self._await_confirmation(self._driver.propose(command))
+        result = await self._calls.await_confirmation(self._driver.propose(command))
         match result:
             case ConfigurationStored(revision):
                 self._counters.increment("operator.acknowledged")
@@ -110,7 +109,7 @@
                 )
                 await writer.send(200, JSON_HEADERS, b"{}")
             case _:
-                await self._send_unconfirmed(writer, result)
+                await self._calls.send_unconfirmed(writer, result)
 
     async def _may_be_stored(self, text: bytes) -> bool:
         """Return whether an earlier release may have accepted a text.
@@ -130,7 +129,7 @@
 
         An earlier release may have acknowledged what is not accepted any more.
         """
-        if not await self._confirm_leadership(request, writer):
+        if not await self._calls.confirm_leadership(request, writer):
             return
         if self._read_stored() != request.body:
             await self._reject(writer, error)
@@ -161,7 +160,7 @@
             return None
 
     async def _handle_read(self, request: Request, writer: ResponseWriter) -> None:
-        if not await self._confirm_leadership(request, writer):
+        if not await self._calls.confirm_leadership(request, writer):
             return
         text = self._read_stored()
         if text is None:
@@ -170,60 +169,3 @@
             await writer.send(503, JSON_HEADERS, body)
             return
         await writer.send(200, JSON_HEADERS, text)
-
-    async def _confirm_leadership(
-        self, request: Request, writer: ResponseWriter
-    ) -> bool:
-        """Return whether this process leads and has applied what is committed.
-
-        If not, the call is answered.
-        """
-        if not await self._wait_for_leader():
-            await self._redirect_to_leader(request, writer)
-            return False
-        index = await self._await_confirmation(self._driver.confirm_read_index())
-        if not isinstance(index, int):
-            await self._send_unconfirmed(writer, index)
-            return False
-        await self._driver.wait_applied(index)
-        return True
-
-    async def _wait_for_leader(self) -> bool:
-        """Wait until a leader is known; return whether it is this process.
-
-        Return False if none is known after :data:`LEADER_TIMEOUT_S`.
-        """
-        loop = asyncio.get_running_loop()
-        end = loop.time() + LEADER_TIMEOUT_S
-        while loop.time() < end:
-            if self._driver.is_leader:
-                return True
-            if self._find_leader():
-                return False
-            await asyncio.sleep(LEADER_POLL_INTERVAL_S)
-        return False
-
-    async def _redirect_to_leader(
-        self, request: Request, writer: ResponseWriter
-    ) -> None:
-        leader = self._find_leader()
-        if not leader:
-            await self._send_unconfirmed(writer, NotLeader("no leader is known"))
-            return
-        self._counters.increment("operator.redirected")
-        location = f"http://{leader}{request.target}".encode()
-        await writer.send(307, [*JSON_HEADERS, (b"location", location)], b"{}")
-
-    async def _await_confirmation(self, confirmation):  # type: ignore[no-untyped-def]
-        try:
-            async with asyncio.timeout(CONFIRMATION_TIMEOUT_S):
-                return await confirmation
-        except TimeoutError:
-            return NotLeader("not confirmed in time")
-
-    async def _send_unconfirmed(self, writer: ResponseWriter, result: object) -> None:
-        self._counters.increment("operator.unsure")
-        reason = result.reason if isinstance(result, NotLeader) else "unexpected"
-        _log.info("operator's call not confirmed; answered 503", reason=reason)
-        body = msgspec.json.encode({"error": reason})
-        await writer.send(503, [*JSON_HEADERS, (b"retry-after", b"0.3")], body)
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 import structlog
@@ -25,6 +25,8 @@
 from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
 from tarragonway.http1.call import Call, CallClient, CallResponse
 from tarragonway.replication import LogDriver
+from tarragonway.rollouts import Rollout
+from tarragonway.rollouts.store import list_unusable
 from tarragonway.routes.model import Configuration, ScalingTraits, Service
 
 CHECK_INTERVAL_S = 0.4
@@ -80,6 +82,8 @@
         Returns the call that orders endpoints.
     counters : Counters
         Receives ``fleet.*`` counters.
+    list_rollouts : callable, optional
+        Returns the latest rollout of each service.
     """
 
     def __init__(
@@ -95,7 +99,9 @@
         client: CallClient,
         make_call: MakeScaleCall,
         counters: Counters,
+        list_rollouts: Callable[[], Mapping[ServiceName, Rollout]] = dict,
     ) -> None:
+        self._list_rollouts = list_rollouts
         self._holder = holder
         self._zones = zones
         self._driver = driver
@@ -170,7 +176,8 @@
 
     def _make_plan(self, service: Service, traits: ScalingTraits, now: float) -> _Plan:
         rows = [r for r in self._view.rows.values() if r.service == service.name]
-        counts = count_by_kind(rows)
+        rollout = self._list_rollouts().get(service.name)
+        counts = count_by_kind(_remove_uncounted(rows, rollout))
         self._handle_reclaims(service.name, rows, now)
         needed = self._compute_recent_need(service.name, counts, now)
         expected = self._estimate_expected(service.name, traits, counts, now)
@@ -181,7 +188,28 @@
             self._is_idle(service.name),
             self._list_unavailable(service.name, False, now),
         )
-        return _Plan(plan_fleet(traits, self._zones, needed, state), counts, needed)
+        planned = plan_fleet(traits, self._zones, needed, state)
+        if rollout is not None and rollout.is_in_progress:
+            planned = self._keep_ordered(service.name, planned, counts)
+        return _Plan(planned, counts, needed)
+
+    def _keep_ordered(
+        self,
+        service: ServiceName,
+        planned: dict[EndpointKind, int],
+        listed: dict[EndpointKind, int],
+    ) -> dict[EndpointKind, int]:
+        """Return a plan with no fewer endpoints of any kind than are ordered.
+
+        The platform replaces the endpoints of a service one by one during a rollout;
+        a smaller order would take those that the rollout needs.
+        """
+        kept = dict(planned)
+        for kind in planned.keys() | listed.keys():
+            order = self._orders.get((service, kind))
+            ordered = listed.get(kind, 0) if order is None else order.count
+            kept[kind] = max(planned.get(kind, 0), ordered)
+        return kept
 
     def _compute_recent_need(
         self, service: ServiceName, counts: dict[EndpointKind, int], now: float
@@ -335,3 +363,17 @@
             self._orders[service, kind] = _Order(count, now)
         elif status == STATUS_UNAVAILABLE:
             self._unavailable[service, kind] = now + UNAVAILABLE_ZONE_BACKOFF_S
+
+
+def _remove_uncounted(
+    rows: Iterable[ListedEndpoint], rollout: Rollout | None
+) -> list[ListedEndpoint]:
+    """Return the endpoints that capacity ordering counts.
+
+    A rollout's own endpoints come in addition to those that are ordered, and those of
+    versions that take no requests any more are about to be stopped.
+    """
+    uncounted = frozenset() if rollout is None else list_unusable(rollout)
+    if rollout is not None and rollout.is_in_progress:
+        uncounted |= {rollout.order.version}
+    return [row for row in rows if row.version not in uncounted]
--- a/tarragonway/coordinator/status.py
+++ b/tarragonway/coordinator/status.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable, Iterable
 
+from tarragonway.coordinator.bootstrap import get_peer_address
+from tarragonway.core.numbers import encode_integer
 from tarragonway.links import Link
 from tarragonway.links.link import encode_message
 from tarragonway.links.messages import Status
+from tarragonway.replication import LogDriver
 
 STATUS_INTERVAL_S = 0.5
 
@@ -49,3 +52,13 @@
         frame = encode_message(status)
         for link in list(self._list_gateways()):
             link.send_encoded(frame)
+
+
+def make_status(driver: LogDriver, revision: int) -> Status:
+    """Return a coordinator's status with the revision of its configuration."""
+    replica = driver.replica
+    members = tuple(member.name for member in replica.membership.members)
+    leader = get_peer_address(replica.leader) if replica.leader else ""
+    return Status(
+        replica.term, leader, driver.is_leader, members, encode_integer(revision)
+    )
--- a/tarragonway/coordinator/tests/test_daemon.py
+++ b/tarragonway/coordinator/tests/test_daemon.py
@@ -22,6 +22,7 @@
         _publisher=publisher,
         _part_holds=SimpleNamespace(restore=lambda: None),
         _gateway_reports=SimpleNamespace(handle_report=lambda *arguments: "reply"),
+        _rollouts=SimpleNamespace(handle_report=lambda *arguments: ()),
         _configuration=SimpleNamespace(read_accounts=dict),
         _quotas=SimpleNamespace(list_near_quota=lambda accounts, now: ()),
     )
--- a/tarragonway/links/tests/odd_messages.py
+++ b/tarragonway/links/tests/odd_messages.py
@@ -1,5 +1,6 @@
 """Drawn messages of valid types whose fields hold extreme values."""
 
+import enum
 import math
 import types
 import typing
@@ -56,6 +57,8 @@
 
 
 def _draw_plain(kind):
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        return st.sampled_from([item.value for item in kind]) | st.text(max_size=3)
     kind = getattr(kind, "__supertype__", kind)
     if kind is type(None):
         return st.none()
--- a/tarragonway/platform/names.py
+++ b/tarragonway/platform/names.py
@@ -69,6 +69,9 @@
 READY_PATH = "/v1/readyz"
 PUT_CONFIGURATION_PATH = "/v1/Config.Replace"
 GET_CONFIGURATION_PATH = "/v1/Config.Read"
+BEGIN_ROLLOUT_PATH = "/v1/Rollouts.Begin"
+# The percent-encoded name of a service follows.
+READ_ROLLOUT_PREFIX = "/v1/Rollouts.Read/"
 LIST_PATH = "/replicas"
 USAGE_PATH = "/usage"
 SCALE_PATH = "/scale"
--- a/tarragonway/rollouts/__init__.py
+++ b/tarragonway/rollouts/__init__.py
@@ -7,9 +7,17 @@
     RouteCounts,
     VersionCounts,
 )
-from tarragonway.rollouts.model import Rollout, RolloutOrder, RolloutState
+from tarragonway.rollouts.model import (
+    MAX_DEADLINE_S,
+    InvalidOrderError,
+    Rollout,
+    RolloutOrder,
+    RolloutState,
+)
 
 __all__ = [
+    "MAX_DEADLINE_S",
+    "InvalidOrderError",
     "Rollout",
     "RolloutCounts",
     "RolloutOrder",
--- a/tarragonway/rollouts/decision.py
+++ b/tarragonway/rollouts/decision.py
@@ -150,6 +150,9 @@
         return Decision(Verdict.ROLL_BACK, 0.0, f"the deadline has passed: {reason}")
     if share >= FULL:
         return Decision(Verdict.READY, FULL, reason)
+    if not situation.may_raise:
+        # Each gateway keeps its share, which this leader may not know yet.
+        return Decision(Verdict.CONTINUE, share, reason)
     return Decision(
         Verdict.CONTINUE,
         share,
@@ -178,10 +181,10 @@
 def _choose_share(situation: Situation, policy: RolloutPolicy) -> tuple[float, str]:
     """Return the next share and the reason for it."""
     share, endpoints = situation.share, situation.endpoints
-    if endpoints.new <= 0:
-        return 0.0, "no endpoint of the version is usable"
     if not situation.may_raise:
         return share, "reports of gateways are awaited"
+    if endpoints.new <= 0:
+        return 0.0, "no endpoint of the version is usable"
     if share >= FULL:
         return FULL, "requests at old endpoints are ending"
     if endpoints.moves_nothing:
@@ -201,11 +204,10 @@
     rate = sum(situation.rates.values())
     if share < MIDDLE_SHARE:
         # A version that was suspected in the middle step has used up its exposure.
-        planned = (
-            _plan_canary_exposure(situation, policy) + rate * MIDDLE_SHARE * STEP_S
-        )
+        spent = _plan_canary_exposure(situation, policy)
+        spent += rate * MIDDLE_SHARE * 2 * STEP_S
         missing = missing or _find_missing_endpoints(situation)
-        if not missing and count_exposed(situation) >= max(planned, MIN_STEP_ANSWERS):
+        if not missing and count_exposed(situation) >= max(spent, MIN_STEP_ANSWERS):
             missing = "the allowed exposure is used up"
         return (canary_share, missing) if missing else (MIDDLE_SHARE, "middle step")
     if situation.share_age_s < STEP_S:
@@ -236,7 +238,7 @@
 def _compute_canary_share(
     situation: Situation, policy: RolloutPolicy, full_at_s: float
 ) -> float:
-    """Return the share that spreads the canary's exposure over the time that is left."""
+    """Return the share that spreads the canary's exposure over the rest of its time."""
     rate = max(MIN_RATE_PER_S, sum(situation.rates.values()))
     planned = _plan_canary_exposure(situation, policy)
     # Requests that gateways have sent and not reported yet are part of the exposure.
@@ -270,7 +272,7 @@
             return f"route {route} has sent no request to the version"
         needed = math.ceil(MIN_ANSWERED_FRACTION * row.new.sent)
         if row.new.answers < min(MIN_ROUTE_ANSWERS, needed):
-            return f"route {route} has {row.new.answers} responses"
+            return f"route {route} lacks responses"
     return ""
 
 
--- a/tarragonway/rollouts/model.py
+++ b/tarragonway/rollouts/model.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Meta
 
+from tarragonway.core.errors import TarragonwayError
 from tarragonway.core.ids import ServiceName, SoftwareVersion
 from tarragonway.core.numbers import ClockTime, Count
 
@@ -21,6 +22,10 @@
     ROLLED_BACK = "rolled_back"
 
 
+class InvalidOrderError(TarragonwayError):
+    """An order cannot be carried out; the message names the field and the remedy."""
+
+
 class RolloutOrder(msgspec.Struct, frozen=True, array_like=True):
     """An operator's order to move a service's traffic to a software version.
 
--- a/tarragonway/rollouts/progress.py
+++ b/tarragonway/rollouts/progress.py
@@ -105,7 +105,7 @@
             return self.decision
         if may_raise and not self._may_raise:
             self._take_over_share(now)
-        time_s = now - self._begun_at
+        time_s = self.measure_age(now)
         if endpoints.new > 0 and self._canary_began_s is None:
             self._canary_began_s = time_s
             self._at_canary = _keep_old(self.evidence.totals)
@@ -136,6 +136,10 @@
         self.decision = decision
         return decision
 
+    def measure_age(self, now: float) -> float:
+        """Return the time since the order, in seconds."""
+        return now - self._begun_at
+
     def list_unconfirmed(self, gateways: set[ProcessName]) -> list[ProcessName]:
         """Return which gateways may still have requests at old endpoints.
 
