--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -11,6 +11,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
 from tarragonway.http1.call import CallResponse
+from tarragonway.rollouts import Rollout, RolloutOrder, RolloutState
 from tarragonway.routes import Configuration, ConnectionLimits, Service
 from tarragonway.routes.model import ScalingTraits
 
@@ -147,3 +148,59 @@
     assert [count for _, count, _ in platform.orders] == [2, 2]
     task.cancel()
     await asyncio.wait([task])
+
+
+def list_versions(fleet, *versions):
+    fleet._view.apply_full_list(
+        [
+            ListedEndpoint(
+                f"e{n}",
+                f"e{n}",
+                "llm",
+                f"127.0.0.1:{n + 1}",
+                "a",
+                4,
+                False,
+                version=version,
+            )
+            for n, version in enumerate(versions)
+        ]
+    )
+
+
+def set_rollout(fleet, state, replaced=()):
+    order = RolloutOrder("llm", "v2", 12.0)
+    rollout = Rollout(1, order, 0.0, state, 0.0, replaced)
+    fleet._list_rollouts = lambda: {"llm": rollout}
+
+
+# Guards against endpoints of a rollout that count as capacity: the plan would remove
+# old ones, and be short of them after a rollback.
+@pytest.mark.parametrize(
+    ("state", "replaced", "listed"),
+    [
+        (RolloutState.IN_PROGRESS, (), 2),
+        (RolloutState.ROLLED_BACK, (), 2),
+        (RolloutState.COMPLETED, ("v1",), 3),
+    ],
+)
+async def test_endpoints_of_one_side_are_counted(fleet, state, replaced, listed):
+    list_versions(fleet, "v1", "v1", "v2", "v2", "v2")
+    set_rollout(fleet, state, replaced)
+    plan = fleet._make_plan(SERVICE, TRAITS, asyncio.get_running_loop().time())
+    assert plan.listed == {EndpointKind("a", False): listed}
+
+
+# Guards against an order during a rollout that takes the endpoints it needs.
+async def test_no_fewer_endpoints_are_ordered_during_a_rollout(fleet, platform):
+    kind = EndpointKind("a", False)
+    list_versions(fleet, *["v1"] * 4, "v2")
+    now = asyncio.get_running_loop().time()
+    await fleet._send_order("llm", kind, 4, 3, 4)
+    fleet._gateway_reports.sum_offered_load = lambda service, now: 0.1
+    fleet._services_with_load.add("llm")
+    fleet._need_history["llm"] = []
+    set_rollout(fleet, RolloutState.ROLLED_BACK)
+    assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] < 4
+    set_rollout(fleet, RolloutState.IN_PROGRESS)
+    assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 4
