--- a/tarragonway/rollouts/model.py
+++ b/tarragonway/rollouts/model.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Meta
 
+from tarragonway.core.errors import TarragonwayError
 from tarragonway.core.ids import ServiceName, SoftwareVersion
 from tarragonway.core.numbers import ClockTime, Count
 
@@ -21,6 +22,10 @@
     ROLLED_BACK = "rolled_back"
 
 
+class InvalidOrderError(TarragonwayError):
+    """An order cannot be carried out; the message names the field and the remedy."""
+
+
 class RolloutOrder(msgspec.Struct, frozen=True, array_like=True):
     """An operator's order to move a service's traffic to a software version.
 
@@ -37,7 +42,9 @@
 
     ``number`` grows with each order. ``begun_s`` and ``ended_s`` are wall-clock times
     in seconds; ``ended_s`` is 0 while the rollout is in progress. ``replaced`` are the
-    versions that a completed rollout has retired.
+    versions that a completed rollout has retired. ``excluded`` are the versions that
+    earlier orders have retired or rolled back and no later order has named; they take
+    no requests either.
     """
 
     number: Count
@@ -46,6 +53,7 @@
     state: RolloutState = RolloutState.IN_PROGRESS
     ended_s: ClockTime = 0.0
     replaced: tuple[SoftwareVersion, ...] = ()
+    excluded: tuple[SoftwareVersion, ...] = ()
 
     @property
     def is_in_progress(self) -> bool:
