Prefer endpoints with an open connection for retryable requests

Retryable requests now prefer an endpoint with an open idle connection within a twentieth of the latency objective of the best one. This takes effect where endpoints state slowdowns, or where a gateway's requests within the lifetime of an idle connection are few for the number of endpoints. Requests with a cached prompt that saves 5 ms or more stay at the endpoints that have it. At-most-once requests keep fresh connections.

Idle connections are also used until 1 s before the stated timeout, if that is later than 0.6 of it; 5 s gives 4 s instead of 3 s.

--- a/bench/run.py
+++ b/bench/run.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bench.choice import measure_choice
 from bench.costs import (
     measure_log,
     measure_messages,
@@ -30,6 +31,7 @@
     "retries": measure_retries,
     "shares": measure_shares,
     "capacity": measure_capacity,
+    "choice": measure_choice,
     "state": measure_state,
     "log": measure_log,
     "messages": measure_messages,
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -4,7 +4,7 @@
 
 from tarragonway.core.ids import AccountId, PartId, ServiceName, SoftwareVersion
 from tarragonway.exchange import CallerRequest, ResponseInfo
-from tarragonway.gateway.choice import Choice
+from tarragonway.gateway.estimates import Choice
 from tarragonway.gateway.origin_guard import OriginNotFound
 from tarragonway.gateway.part_guard import Probe
 from tarragonway.http1.client import ResponseHead
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -2,7 +2,7 @@
 
 import functools
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
@@ -10,13 +10,14 @@
 from tarragonway.core.ids import EndpointId, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import Load, Prompt
-from tarragonway.pace import (
-    ENGINE_LOAD_HALF_LIFE_S,
-    PLAIN_LOAD_HALF_LIFE_S,
-    PaceTracker,
-    ServiceTimes,
-    UsualLoads,
+from tarragonway.gateway.estimates import (
+    Choice,
+    DelayEstimator,
+    Estimate,
+    count_computed_tokens,
 )
+from tarragonway.pace import PaceTracker, ServiceTimes
+from tarragonway.routing.connection_reuse import find_connected
 from tarragonway.routing.engine_speed import EngineSpeeds
 from tarragonway.routing.loads import LoadTracker
 
@@ -29,18 +30,17 @@
 AFFINITY_ENDPOINTS = 2
 # Rankings that are kept, since shared prompt parts recur.
 MAX_RANKINGS = 256
-# Half-life of a measured delay; endpoints work off their backlog within about a second.
-DELAY_HALF_LIFE_S = 0.7
 # Endpoints whose estimated delays differ by at most this are chosen among at random.
 TIE_TOLERANCE_MS = 0.5
-# Estimated delay for each request beyond the endpoint's slots, the new one included.
-EXCESS_REQUEST_MS = 100.0
-# Estimated additional delay during an endpoint's cold start.
-COLD_START_MS = 200.0
 # Fraction of the latency objective by which the estimated delays of endpoints with
 # paces may differ and still count as equal. Callers lose nothing while an answer begins
 # within the objective, but queues grow where all requests go to the fastest endpoint.
 TOLERANCE_FRACTION = 0.1
+# Endpoints with an idle connection that are considered for a request.
+MAX_CONNECTED = 3
+# Shared prompt parts that save less work than this do not outweigh a new connection,
+# which costs a round trip and holds a slot meanwhile.
+MIN_SAVED_MS = 5.0
 # Endpoints with paces that are drawn for a request, of which the best is chosen. Since
 # all gateways know the same paces, and loads only from old reports, the best of all
 # would be sent too much (Mitzenmacher, "How useful is old information?", 2000).
@@ -52,40 +52,14 @@
 REDRAWN_ENDPOINTS = 8
 
 
-class Choice(msgspec.Struct, frozen=True):
-    """A chosen endpoint and the estimated delay until its first event.
-
-    ``work_ms`` is the part of ``delay_ms`` that the request itself causes;
-    ``prompt_tokens`` is the number of its prompt tokens that are probably not cached.
-    ``expected_ms`` is the time that a usual endpoint with this load would take; None if
-    the endpoint has no free slot, or its service has no paces.
-    """
-
-    endpoint: ListedEndpoint
-    delay_ms: float
-    work_ms: float
-    prompt_tokens: int = 0
-    expected_ms: float | None = None
-
-
 class _Health(msgspec.Struct):
     unhealthy_until: float = float("-inf")
     failures: int = 0
 
 
-class _Backlog(msgspec.Struct):
-    pending_ms: float = 0.0
-    delay_ms: float = 0.0
-    measured_at: float = 0.0
-
-
 class EndpointChooser:
     """Chooses endpoints by load, cached prompt parts and recent failures.
 
-    An endpoint's backlog is estimated in two ways, of which the larger counts: the work
-    of requests that this gateway has sent there and that have no first event yet, and
-    the measured delay of answered requests beyond their own work.
-
     Where endpoints of a service state slowdowns, the delay is multiplied by the pace of
     the endpoint, and a few endpoints are drawn in proportion to their speed, of which
     the one with the least delay is chosen. Those that probably have the prompt cached
@@ -114,10 +88,13 @@
         self._speeds = speeds
         self._random = source
         self.paces = paces or PaceTracker()
-        self.service_times = ServiceTimes()
-        self._usual_loads = UsualLoads()
+        self._estimator = DelayEstimator(load_tracker, speeds, self.paces)
         self._health: dict[str, _Health] = {}
-        self._backlogs: dict[str, _Backlog] = {}
+
+    @property
+    def service_times(self) -> ServiceTimes:
+        """Service times of plain services."""
+        return self._estimator.service_times
 
     def choose(
         self,
@@ -126,6 +103,7 @@
         prompt: Prompt | None,
         now: float,
         objective_ms: float = 0.0,
+        connected: Collection[str] = (),
     ) -> Choice | None:
         """Return the endpoint with the least estimated delay, or None.
 
@@ -143,36 +121,51 @@
             Time of the event loop's clock, in seconds.
         objective_ms : float
             Latency objective of the request in milliseconds, 0 if it has none.
+        connected : collection of str
+            Endpoints with an idle connection for this request, in order of preference.
         """
         candidates = list(rows)
         unhealthy = self._list_unhealthy(now)
-        pool = [row for row in candidates if row.key not in unhealthy] or candidates
+        pool = candidates
+        if unhealthy:
+            pool = [row for row in pool if row.key not in unhealthy] or pool
         if not pool:
             return None
         warm = self._select_warm(pool, prompt)
         if self.paces.has_paces(service):
-            return self._choose_paced(pool, warm, service, prompt, now, objective_ms)
+            return self._choose_paced(
+                pool, warm, service, prompt, now, objective_ms, connected
+            )
         speed = self._speeds.get(service)
-        cold_tokens = _count_computed_tokens(prompt, False)
-        warm_tokens = _count_computed_tokens(prompt, True)
+        cold_tokens = count_computed_tokens(prompt, False)
+        warm_tokens = count_computed_tokens(prompt, True)
+        cold_ms = cold_tokens * speed.prompt_token_ms
+        warm_ms = warm_tokens * speed.prompt_token_ms
         delays_ms = [
-            self._estimate_ms(
-                row,
-                (warm_tokens if row.key in warm else cold_tokens)
-                * speed.prompt_token_ms,
-                speed.running_request_ms,
-                now,
+            self._estimator.estimate_ms(
+                row, warm_ms if row.key in warm else cold_ms, speed, now
             )
             for row in pool
         ]
         limit_ms = min(delays_ms) + TIE_TOLERANCE_MS
-        row, delay_ms = self._random.choice(
-            [
-                (row, delay_ms)
+        near = [
+            (row, delay_ms)
+            for row, delay_ms in zip(pool, delays_ms, strict=True)
+            if delay_ms <= limit_ms
+        ]
+        if connected:
+            by_key = {
+                row.key: (row, delay_ms)
                 for row, delay_ms in zip(pool, delays_ms, strict=True)
-                if delay_ms <= limit_ms
-            ]
-        )
+            }
+            key = find_connected(
+                {key: delay_ms for key, (_, delay_ms) in by_key.items()},
+                connected,
+                warm if self._saves_work(service, prompt) else (),
+                objective_ms,
+            )
+            near = near if key is None else [by_key[key]]
+        row, delay_ms = self._random.choice(near)
         tokens = warm_tokens if row.key in warm else cold_tokens
         return Choice(row, delay_ms, tokens * speed.prompt_token_ms, tokens)
 
@@ -191,17 +184,12 @@
 
     def record_send(self, choice: Choice) -> None:
         """Record that a request is sent to the chosen endpoint."""
-        key = choice.endpoint.key
-        self._load_tracker.record_start(EndpointId(key))
-        self._backlogs.setdefault(key, _Backlog()).pending_ms += choice.work_ms
+        self._load_tracker.record_start(EndpointId(choice.endpoint.key))
+        self._estimator.backlogs.record_send(choice)
 
     def record_first_event(self, choice: Choice, taken_ms: float, now: float) -> None:
         """Record that the endpoint began to answer ``taken_ms`` after the send."""
-        backlog = self._backlogs.setdefault(choice.endpoint.key, _Backlog())
-        backlog.pending_ms = max(0.0, backlog.pending_ms - choice.work_ms)
-        measured_ms = max(0.0, taken_ms - choice.work_ms)
-        backlog.delay_ms = (self._decay_delay(backlog, now) + measured_ms) / 2
-        backlog.measured_at = now
+        self._estimator.backlogs.record_first_event(choice, taken_ms, now)
 
     def record_completion(
         self, choice: Choice, began: bool, failed: bool, now: float
@@ -209,9 +197,8 @@
         """Record that a request has ended; ``began`` if its answer had begun."""
         key = choice.endpoint.key
         self._load_tracker.record_end(EndpointId(key), failed, now)
-        backlog = self._backlogs.get(key)
-        if not began and backlog is not None:
-            backlog.pending_ms = max(0.0, backlog.pending_ms - choice.work_ms)
+        if not began:
+            self._estimator.backlogs.record_unanswered(choice)
         if began and not failed:
             self._health.pop(key, None)
 
@@ -236,7 +223,7 @@
         key, requests = endpoint.key, load.running + load.waiting
         self._load_tracker.record_report(EndpointId(key), requests)
         if self.paces.has_paces(endpoint.service):
-            self._usual_loads.record(
+            self._estimator.usual_loads.record(
                 endpoint.service, key, requests, endpoint.slots, now
             )
 
@@ -245,49 +232,31 @@
         self._load_tracker.discard_unlisted({EndpointId(key) for key in keys})
         for key in set(self._health) - keys:
             del self._health[key]
-        for key in set(self._backlogs) - keys:
-            del self._backlogs[key]
+        self._estimator.backlogs.retain(keys)
         self.paces.retain(keys)
-        self._usual_loads.retain(keys)
+        self._estimator.usual_loads.retain(keys)
 
     def _select_warm(
         self, pool: list[ListedEndpoint], prompt: Prompt | None
-    ) -> frozenset[str]:
+    ) -> tuple[str, ...]:
         """Return the endpoints that probably have the prompt's shared parts cached.
 
         The ranking depends only on hashes of the prompt and of the endpoints' keys, so
         all gateways that choose among the same endpoints return the same ones.
         """
         if prompt is None or not prompt.affinity_key:
-            return frozenset()
-        return _rank_warm(prompt.affinity_key, tuple(row.key for row in pool))
-
-    def _estimate_ms(
-        self,
-        row: ListedEndpoint,
-        work_ms: float,
-        running_request_ms: float,
-        now: float,
-    ) -> float:
-        load = self._load_tracker.get_expected(EndpointId(row.key))
-        delay_ms = work_ms + load * running_request_ms
-        if row.slots and load >= row.slots:
-            delay_ms += (load - row.slots + 1) * EXCESS_REQUEST_MS
-        if row.cold_s > 0:
-            delay_ms += COLD_START_MS
-        backlog = self._backlogs.get(row.key)
-        if backlog is not None:
-            delay_ms += max(backlog.pending_ms, self._decay_delay(backlog, now))
-        return delay_ms
+            return ()
+        return _rank_warm(prompt.affinity_key, tuple([row.key for row in pool]))
 
     def _choose_paced(
         self,
         pool: list[ListedEndpoint],
-        warm: frozenset[str],
+        warm: tuple[str, ...],
         service: ServiceName,
         prompt: Prompt | None,
         now: float,
         objective_ms: float,
+        connected: Collection[str],
     ) -> Choice:
         """Return one of the best of a few endpoints, which are drawn by their speeds.
 
@@ -298,108 +267,58 @@
         weights = [(row.slots or 1) / usual.get(row.key, 1.0) for row in pool]
         count = DRAWN_OF_FEW if len(pool) <= FEW_ENDPOINTS else DRAWN_ENDPOINTS
         drawn = {row.key: row for row in self._random.choices(pool, weights, k=count)}
-        if warm:
-            drawn.update((row.key, row) for row in pool if row.key in warm)
+        if warm or connected:
+            rows = {row.key: row for row in pool}
+            usable = [key for key in connected if key in rows]
+            first = [key for key in usable if key not in warm][:MAX_CONNECTED]
+            connected = [key for key in usable if key in warm or key in first]
+            # In random order, since the first of nearly equal ones is chosen.
+            mixed = warm if self._random.random() < 0.5 else warm[::-1]
+            drawn.update((key, rows[key]) for key in (*mixed, *connected))
+        speed = self._speeds.get(service)
+        cold_tokens = count_computed_tokens(prompt, False)
+        warm_tokens = count_computed_tokens(prompt, True)
 
-        def estimate(row: ListedEndpoint) -> Choice:
+        def estimate(row: ListedEndpoint) -> Estimate:
             if prompt is None:
-                return self._estimate_plain(row, service, now)
-            return self._estimate_paced(row, service, prompt, row.key in warm, now)
-
-        choices = [estimate(row) for row in drawn.values()]
-        best = min(choices, key=_get_delay)
-        if objective_ms and best.delay_ms > objective_ms:
-            more = self._random.choices(pool, weights, k=REDRAWN_ENDPOINTS)
-            others = {row.key: row for row in more if row.key not in drawn}
-            return min([best, *map(estimate, others.values())], key=_get_delay)
-        if best.endpoint.key in warm:
-            return best
-        tolerance_ms = max(TIE_TOLERANCE_MS, TOLERANCE_FRACTION * objective_ms)
-        near = [c for c in choices if c.delay_ms <= best.delay_ms + tolerance_ms]
-        return next((c for c in near if c.endpoint.key in warm), near[0])
-
-    def _estimate_paced(
-        self,
-        row: ListedEndpoint,
-        service: ServiceName,
-        prompt: Prompt,
-        is_warm: bool,
-        now: float,
-    ) -> Choice:
+                return self._estimator.estimate_plain(row, service, now)
+            tokens = warm_tokens if row.key in warm else cold_tokens
+            return self._estimator.estimate_paced(row, tokens, speed, now)
+
+        estimates = {key: estimate(row) for key, row in drawn.items()}
+        delays_ms = {key: values[0] for key, values in estimates.items()}
+        if objective_ms and min(delays_ms.values()) > objective_ms:
+            for row in self._random.choices(pool, weights, k=REDRAWN_ENDPOINTS):
+                if row.key not in drawn:
+                    drawn[row.key], estimates[row.key] = row, estimate(row)
+                    delays_ms[row.key] = estimates[row.key][0]
+            key = min(delays_ms, key=delays_ms.__getitem__)
+        else:
+            saves_work = self._saves_work(service, prompt)
+            key = find_connected(
+                delays_ms, connected, warm if saves_work else (), objective_ms
+            ) or _choose_near(delays_ms, warm, objective_ms)
+        tokens = warm_tokens if key in warm else cold_tokens
+        delay_ms, work_ms, expected_ms = estimates[key]
+        return Choice(drawn[key], delay_ms, work_ms, tokens, expected_ms)
+
+    def _saves_work(self, service: ServiceName, prompt: Prompt | None) -> bool:
+        """Return whether a cached prompt is worth more than an open connection."""
         speed = self._speeds.get(service)
-        pace = self.paces.get_pace(row.key, now)
-        tokens = _count_computed_tokens(prompt, is_warm)
-        work_ms = tokens * speed.prompt_token_ms
-        load = self._foresee_load(row, ENGINE_LOAD_HALF_LIFE_S, now)
-        expected_ms = work_ms + load * speed.running_request_ms
-        has_slot = load < row.slots
-        excess_ms = 0.0 if has_slot else (load - row.slots + 1) * EXCESS_REQUEST_MS
-        delay_ms = (expected_ms + excess_ms) * pace
-        if row.cold_s > 0:
-            delay_ms += COLD_START_MS
-        backlog = self._backlogs.get(row.key)
-        if backlog is not None:
-            delay_ms += max(backlog.pending_ms, self._decay_delay(backlog, now))
-        is_usual = has_slot and row.cold_s <= 0
-        return Choice(
-            row, delay_ms, work_ms * pace, tokens, expected_ms if is_usual else None
-        )
-
-    def _estimate_plain(
-        self, row: ListedEndpoint, service: ServiceName, now: float
-    ) -> Choice:
-        """Estimate the time until the answer of a plain service.
-
-        Each request on the endpoint counts, also below the number of slots: the load is
-        known from old reports, so a partly busy endpoint may be full on arrival.
-        """
-        service_ms = self.service_times.get(service)
-        pace = self.paces.get_pace(row.key, now)
-        load = self._foresee_load(row, PLAIN_LOAD_HALF_LIFE_S, now)
-        slots = max(1, row.slots)
-        delay_ms = service_ms * (1 + load / slots) * pace
-        if row.cold_s > 0:
-            delay_ms += COLD_START_MS
-        backlog = self._backlogs.get(row.key)
-        if backlog is not None:
-            delay_ms += self._decay_delay(backlog, now)
-        is_usual = load < slots and row.cold_s <= 0
-        return Choice(
-            row, delay_ms, service_ms * pace, 0, service_ms if is_usual else None
-        )
-
-    def _foresee_load(
-        self, row: ListedEndpoint, half_life_s: float, now: float
-    ) -> float:
-        """Return the load of an endpoint, at least this gateway's own requests."""
-        key = EndpointId(row.key)
-        load = self._usual_loads.foresee(
-            row.service,
-            row.key,
-            self._load_tracker.get_expected(key),
-            row.slots,
-            half_life_s,
-            now,
-        )
-        return max(load, float(self._load_tracker.get_running(key)))
-
-    def _decay_delay(self, backlog: _Backlog, now: float) -> float:
-        age = (now - backlog.measured_at) / DELAY_HALF_LIFE_S
-        return backlog.delay_ms * 0.5**age
-
-
-def _get_delay(choice: Choice) -> float:
-    return choice.delay_ms
+        shared_tokens = prompt.shared_tokens if prompt is not None else 0
+        return shared_tokens * speed.prompt_token_ms >= MIN_SAVED_MS
 
 
-@functools.lru_cache(maxsize=MAX_RANKINGS)
-def _rank_warm(affinity_key: str, keys: tuple[str, ...]) -> frozenset[str]:
-    return frozenset(rank_by_hash(affinity_key, list(keys))[:AFFINITY_ENDPOINTS])
+def _choose_near(
+    delays_ms: Mapping[str, float], warm: Collection[str], objective_ms: float
+) -> str:
+    """Return the first endpoint whose delay is near the least one; warm ones first."""
+    tolerance_ms = max(TIE_TOLERANCE_MS, TOLERANCE_FRACTION * objective_ms)
+    limit_ms = min(delays_ms.values()) + tolerance_ms
+    near = [key for key, delay_ms in delays_ms.items() if delay_ms <= limit_ms]
+    return next((key for key in near if key in warm), near[0])
 
 
-def _count_computed_tokens(prompt: Prompt | None, is_warm: bool) -> int:
-    """Return how many tokens of a prompt an endpoint probably has to compute."""
-    if prompt is None:
-        return 0
-    cached_tokens = prompt.shared_tokens if is_warm else 0
-    return max(0, prompt.input_tokens - cached_tokens)
+@functools.lru_cache(maxsize=MAX_RANKINGS)
+def _rank_warm(affinity_key: str, keys: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(rank_by_hash(affinity_key, list(keys))[:AFFINITY_ENDPOINTS])
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -25,12 +25,13 @@
     Unsent,
     VersionUnregistered,
 )
-from tarragonway.gateway.choice import Choice, EndpointChooser
+from tarragonway.gateway.choice import EndpointChooser
 from tarragonway.gateway.content_reports import ContentReports, EndpointReporter
 from tarragonway.gateway.error_responses import (
     end_failed_response,
     send_error_response,
 )
+from tarragonway.gateway.estimates import Choice
 from tarragonway.gateway.final_errors import (
     choose_error,
     choose_handler_error,
@@ -136,7 +137,7 @@
         self._codec = codec
         self._counters = counters
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(counters)
         self._notices = EndpointNotices()
         self._self_reports = SelfReports(
             state, self._notices, reporter.report_leaving, counters
@@ -149,6 +150,7 @@
             self._notices,
             offered_load,
             origins.list_beginnable,
+            counters,
         )
         self._sender = Sender(self.pool, codec, self)
 
--- a/tarragonway/gateway/measurements.py
+++ b/tarragonway/gateway/measurements.py
@@ -4,7 +4,8 @@
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import Load
 from tarragonway.gateway.attempt import Answered, Attempt, SendOutcome, Streamed
-from tarragonway.gateway.choice import Choice, EndpointChooser
+from tarragonway.gateway.choice import EndpointChooser
+from tarragonway.gateway.estimates import Choice
 from tarragonway.routes.model import EngineTraits
 from tarragonway.routing.engine_speed import EngineSpeeds
 
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -4,7 +4,10 @@
 import math
 from collections.abc import Callable
 
+import structlog
+
 from tarragonway.core.clock import read_monotonic
+from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId, AttemptId, ServiceName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.gateway.attempt import (
@@ -13,13 +16,16 @@
     Paused,
     VersionUnregistered,
 )
-from tarragonway.gateway.choice import Choice, EndpointChooser
+from tarragonway.gateway.choice import EndpointChooser
+from tarragonway.gateway.estimates import Choice
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
+from tarragonway.gateway.sender import MAX_IDLE_REPEATABLE_S
 from tarragonway.gateway.state import GatewayState
 from tarragonway.http1 import ConnectionPool
 from tarragonway.limits.request_limits import Permit, PermitDenied
 from tarragonway.limits.request_weights import RequestWeights
+from tarragonway.routing.connection_reuse import ConnectionSupply, ReuseDecisions
 from tarragonway.routing.notices import EndpointNotices
 
 # Requests that ask for a permit, for each permit that limited endpoints leave.
@@ -32,6 +38,8 @@
 # by the longest age of its list.
 LEAVING_USE_FRACTION = 0.4
 
+_log = structlog.get_logger()
+
 
 class EndpointSelector:
     """Selects the endpoint for each send of a request.
@@ -53,6 +61,8 @@
     list_beginnable : callable
         Returns those of a service's endpoints at which an attempt's resumable stream
         may begin.
+    counters : Counters
+        Receives ``connection.preferred``.
     """
 
     def __init__(
@@ -66,6 +76,7 @@
         list_beginnable: Callable[
             [list[ListedEndpoint], AccountId, AttemptId], list[ListedEndpoint]
         ],
+        counters: Counters,
     ) -> None:
         self._state = state
         self._chooser = chooser
@@ -75,6 +86,8 @@
         self._offered_load = offered_load
         self._list_beginnable = list_beginnable
         self._weights: dict[ServiceName, RequestWeights] = {}
+        self._reuse = ReuseDecisions(_log_reuse)
+        self._counters = counters
 
     def record_request(self, service: ServiceName, work_s: float) -> None:
         """Record the estimated work of a request, in seconds."""
@@ -192,15 +205,39 @@
     ) -> Choice | None:
         """Choose an endpoint; those that have just refused requests are the last."""
         now = asyncio.get_running_loop().time()
+        connected = self._list_connected(attempt, rows)
         ready = [row for row in rows if not self._notices.backs_off(row.key, now)]
         has_healthy = any(not self._chooser.is_unhealthy(row.key, now) for row in ready)
-        return self._chooser.choose(
+        choice = self._chooser.choose(
             ready if has_healthy else rows,
             attempt.service,
             attempt.facts.prompt,
             now,
             attempt.route.latency_objective_s * 1000,
+            connected,
         )
+        if choice is not None and choice.endpoint.key in connected:
+            self._counters.increment("connection.preferred")
+        return choice
+
+    def _list_connected(
+        self, attempt: Attempt, rows: list[ListedEndpoint]
+    ) -> list[str]:
+        """Return the endpoints whose idle connections the request should prefer."""
+        route = attempt.route
+        if not route.is_repeatable or not route.latency_objective_s or len(rows) < 2:
+            return []
+        service = attempt.service
+        supply = ConnectionSupply(
+            len(rows),
+            self._offered_load.request_rates.get(service, 0.0),
+            max(self._pool.get_lifetime(row.key) for row in rows),
+        )
+        if not self._reuse.decide(
+            service, self._chooser.paces.has_paces(service), supply
+        ):
+            return []
+        return self._pool.list_idle(MAX_IDLE_REPEATABLE_S)
 
     def _compute_connection_limit(self, service: ServiceName) -> float:
         """Return how many connections this gateway may use to each endpoint.
@@ -214,3 +251,14 @@
             return math.inf
         own_part = known.max_connections / self._state.gateways
         return max(MIN_CONNECTIONS, own_part)
+
+
+def _log_reuse(service: ServiceName, prefers: bool, supply: ConnectionSupply) -> None:
+    _log.info(
+        "preference for open connections changed",
+        service=service,
+        prefers=prefers,
+        endpoints=supply.endpoints,
+        requests_per_s=supply.requests_per_s,
+        lifetime_s=round(supply.lifetime_s, 1),
+    )
--- a/tarragonway/http1/pool.py
+++ b/tarragonway/http1/pool.py
@@ -4,12 +4,15 @@
 from collections.abc import Collection
 
 from tarragonway.core.addresses import parse_address
+from tarragonway.core.counters import Counters
 from tarragonway.http1.client import EndpointConnection
 
 CONNECT_TIMEOUT_S = 0.5
 # Fraction of the endpoint's idle timeout for which a connection is reused, so that the
-# endpoint does not close it while a request is being sent.
+# endpoint does not close it while a request is being sent. With long timeouts, a margin
+# is enough that exceeds the time on the way and common pauses of both processes.
 IDLE_LIMIT_FRACTION = 0.6
+IDLE_MARGIN_S = 1.0
 
 
 class ConnectFailed(Exception):  # noqa: N818
@@ -19,21 +22,50 @@
 class ConnectionPool:
     """Idle connections and the number of connections in use, by endpoint.
 
+    Parameters
+    ----------
+    counters : Counters, optional
+        Receives ``connection.opened`` and ``connection.reused``.
+
     Examples
     --------
     >>> ConnectionPool().count_used("e1")
     0
     """
 
-    def __init__(self) -> None:
+    def __init__(self, counters: Counters | None = None) -> None:
+        self._counters = counters or Counters()
         self._idle: dict[str, list[EndpointConnection]] = {}
         self._used: dict[str, int] = {}
-        self.opened = 0
+        # Time for which the last connection to each endpoint could be reused.
+        self._lifetimes_s: dict[str, float] = {}
 
     def count_used(self, key: str) -> int:
         """Return the number of connections to an endpoint that carry a request."""
         return self._used.get(key, 0)
 
+    def get_lifetime(self, key: str) -> float:
+        """Return for how many seconds idle connections are reused, 0 if not known."""
+        return self._lifetimes_s.get(key, 0.0)
+
+    def list_idle(self, max_idle_s: float) -> list[str]:
+        """Return the endpoints with a reusable idle connection, longest idle first.
+
+        Parameters
+        ----------
+        max_idle_s : float
+            Longest idle time, in seconds, after which a connection may be reused.
+        """
+        now = asyncio.get_running_loop().time()
+        idle = []
+        for key, connections in self._idle.items():
+            if connections:
+                latest = connections[-1]
+                limit_s = min(max_idle_s, compute_idle_limit(latest.idle_limit_s))
+                if latest.is_open and now - latest.idle_since < limit_s:
+                    idle.append((latest.idle_since, key))
+        return [key for _, key in sorted(idle)]
+
     async def acquire(
         self, key: str, address: str, max_idle_s: float
     ) -> EndpointConnection:
@@ -56,6 +88,7 @@
         idle_connection = self._find_idle(key, max_idle_s)
         if idle_connection is not None:
             self._used[key] = self._used.get(key, 0) + 1
+            self._counters.increment("connection.reused")
             return idle_connection
         self._used[key] = self._used.get(key, 0) + 1
         try:
@@ -69,6 +102,7 @@
         self._decrement_used(key)
         if connection.is_reusable and connection.idle_limit_s > 0:
             connection.mark_idle(asyncio.get_running_loop().time())
+            self._lifetimes_s[key] = compute_idle_limit(connection.idle_limit_s)
             self._idle.setdefault(key, []).append(connection)
         else:
             connection.abort()
@@ -86,6 +120,8 @@
             self._idle[key] = [c for c in self._idle[key] if self._is_fresh(c, limit_s)]
             if not self._idle[key]:
                 del self._idle[key]
+        for key in set(self._lifetimes_s).difference(known):
+            del self._lifetimes_s[key]
 
     def _find_idle(self, key: str, max_idle_s: float) -> EndpointConnection | None:
         idle = self._idle.get(key, [])
@@ -98,7 +134,7 @@
     def _is_fresh(self, connection: EndpointConnection, max_idle_s: float) -> bool:
         """Return whether an idle connection may be reused; close it if not."""
         idle_s = asyncio.get_running_loop().time() - connection.idle_since
-        limit_s = min(max_idle_s, connection.idle_limit_s * IDLE_LIMIT_FRACTION)
+        limit_s = min(max_idle_s, compute_idle_limit(connection.idle_limit_s))
         if connection.is_open and idle_s < limit_s:
             return True
         connection.close()
@@ -114,7 +150,7 @@
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             connection.abort()
             raise ConnectFailed(repr(error)) from error
-        self.opened += 1
+        self._counters.increment("connection.opened")
         return connection
 
     def _decrement_used(self, key: str) -> None:
@@ -123,3 +159,14 @@
             self._used[key] = left
         else:
             self._used.pop(key, None)
+
+
+def compute_idle_limit(timeout_s: float) -> float:
+    """Return for how long a connection is reused, by the endpoint's idle timeout.
+
+    Examples
+    --------
+    >>> [compute_idle_limit(timeout_s) for timeout_s in (1.0, 2.0, 5.0, 60.0)]
+    [0.6, 1.2, 4.0, 59.0]
+    """
+    return max(timeout_s * IDLE_LIMIT_FRACTION, timeout_s - IDLE_MARGIN_S)
--- a/tarragonway/http1/tests/test_pool.py
+++ b/tarragonway/http1/tests/test_pool.py
@@ -43,3 +43,38 @@
     else:
         assert f"{ipaddress.IPv4Address(host)}:{port}" == text
         assert 1 <= port <= 65535
+
+
+async def open_idle(pool, keys, timeout_s):
+    """Open a connection to each endpoint, exchange nothing and keep it as idle."""
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    for key in keys:
+        connection = await pool.acquire(key, f"127.0.0.1:{port}", 60.0)
+        connection.idle_limit_s = timeout_s
+        pool._decrement_used(key)
+        connection.mark_idle(asyncio.get_running_loop().time())
+        pool._idle.setdefault(key, []).append(connection)
+        await asyncio.sleep(0.01)
+    return server
+
+
+# Guards against connections that end unused, as the latest ones are used again first.
+async def test_longest_idle_connections_are_listed_first():
+    pool = ConnectionPool()
+    server = await open_idle(pool, ["e2", "e3", "e1"], 5.0)
+    assert pool.list_idle(60.0) == ["e2", "e3", "e1"]
+    await pool.acquire("e3", "127.0.0.1:1", 60.0)
+    assert pool.list_idle(60.0) == ["e2", "e1"]
+    server.close()
+
+
+# Guards against requests on connections that the endpoint is about to close.
+async def test_connections_are_not_listed_shortly_before_the_endpoint_closes_them():
+    pool = ConnectionPool()
+    server = await open_idle(pool, ["e1"], 0.2)
+    assert pool.list_idle(60.0) == ["e1"]
+    assert pool.list_idle(0.0) == []
+    await asyncio.sleep(0.13)
+    assert pool.list_idle(60.0) == []
+    server.close()
--- a/tarragonway/pace/model.py
+++ b/tarragonway/pace/model.py
@@ -14,4 +14,6 @@
     >>> [limit_pace(value) for value in (0.01, 1.5, 400.0)]
     [0.2, 1.5, 8.0]
     """
-    return min(MAX_PACE, max(MIN_PACE, value))
+    if value < MIN_PACE:
+        return MIN_PACE
+    return min(value, MAX_PACE)
--- a/tarragonway/pace/tracker.py
+++ b/tarragonway/pace/tracker.py
@@ -45,7 +45,7 @@
         age_s = now - self.stated_at
         if age_s >= STATEMENT_LIFETIME_S:
             return self.usual_slowdown
-        weight: float = 0.5 ** (max(0.0, age_s) / STATEMENT_HALF_LIFE_S)
+        weight: float = 0.5 ** (age_s / STATEMENT_HALF_LIFE_S)
         return self.usual_slowdown + (self.slowdown - self.usual_slowdown) * weight
 
     @property
--- a/tarragonway/pace/usual_loads.py
+++ b/tarragonway/pace/usual_loads.py
@@ -98,7 +98,7 @@
         if row is None:
             usual: float = self._utilizations.get(service, 0.0) * slots
             return max(expected, usual)
-        weight: float = 0.5 ** (max(0.0, now - row.reported_at) / half_life_s)
+        weight: float = 0.5 ** ((now - row.reported_at) / half_life_s)
         return row.load + (expected - row.load) * weight
 
     def retain(self, keys: set[str]) -> None:
--- a/tarragonway/routing/loads.py
+++ b/tarragonway/routing/loads.py
@@ -128,9 +128,13 @@
         row = self._get_or_create(endpoint)
         return max(row.reported + row.since_report, float(row.running), 0.0)
 
-    def get_running(self, endpoint: EndpointId) -> int:
-        """Return the number of this process's own running requests."""
-        return self._get_or_create(endpoint).running
+    def get_loads(self, endpoint: EndpointId) -> tuple[float, int]:
+        """Return the expected number of requests, and that of this process's own."""
+        row = self._loads.get(endpoint)
+        if row is None:
+            return 0.0, 0
+        expected = row.reported + row.since_report
+        return max(expected, row.running, 0.0), row.running
 
     def is_ejected(self, endpoint: EndpointId, now: float) -> bool:
         """Return whether an endpoint is ejected because of failures."""
