--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -141,12 +141,8 @@
         warm_tokens = count_computed_tokens(prompt, True)
         cold_ms = cold_tokens * speed.prompt_token_ms
         warm_ms = warm_tokens * speed.prompt_token_ms
-        delays_ms = [
-            self._estimator.estimate_ms(
-                row, warm_ms if row.key in warm else cold_ms, speed, now
-            )
-            for row in pool
-        ]
+        works_ms = [warm_ms if row.key in warm else cold_ms for row in pool]
+        delays_ms = self._estimator.estimate_all_ms(pool, works_ms, speed, now)
         limit_ms = min(delays_ms) + TIE_TOLERANCE_MS
         near = [
             (row, delay_ms)
--- a/tarragonway/gateway/estimates.py
+++ b/tarragonway/gateway/estimates.py
@@ -1,5 +1,7 @@
 """Estimated delays until the first event at endpoints."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from tarragonway.core.ids import EndpointId, ServiceName
@@ -120,17 +122,29 @@
         self.usual_loads = UsualLoads()
         self.backlogs = Backlogs()
 
-    def estimate_ms(
-        self, row: ListedEndpoint, work_ms: float, speed: EngineSpeed, now: float
-    ) -> float:
-        """Estimate the delay in milliseconds at an endpoint without a pace."""
-        load = self._load_tracker.get_expected(EndpointId(row.key))
-        delay_ms = work_ms + load * speed.running_request_ms
-        if row.slots and load >= row.slots:
-            delay_ms += (load - row.slots + 1) * EXCESS_REQUEST_MS
-        if row.cold_s > 0:
-            delay_ms += COLD_START_MS
-        return delay_ms + self.backlogs.get(row.key, now)
+    def estimate_all_ms(
+        self,
+        rows: Sequence[ListedEndpoint],
+        works_ms: Sequence[float],
+        speed: EngineSpeed,
+        now: float,
+    ) -> list[float]:
+        """Estimate the delay in milliseconds at each endpoint, without paces.
+
+        ``works_ms`` is the work that the request itself causes at each endpoint.
+        """
+        loads = self._load_tracker.list_expected([EndpointId(row.key) for row in rows])
+        running_request_ms = speed.running_request_ms
+        get_backlog = self.backlogs.get
+        delays_ms = []
+        for row, work_ms, load in zip(rows, works_ms, loads, strict=True):
+            delay_ms = work_ms + load * running_request_ms
+            if load >= row.slots > 0:
+                delay_ms += (load - row.slots + 1) * EXCESS_REQUEST_MS
+            if row.cold_s > 0:
+                delay_ms += COLD_START_MS
+            delays_ms.append(delay_ms + get_backlog(row.key, now))
+        return delays_ms
 
     def estimate_paced(
         self, row: ListedEndpoint, tokens: int, speed: EngineSpeed, now: float
--- a/tarragonway/gateway/tests/test_control_link.py
+++ b/tarragonway/gateway/tests/test_control_link.py
@@ -23,6 +23,7 @@
     QuotaReturn,
     Status,
 )
+from tarragonway.pace import EndpointPace
 from tarragonway.platform.configuration import decode_configuration
 from tarragonway.routes import Account, Configuration, ConnectionLimits
 from tarragonway.routes.model import MAX_CONFIGURATION_BYTES
@@ -240,3 +241,28 @@
     deliver(link, "s1:1", ConfigurationText(8, zlib.compress(b"7")))
     deliver(link, "s1:1", ConfigurationText(8, b""))
     assert link._state.revision == 7
+
+
+# Guards against paces that never leave the gateway or are not used, and against links
+# that carry them with each report.
+async def test_learned_paces_are_reported_and_the_leaders_are_used(link):
+    deliver(link, "c1:1", Status(2, "c1:1", True, ("c1:1",), 0))
+    paces = link._paces
+    for number in range(2 * REPORTS_PER_SPEED_REPORT):
+        paces.record_statement("llm", "e1", 2.0, number * 0.25)
+        link._send_report()
+    reports = [message for _, message in link._link_pool.sent]
+    with_paces = [n for n, report in enumerate(reports) if report.paces]
+    # The first report to a new leader is a full one.
+    assert with_paces == [
+        0,
+        REPORTS_PER_SPEED_REPORT - 1,
+        2 * REPORTS_PER_SPEED_REPORT - 1,
+    ]
+    assert sum(r.paces["llm"]["e1"].statements for r in reports if r.paces) == len(
+        reports
+    )
+    shared = {"llm": {"e1": EndpointPace(150, 200)}}
+    reply = GatewayReportReply(2, 1, 0.0, 3, 0, 0.0, paces=shared)
+    deliver(link, "c1:1", reply)
+    assert paces.get_usual("e1") == 3.0
--- a/tarragonway/routing/loads.py
+++ b/tarragonway/routing/loads.py
@@ -128,6 +128,22 @@
         row = self._get_or_create(endpoint)
         return max(row.reported + row.since_report, float(row.running), 0.0)
 
+    def list_expected(self, endpoints: Sequence[EndpointId]) -> list[float]:
+        """Return the expected number of requests on each endpoint."""
+        expected = []
+        loads = self._loads
+        for endpoint in endpoints:
+            row = loads.get(endpoint)
+            load = 0.0
+            if row is not None:
+                load = row.reported + row.since_report
+                if load < row.running:
+                    load = float(row.running)
+                if load < 0.0:
+                    load = 0.0
+            expected.append(load)
+        return expected
+
     def get_loads(self, endpoint: EndpointId) -> tuple[float, int]:
         """Return the expected number of requests, and that of this process's own."""
         row = self._loads.get(endpoint)
