--- a/bench/run.py
+++ b/bench/run.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bench.admission import measure_admission
+from bench.choice import measure_choice
 from bench.costs import (
     measure_log,
     measure_messages,
@@ -33,6 +34,7 @@
     "shares": measure_shares,
     "capacity": measure_capacity,
     "admission": measure_admission,
+    "choice": measure_choice,
     "state": measure_state,
     "log": measure_log,
     "messages": measure_messages,
--- a/tarragonway/gateway/delay_checks.py
+++ b/tarragonway/gateway/delay_checks.py
@@ -1,7 +1,7 @@
 """Whether a request is still served in time after a pause or at a loaded endpoint."""
 
 from tarragonway.gateway.attempt import Attempt, Paused
-from tarragonway.gateway.choice import Choice
+from tarragonway.gateway.estimates import Choice
 
 # A request is refused at once if the estimated delay until its first event exceeds the
 # latency objective by this factor.
