Bar the versions that earlier rollouts of a service have ended

The log holds only the latest rollout of each service, so a new order would bring a version that was rolled back into use again while it is still listed. Gateways remember such versions, and Rollout has a field for those that a restarted gateway cannot know. The list of replaced versions counts only once a rollout is completed.

--- a/tarragonway/rollouts/model.py
+++ b/tarragonway/rollouts/model.py
@@ -37,7 +37,9 @@
 
     ``number`` grows with each order. ``begun_s`` and ``ended_s`` are wall-clock times
     in seconds; ``ended_s`` is 0 while the rollout is in progress. ``replaced`` are the
-    versions that a completed rollout has retired.
+    versions that a completed rollout has retired. ``barred`` are those that earlier
+    rollouts of the service have retired or rolled back, and that no order has named
+    since; the log holds only the latest rollout of each service.
     """
 
     number: Count
@@ -46,6 +48,7 @@
     state: RolloutState = RolloutState.IN_PROGRESS
     ended_s: ClockTime = 0.0
     replaced: tuple[SoftwareVersion, ...] = ()
+    barred: tuple[SoftwareVersion, ...] = ()
 
     @property
     def is_in_progress(self) -> bool:
--- a/tarragonway/rollouts/traffic.py
+++ b/tarragonway/rollouts/traffic.py
@@ -16,14 +16,13 @@
 from tarragonway.core.ids import ServiceName, SoftwareVersion
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.rollouts.messages import RolloutCounts, RolloutOrders, RolloutShare
-from tarragonway.rollouts.model import Rollout, RolloutState
+from tarragonway.rollouts.model import Rollout
 from tarragonway.rollouts.send_counts import RolloutSend, SendCounts, SendResult
+from tarragonway.rollouts.service_rollout import ServiceRollout, apply_rollout
 
 # Time after the report that the leader last replied to, for which its share holds.
 # Reports are sent four times a second, so single lost replies do not matter.
 SHARE_HOLD_S = 1.5
-# Difference of the gateway's clock and the leader's that is taken for no delay.
-CLOCK_TOLERANCE_S = 1.0
 DEFAULT_RESUME_S = 2.5
 # Unchanged counts are sent with every this many reports, so that they take less than
 # 1 KB/s.
@@ -53,23 +52,6 @@
     at: float
 
 
-class _ServiceRollout(msgspec.Struct):
-    """Latest rollout of a service.
-
-    ``barred`` versions get no requests. Streams of those in ``resumable_until`` may go
-    on until that time. ``accumulators`` holds the fraction of a request that each route
-    owes to the new version.
-    """
-
-    rollout: Rollout
-    barred: frozenset[SoftwareVersion]
-    resumable_until: dict[SoftwareVersion, float]
-    accumulators: dict[str, float] = {}
-    logged_share: float = 0.0
-    ranked_keys: list[str] = []
-    ranking: list[str] = []
-
-
 class RolloutTraffic:
     """Rollouts that a gateway knows, its share of each, and its counts.
 
@@ -96,7 +78,7 @@
         self._counters = counters or Counters()
         self._random = source or random.Random()
         self._revision = -1
-        self._services: dict[ServiceName, _ServiceRollout] = {}
+        self._services: dict[ServiceName, ServiceRollout] = {}
         self._decisions: dict[int, _Decision] = {}
         self._counts = SendCounts(self._counters)
         self._reported: tuple[tuple[int, float, bool], ...] = ()
@@ -124,7 +106,10 @@
         services = {}
         for service, rollout in latest.items():
             before = self._services.get(service)
-            services[service] = self._apply(rollout, before, now, clock_s)
+            entry = apply_rollout(rollout, before, now, clock_s, self._resume_s)
+            services[service] = entry
+            if entry is not before:
+                self._log_change(entry, before)
         self._services = services
         self._counts.retain({e.rollout.number for e in self._list_in_progress()})
         return True
@@ -327,45 +312,12 @@
 
     # Details
 
-    def _list_in_progress(self) -> list[_ServiceRollout]:
+    def _list_in_progress(self) -> list[ServiceRollout]:
         return [e for e in self._services.values() if e.rollout.is_in_progress]
 
-    def _apply(
-        self,
-        rollout: Rollout,
-        before: _ServiceRollout | None,
-        now: float,
-        clock_s: float,
-    ) -> _ServiceRollout:
-        """Return the entry of a rollout, and log what is new about it.
-
-        A version stays barred by earlier rollouts until an order names it.
-        """
-        is_same = before is not None and before.rollout.number == rollout.number
-        if before is not None and is_same and before.rollout.state is rollout.state:
-            before.rollout = rollout
-            before.barred |= frozenset(rollout.replaced) - {rollout.order.version}
-            return before
-        version = rollout.order.version
-        barred = {*rollout.replaced, *(before.barred if before is not None else ())}
-        barred.discard(version)
-        until = dict(before.resumable_until) if before is not None else {}
-        if rollout.state is RolloutState.ROLLED_BACK:
-            barred.add(version)
-            # Streams of a rollout that ended while the gateway was disconnected, or
-            # before it was started, do not get the whole time again.
-            late_s = max(0.0, clock_s - rollout.ended_s - CLOCK_TOLERANCE_S)
-            until[version] = now + self._resume_s - late_s
-        entry = _ServiceRollout(
-            rollout,
-            frozenset(barred),
-            {name: end for name, end in until.items() if name in barred},
-        )
-        self._log_change(entry, is_same)
-        return entry
-
-    def _log_change(self, entry: _ServiceRollout, has_ended: bool) -> None:
+    def _log_change(self, entry: ServiceRollout, before: ServiceRollout | None) -> None:
         rollout = entry.rollout
+        has_ended = before is not None and before.rollout.number == rollout.number
         sent_old, sent_new = self._counts.count_sent(rollout.number)
         _log.info(
             "rollout has ended" if has_ended else "rollout is known",
@@ -381,7 +333,7 @@
             revision=self._revision,
         )
 
-    def _get_share(self, entry: _ServiceRollout, now: float) -> float:
+    def _get_share(self, entry: ServiceRollout, now: float) -> float:
         """Return the leader's share, or 0 once its last reply is too old."""
         decision = self._decisions.get(entry.rollout.number)
         if decision is None or now - decision.at >= SHARE_HOLD_S:
@@ -389,7 +341,7 @@
         return decision.share.share
 
     def _compute_used_share(
-        self, entry: _ServiceRollout, rows: list[ListedEndpoint], now: float
+        self, entry: ServiceRollout, rows: list[ListedEndpoint], now: float
     ) -> float:
         """Return the share in use; 0 while the old version serves for the new one."""
         share, order = self._get_share(entry, now), entry.rollout.order
@@ -402,7 +354,7 @@
         return share if is_listed else 0.0
 
     def _choose_new(
-        self, entry: _ServiceRollout, request: RoutedRequest, share: float
+        self, entry: ServiceRollout, request: RoutedRequest, share: float
     ) -> bool:
         """Return whether the request goes to the new version.
 
@@ -422,7 +374,7 @@
         return request.wants_new
 
     def _select_canaries(
-        self, entry: _ServiceRollout, new: list[ListedEndpoint]
+        self, entry: ServiceRollout, new: list[ListedEndpoint]
     ) -> list[ListedEndpoint]:
         """Return the new version's endpoints that take the share.
 
