--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -4,8 +4,6 @@
 import math
 from collections.abc import Callable, Iterable
 
-import structlog
-
 from tarragonway.core.clock import read_monotonic
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId, AttemptId, ServiceName
@@ -27,7 +25,6 @@
 from tarragonway.limits.request_limits import Permit, PermitDenied
 from tarragonway.limits.request_weights import RequestWeights
 from tarragonway.rollouts.traffic import RoutedRequest
-from tarragonway.routing.connection_reuse import ConnectionSupply, ReuseDecisions
 from tarragonway.routing.notices import EndpointNotices
 
 # Requests that ask for a permit, for each permit that limited endpoints leave.
@@ -40,8 +37,6 @@
 # by the longest age of its list.
 LEAVING_USE_FRACTION = 0.4
 
-_log = structlog.get_logger()
-
 
 class EndpointSelector:
     """Selects the endpoint for each send of a request.
@@ -88,7 +83,6 @@
         self._offered_load = offered_load
         self._list_beginnable = list_beginnable
         self._weights: dict[ServiceName, RequestWeights] = {}
-        self._reuse = ReuseDecisions(_log_reuse)
         self._counters = counters
 
     def record_request(self, service: ServiceName, work_s: float) -> None:
@@ -277,15 +271,7 @@
         route = attempt.route
         if not route.is_repeatable or not route.latency_objective_s or len(rows) < 2:
             return []
-        service = attempt.service
-        supply = ConnectionSupply(
-            len(rows),
-            self._offered_load.request_rates.get(service, 0.0),
-            max(self._pool.get_lifetime(row.key) for row in rows),
-        )
-        if not self._reuse.decide(
-            service, self._chooser.paces.has_paces(service), supply
-        ):
+        if not self._chooser.paces.has_paces(attempt.service):
             return []
         return self._pool.list_idle(MAX_IDLE_REPEATABLE_S)
 
@@ -301,14 +287,3 @@
             return math.inf
         own_part = known.max_connections / self._state.gateways
         return max(MIN_CONNECTIONS, own_part)
-
-
-def _log_reuse(service: ServiceName, prefers: bool, supply: ConnectionSupply) -> None:
-    _log.info(
-        "preference for open connections changed",
-        service=service,
-        prefers=prefers,
-        endpoints=supply.endpoints,
-        requests_per_s=supply.requests_per_s,
-        lifetime_s=round(supply.lifetime_s, 1),
-    )
--- a/tarragonway/http1/pool.py
+++ b/tarragonway/http1/pool.py
@@ -9,10 +9,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 # Fraction of the endpoint's idle timeout for which a connection is reused, so that the
-# endpoint does not close it while a request is being sent. With long timeouts, a margin
-# is enough that exceeds the time on the way and common pauses of both processes.
+# endpoint does not close it while a request is being sent.
 IDLE_LIMIT_FRACTION = 0.6
-IDLE_MARGIN_S = 1.0
 
 
 class ConnectFailed(Exception):  # noqa: N818
@@ -37,17 +35,11 @@
         self._counters = counters or Counters()
         self._idle: dict[str, list[EndpointConnection]] = {}
         self._used: dict[str, int] = {}
-        # Time for which the last connection to each endpoint could be reused.
-        self._lifetimes_s: dict[str, float] = {}
 
     def count_used(self, key: str) -> int:
         """Return the number of connections to an endpoint that carry a request."""
         return self._used.get(key, 0)
 
-    def get_lifetime(self, key: str) -> float:
-        """Return for how many seconds idle connections are reused, 0 if not known."""
-        return self._lifetimes_s.get(key, 0.0)
-
     def list_idle(self, max_idle_s: float) -> list[str]:
         """Return the endpoints with a reusable idle connection, longest idle first.
 
@@ -102,7 +94,6 @@
         self._decrement_used(key)
         if connection.is_reusable and connection.idle_limit_s > 0:
             connection.mark_idle(asyncio.get_running_loop().time())
-            self._lifetimes_s[key] = compute_idle_limit(connection.idle_limit_s)
             self._idle.setdefault(key, []).append(connection)
         else:
             connection.abort()
@@ -120,8 +111,6 @@
             self._idle[key] = [c for c in self._idle[key] if self._is_fresh(c, limit_s)]
             if not self._idle[key]:
                 del self._idle[key]
-        for key in set(self._lifetimes_s).difference(known):
-            del self._lifetimes_s[key]
 
     def _find_idle(self, key: str, max_idle_s: float) -> EndpointConnection | None:
         idle = self._idle.get(key, [])
@@ -166,7 +155,7 @@
 
     Examples
     --------
-    >>> [compute_idle_limit(timeout_s) for timeout_s in (1.0, 2.0, 5.0, 60.0)]
-    [0.6, 1.2, 4.0, 59.0]
+    >>> compute_idle_limit(5.0)
+    3.0
     """
-    return max(timeout_s * IDLE_LIMIT_FRACTION, timeout_s - IDLE_MARGIN_S)
+    return timeout_s * IDLE_LIMIT_FRACTION
