Add the validation of a configuration before it is sent

An operator learned of the faults of a configuration one by one from a coordinator's rejections, and of entries without effect not at all.

Exit codes: 0 clean, 1 warnings, 2 errors, 3 not checked. The coordinator's checks become generators of faults in routes/checks.py; decode_submitted raises for the first one. `validation` has the warnings and differences as pure functions; the platform's words and format stay in `platform`.

Changed test: platform/tests/test_boundary.py lists the modules that import the adapter. operator/validate.py joins them, since it reads the platform's format as a coordinator does. The comparison is still for equality.

Tests: operator/tests/test_validate.py (a property test that a text is valid exactly if decode_submitted accepts it; exit codes; odd input; redirects), platform/tests/test_all_faults.py, validation/tests.

--- a/tarragonway/operator/cli.py
+++ b/tarragonway/operator/cli.py
@@ -5,6 +5,7 @@
 import pathlib
 import secrets
 import sys
+from typing import NoReturn
 
 import msgspec
 
@@ -14,6 +15,7 @@
 from tarragonway.lists import check_lists, compute_diff
 from tarragonway.lists.check import ACCOUNTS_NAME, PLANS_NAME
 from tarragonway.operator.client import OperatorClient, Reply
+from tarragonway.operator.validate import add_validate_parser
 from tarragonway.settings.load import load_cluster
 
 EXIT_OK = 0
@@ -26,7 +28,7 @@
 IN_FORCE_TIMEOUT_S = 11.0
 IN_FORCE_POLL_INTERVAL_S = 0.25
 
-_EPILOG = """exit codes:
+_EPILOG = """exit codes (validate has its own, see there):
   0  done
   1  a process did not answer, or the request was refused
   2  unusable arguments, settings or lists
@@ -36,6 +38,16 @@
 """
 
 
+class _Parser(argparse.ArgumentParser):
+    """A parser whose commands may have an exit code of their own for wrong usage."""
+
+    def error(self, message: str) -> NoReturn:
+        """Print the usage and the message, and exit."""
+        self.print_usage(sys.stderr)
+        status = self.get_default("usage_exit") or EXIT_USAGE
+        self.exit(status, f"{self.prog}: error: {message}\n")
+
+
 def main() -> None:
     """Run the program."""
     raise SystemExit(run(sys.argv[1:]))
@@ -43,7 +55,11 @@
 
 def run(command_line: list[str]) -> int:
     """Run the command given as ``command_line`` and return its exit code."""
-    arguments = _make_parser().parse_args(command_line)
+    parser = _make_parser()
+    arguments, unknown = parser.parse_known_args(command_line)
+    if unknown:
+        parser.set_defaults(usage_exit=getattr(arguments, "usage_exit", None))
+        parser.error(f"unrecognized arguments: {' '.join(unknown)}")
     try:
         return arguments.handle(arguments)
     except SettingsError as error:
@@ -55,7 +71,7 @@
 
 
 def _make_parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(
+    parser = _Parser(
         "tarragonway",
         description="Operate a tarragonway deployment.",
         epilog=_EPILOG,
@@ -95,6 +111,7 @@
     _add_cluster_argument(drain)
     drain.add_argument("endpoint", nargs="+", help="endpoint ids")
     drain.set_defaults(handle=_drain)
+    add_validate_parser(commands)
     keygen = commands.add_parser("keygen", help="generate a key and print its digest")
     keygen.set_defaults(handle=_keygen)
     return parser
--- a/tarragonway/platform/configuration.py
+++ b/tarragonway/platform/configuration.py
@@ -1,13 +1,21 @@
 """Decoder of the platform's configuration format."""
 
+from collections.abc import Iterator
+
 import msgspec
 
 from tarragonway.core.compression import DecompressionError, decompress
 from tarragonway.core.decoding import UndecodableError, decode_json, drop_deep_values
 from tarragonway.core.ids import AccountId, ServiceName, ZoneName
+from tarragonway.routes.checks import (
+    MAX_REVISION_DIGITS,
+    Fault,
+    list_faults,
+    list_value_faults,
+    raise_first,
+)
 from tarragonway.routes.model import (
     MAX_CONFIGURATION_BYTES,
-    MAX_REVISION_DIGITS,
     Account,
     Configuration,
     ConfigurationError,
@@ -18,8 +26,6 @@
     ScalingTraits,
     Service,
     WeightedService,
-    check_configuration,
-    check_submitted,
 )
 
 # Larger whole numbers count as this one: each is beyond what can be in use.
@@ -98,7 +104,9 @@
     burst: float = 0.0
 
 
-class _Configuration(msgspec.Struct):
+class RawConfiguration(msgspec.Struct):
+    """The platform's text of a configuration."""
+
     version: int
     routes: list[_Route]
     services: list[_Service]
@@ -107,7 +115,7 @@
     tenants: list[_Account] | None = None
 
 
-_decoder = msgspec.json.Decoder(_Configuration)
+_decoder = msgspec.json.Decoder(RawConfiguration)
 
 
 def decode_submitted(data: bytes) -> Configuration:
@@ -116,19 +124,31 @@
     Raises
     ------
     ConfigurationError
-        If the text can't be decoded, is inconsistent, or can't be put into force.
+        If the text can't be decoded, is inconsistent, or can't be put into force. The
+        message states the first fault.
     """
-    raw_configuration = _decode(data)
+    raw_configuration = decode_raw(data)
     configuration = _convert(raw_configuration)
-    if len(str(abs(raw_configuration.version))) > MAX_REVISION_DIGITS:
-        raise ConfigurationError(
-            f"version has over {MAX_REVISION_DIGITS} digits; state a smaller number"
-        )
-    for field in ("routes", "services", "limits", "tenants"):
-        check_submitted(field, getattr(raw_configuration, field))
+    raise_first(_list_submitted_faults(raw_configuration, configuration))
     return configuration
 
 
+def check_submitted(data: bytes) -> tuple[Configuration, list[Fault]]:
+    """Return an operator's new configuration and all its faults.
+
+    Without faults, :func:`decode_submitted` accepts it. Otherwise it raises for the
+    first one, and the configuration is not usable.
+
+    Raises
+    ------
+    ConfigurationError
+        If the text can't be decoded.
+    """
+    raw_configuration = decode_raw(data)
+    configuration = _convert(raw_configuration)
+    return configuration, list(_list_submitted_faults(raw_configuration, configuration))
+
+
 def decode_configuration(data: bytes) -> Configuration:
     """Return a configuration that a coordinator of this or an earlier release accepted.
 
@@ -140,23 +160,63 @@
     ConfigurationError
         If the text can't be decoded or is inconsistent.
     """
-    return _convert(_decode(drop_deep_values(data)))
+    raw_configuration = decode_raw(drop_deep_values(data))
+    configuration = _convert(raw_configuration)
+    raise_first(_list_stored_faults(raw_configuration, configuration))
+    return configuration
+
 
+def decode_raw(data: bytes) -> RawConfiguration:
+    """Return a text as it is written, without any check of its values.
 
-def _decode(data: bytes) -> _Configuration:
+    Raises
+    ------
+    ConfigurationError
+        If it is not JSON, or a value is missing or of another type.
+    """
     try:
         return decode_json(_decoder, data)
     except UndecodableError as error:
         raise ConfigurationError(f"cannot be read: {error}") from error
 
 
-def _convert(raw_configuration: _Configuration) -> Configuration:
+def _list_stored_faults(
+    raw_configuration: RawConfiguration, configuration: Configuration
+) -> Iterator[Fault]:
+    for index, route in enumerate(raw_configuration.routes):
+        if route.route_kind not in _REPEATABILITY_BY_KIND:
+            yield Fault(
+                f"route {route.name} has the unknown kind {route.route_kind!r}",
+                f"routes[{index}]",
+                "route_kind",
+                f"state one of {', '.join(_REPEATABILITY_BY_KIND)}",
+            )
+    yield from list_faults(configuration)
+
+
+def _list_submitted_faults(
+    raw_configuration: RawConfiguration, configuration: Configuration
+) -> Iterator[Fault]:
+    yield from _list_stored_faults(raw_configuration, configuration)
+    if len(str(abs(raw_configuration.version))) > MAX_REVISION_DIGITS:
+        remedy = "state a smaller number"
+        yield Fault(
+            f"version has over {MAX_REVISION_DIGITS} digits; {remedy}",
+            "",
+            "version",
+            remedy,
+        )
+    for field in ("routes", "services", "limits", "tenants"):
+        yield from list_value_faults(field, getattr(raw_configuration, field))
+
+
+def _convert(raw_configuration: RawConfiguration) -> Configuration:
     accounts = None
     if raw_configuration.tenants is not None:
         accounts = tuple(
             _convert_account(account) for account in raw_configuration.tenants
         )
-    configuration = Configuration(
+    return Configuration(
         raw_configuration.version,
         tuple(_convert_route(route) for route in raw_configuration.routes),
         tuple(_convert_service(service) for service in raw_configuration.services),
@@ -168,16 +228,11 @@
         ),
         accounts,
     )
-    check_configuration(configuration)
-    return configuration
 
 
 def _convert_route(route: _Route) -> Route:
-    kind = _REPEATABILITY_BY_KIND.get(route.route_kind)
-    if kind is None:
-        raise ConfigurationError(
-            f"route {route.name} has the unknown kind {route.route_kind!r}"
-        )
+    # An unknown kind is a fault that is listed with the others.
+    kind = _REPEATABILITY_BY_KIND.get(route.route_kind, Repeatability.UNSAFE)
     if route.split is not None:
         shares = tuple(
             WeightedService(ServiceName(s.service), s.weight) for s in route.split
--- a/tarragonway/platform/tests/test_boundary.py
+++ b/tarragonway/platform/tests/test_boundary.py
@@ -12,7 +12,8 @@
     r"|server-limit|b\"resumes|cold_left_ms|leaves_ms|spot_price|window_id|uncached_tokens",
     re.IGNORECASE,
 )
-IMPORTERS = {"gateway/daemon.py", "coordinator/daemon.py"}
+# The daemons, and the operators' command that reads the platform's format.
+IMPORTERS = {"gateway/daemon.py", "coordinator/daemon.py", "operator/validate.py"}
 
 
 def list_sources():
@@ -32,7 +33,7 @@
     assert not found
 
 
-def test_only_the_daemons_import_the_adapter():
+def test_only_programs_import_the_adapter():
     importers = {
         name
         for name, text in list_sources()
--- a/tarragonway/routes/model.py
+++ b/tarragonway/routes/model.py
@@ -1,7 +1,6 @@
 """Types of the routing configuration, and its consistency checks."""
 
 import enum
-import math
 
 import msgspec
 
@@ -12,11 +11,6 @@
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 
 
-# Largest number in a configuration, but for its revision.
-MAX_NUMBER = 1e30
-MAX_REVISION_DIGITS = 100
-
-
 class ConfigurationError(TarragonwayError):
     """A configuration is invalid; the message states the first fault."""
 
@@ -141,101 +135,3 @@
     services: tuple[Service, ...]
     limits: ConnectionLimits
     accounts: tuple[Account, ...] | None = None
-
-
-def check_submitted(name: str, value: object) -> None:
-    """Check that a new configuration's numbers and texts can be put into force.
-
-    Parameters
-    ----------
-    name : str
-        Place of the value in the operator's text.
-    value : object
-        The decoded value. Structures and lists are checked with all that they hold.
-
-    Raises
-    ------
-    ConfigurationError
-        If a number is negative or over :data:`MAX_NUMBER`, or if a text has control
-        characters, which headers cannot carry.
-
-    Examples
-    --------
-    >>> check_submitted("limits.idle_timeout_ms", 15_000)
-    >>> check_submitted("services[0].max_conns", -1)  # doctest: +ELLIPSIS
-    Traceback (most recent call last):
-        ...
-    tarragonway.routes.model.ConfigurationError: services[0].max_conns is -1; state ...
-    """
-    match value:
-        case list():
-            for index, item in enumerate(value):
-                check_submitted(f"{name}[{index}]", item)
-        case dict():
-            for key, item in value.items():
-                check_submitted(f"{name} (a key)", key)
-                check_submitted(f"{name}[{key!r}]", item)
-        case msgspec.Struct():
-            for field in value.__struct_fields__:
-                check_submitted(f"{name}.{field}", getattr(value, field))
-        case _:
-            _check_scalar(name, value)
-
-
-def _check_scalar(name: str, value: object) -> None:
-    match value:
-        case bool():
-            return
-        case int() | float() if not 0 <= value <= MAX_NUMBER:
-            raise ConfigurationError(
-                f"{name} is {str(value)[:40]}; state a number from 0 to {MAX_NUMBER}"
-            )
-        case str() if any(ord(character) < ord(" ") for character in value):
-            raise ConfigurationError(
-                f"{name} is {value[:40]!r}; remove its control characters"
-            )
-
-
-def check_configuration(configuration: Configuration) -> None:
-    """Check that a configuration is consistent.
-
-    Raises
-    ------
-    ConfigurationError
-        If it is not; the message states the first fault.
-    """
-    names = {service.name for service in configuration.services}
-    places: set[tuple[str, str]] = set()
-    for route in configuration.routes:
-        _check_route(route, names)
-        place = (route.host, route.prefix)
-        if place in places:
-            raise ConfigurationError(f"two routes share {route.host}{route.prefix}")
-        places.add(place)
-    owners: dict[str, AccountId] = {}
-    for account in configuration.accounts or ():
-        for key in account.keys:
-            if owners.setdefault(key, account.id) != account.id:
-                raise ConfigurationError(
-                    f"{account.id} and {owners[key]} share a key; give each its own"
-                )
-
-
-def _check_route(route: Route, services: set[ServiceName]) -> None:
-    for share in route.shares:
-        if share.service not in services:
-            raise ConfigurationError(
-                f"route {route.name} names the unknown service {share.service}"
-            )
-        if share.weight < 0:
-            raise ConfigurationError(f"route {route.name} has a negative weight")
-    if not 0 < sum(share.weight for share in route.shares) < math.inf:
-        raise ConfigurationError(
-            f"the weights of route {route.name} add up to 0 or infinity"
-        )
-    if not route.timeout_s > 0:
-        raise ConfigurationError(f"the timeout of route {route.name} must be over 0")
-    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
-        raise ConfigurationError(
-            f"the prefix of route {route.name} must begin and end with a slash"
-        )
