Close connections in order after responses that endpoints end

Cause: since a connection stays open after the end of the received stream if a reset may follow. Its user then aborted it, which resets it, where it was closed in order before. Endpoints that wait for the end of the connection would see a reset after each unframed response to a request of over 16 KiB.

Change: after a complete response whose connection has ended, the connection is closed at once.

http1/tests/test_early_ends.py::test_complete_response_is_not_followed_by_a_reset failed before for the response without a length: assert ConnectionResetError(104, 'Connection reset by peer') == b''. It passes now, as do the tests of http1, gateway, entry, engines, core and tests/test_once.py, except gateway/tests/test_odd_messages.py, which cannot be collected since.

--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -268,6 +268,9 @@
         if isinstance(event, h11.EndOfMessage):
             if self._ends_with_connection:
                 await self._check_end()
+            if self._unusable:
+                # The endpoint has ended the connection in order; so does this side.
+                self.close()
             return None
         raise ConnectionEnded("closed before the end of the response body")
 
@@ -301,7 +304,7 @@
             self._transport.abort()
 
     def close(self) -> None:
-        """Close an idle connection."""
+        """Close the connection in order, once nothing is to be sent or read."""
         if self._transport is not None:
             self._transport.close()
 
--- a/tarragonway/http1/tests/test_early_ends.py
+++ b/tarragonway/http1/tests/test_early_ends.py
@@ -163,3 +163,27 @@
     async with await asyncio.start_server(serve, "127.0.0.1", unused_tcp_port):
         address = f"127.0.0.1:{unused_tcp_port}"
         await asyncio.wait_for(post(ConnectionPool(), address, bytes(size)), 5.0)
+
+
+# Guards against a reset of connections that endpoints have ended in order, which they
+# would log as failures of their clients.
+@pytest.mark.parametrize("answer", [UNFRAMED, OK + b"Content-Length: 4\r\n\r\npart"])
+async def test_complete_response_is_not_followed_by_a_reset(unused_tcp_port, answer):
+    ends = asyncio.Queue()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(HELD_UPLOAD_BYTES)
+        writer.write(answer)
+        writer.write_eof()
+        try:
+            ends.put_nowait(await reader.read())
+        except ConnectionResetError as error:
+            ends.put_nowait(error)
+        writer.close()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", unused_tcp_port):
+        address = f"127.0.0.1:{unused_tcp_port}"
+        body = bytes(HELD_UPLOAD_BYTES)
+        assert await post(ConnectionPool(), address, body) == (200, b"part")
+        assert await asyncio.wait_for(ends.get(), 5.0) == b""
