Shed load by priority and client account while a service is overloaded

Accounts that are each within their quota may together offer a service more than its engines can serve. Their requests then waited alike, the urgent ones too. Gateways now report what they offer by rank, route priority and account; the leader compares it with what the listed endpoints can serve, and sends the fractions to admit, only while a service is overloaded. A gateway refuses by these fractions, and only while it finds the service full. Deployments without quotas or without engines of known slots are served as before.

Plain services are not covered, as their work is not measured.

--- a/tarragonway/coordinator/bootstrap.py
+++ b/tarragonway/coordinator/bootstrap.py
@@ -162,3 +162,15 @@
 def get_peer_address(member: MemberId) -> str:
     """Return the peer address with which a member's id starts."""
     return member.rpartition("#")[0]
+
+
+def find_operator_address(driver: LogDriver, own_address: str) -> str:
+    """Return the leader's operator address, or "" if unknown or this process.
+
+    All processes have the port of ``own_address``.
+    """
+    leader = driver.leader
+    if not leader or leader == driver.own_member.id:
+        return ""
+    port = own_address.rpartition(":")[2]
+    return f"{get_peer_address(leader).rpartition(':')[0]}:{port}"
--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -11,6 +11,7 @@
 from tarragonway.consensus.files import FolderFiles
 from tarragonway.coordinator.bootstrap import (
     TICK_INTERVAL_S,
+    find_operator_address,
     get_peer_address,
     make_driver,
 )
@@ -27,6 +28,7 @@
 from tarragonway.coordinator.part_holds import PartHolds
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
 from tarragonway.coordinator.scaling import FleetReconciler
+from tarragonway.coordinator.service_capacity import list_capacities
 from tarragonway.coordinator.status import StatusPublisher
 from tarragonway.coordinator.stored_configuration import StoredConfiguration
 from tarragonway.coordinator.stream_origins import StreamOrigins
@@ -124,7 +126,13 @@
         )
         self._quotas = QuotaBuckets(QuotaPolicy.from_bounds(bounds), self._counters)
         self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
-        self._gateway_reports = GatewayReports(self._driver, self._lease, self._clock)
+        self._gateway_reports = GatewayReports(
+            self._driver,
+            self._lease,
+            self._clock,
+            lambda: list_capacities(self._configuration.read(), self._view),
+            self._counters,
+        )
         self._part_holds = PartHolds(
             self._gateway_reports.parts,
             self._gateway_reports.suspects,
@@ -197,7 +205,7 @@
             configuration.decode_submitted,
             configuration.decode_configuration,
             (names.PUT_CONFIGURATION_PATH, names.GET_CONFIGURATION_PATH),
-            self._find_leader_operator_address,
+            lambda: find_operator_address(self._driver, settings.listen.operators),
             self._counters,
         )
         limits = ConnectionLimits(body_bytes=MAX_CONFIGURATION_BYTES)
@@ -439,11 +447,3 @@
                 self._gateway_reports.clear()
                 self._quotas.clear()
             self._status.publish_due(asyncio.get_running_loop().time())
-
-    def _find_leader_operator_address(self) -> str:
-        """Return the leader's operator address, or "" if unknown or this process."""
-        leader = self._driver.leader
-        if not leader or leader == self._driver.own_member.id:
-            return ""
-        port = self._settings.listen.operators.rpartition(":")[2]
-        return f"{get_peer_address(leader).rpartition(':')[0]}:{port}"
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -1,7 +1,7 @@
 """Reports of the gateways to the leader: clocks, usage, load, speeds and crashes."""
 
 import statistics
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 import structlog
@@ -10,6 +10,7 @@
 from tarragonway.coordinator.suspects import SuspectedContents
 from tarragonway.coordinator.usage_windows import NEW_LEADER_GRACE_S
 from tarragonway.core.clock import WallClock
+from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId, PartId, ProcessName, ServiceName
 from tarragonway.exchange import EngineSpeed, combine_speeds
 from tarragonway.limits.request_limits import RequestLimits
@@ -19,6 +20,7 @@
     GatewayReportReply,
     LimitStated,
 )
+from tarragonway.overload import SheddingPlanner
 from tarragonway.quarantine import PartQuarantine, ProbeId
 from tarragonway.replication import LogDriver
 
@@ -48,7 +50,8 @@
     """The latest report of each gateway.
 
     ``suspects`` are the contents on which endpoints have failed, ``parts`` the prompt
-    parts. ``limits`` are the request limits that endpoints state.
+    parts. ``limits`` are the request limits that endpoints state. ``shedding`` decides
+    which part of the offered load gateways admit.
 
     Parameters
     ----------
@@ -58,9 +61,20 @@
         Source of the time for which this process has been leader.
     clock : WallClock
         This process's clock, which is corrected to the median of all clocks.
+    list_capacities : callable
+        Returns the work in seconds per second that the endpoints of services can do.
+    counters : Counters, optional
+        Receives ``shedding.*`` counters.
     """
 
-    def __init__(self, driver: LogDriver, lease: DutyLease, clock: WallClock) -> None:
+    def __init__(
+        self,
+        driver: LogDriver,
+        lease: DutyLease,
+        clock: WallClock,
+        list_capacities: Callable[[], dict[ServiceName, float]] = dict,
+        counters: Counters | None = None,
+    ) -> None:
         self._driver = driver
         self._lease = lease
         self._clock = clock
@@ -70,6 +84,7 @@
         self.suspects = SuspectedContents()
         self.parts = PartQuarantine()
         self.limits = RequestLimits()
+        self.shedding = SheddingPlanner(list_capacities, counters or Counters())
 
     def clear(self) -> None:
         """Remove all reports; called while this process is not the leader.
@@ -78,6 +93,7 @@
         """
         self._gateways.clear()
         self.limits.clear()
+        self.shedding.clear()
 
     def handle_report(
         self,
@@ -103,6 +119,7 @@
             Client accounts that have used most of their quota.
         """
         gateway = self._record_report(gateway_report, now)
+        admitted = self.shedding.list_admitted(gateway_report.admitted_version, now)
         live = self._list_live(now)
         # The number of gateways and the median clock need the reports of all gateways.
         is_grace_over = self._lease.leadership_age_s >= NEW_LEADER_GRACE_S
@@ -121,6 +138,8 @@
             self.limits.version,
             self._list_limits(gateway_report),
             near_quota,
+            admitted_version=self.shedding.version,
+            admitted=admitted,
         )
 
     def record_crash(
@@ -210,6 +229,8 @@
         gateway.offered_load = gateway_report.offered_load
         if gateway_report.request_rates is not None:
             gateway.request_rates = gateway_report.request_rates
+        if gateway_report.offered is not None:
+            self.shedding.record(gateway_report.name, gateway_report.offered, now)
         if gateway_report.speeds is not None:
             gateway.speeds = gateway_report.speeds
         for window in gateway_report.usage:
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -163,6 +163,15 @@
     delay_ms: float
 
 
+class Shed(msgspec.Struct, frozen=True):
+    """The service is overloaded, and others go first; nothing was sent.
+
+    A retry after ``return_s`` seconds may find room.
+    """
+
+    return_s: float
+
+
 class Limited(msgspec.Struct, frozen=True):
     """No endpoint may be sent a request now, as the others state request limits.
 
@@ -204,6 +213,7 @@
     | NotContinued
     | Expired
     | Overloaded
+    | Shed
     | Limited
     | OriginNotFound
     | VersionGone
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -270,6 +270,7 @@
         self._full_report = True
         self._watch_version = -1
         self._limit_guard.version = -1
+        self._state.shedder.version = -1
         self._guard.begun.report_again()
 
     def _update_coordinators(self, status: Status) -> None:
@@ -354,6 +355,10 @@
             if has_speeds or self._full_report
             else None,
             self._list_self_announced() if self._full_report else (),
+            offered=self._state.shedder.list_offered(
+                has_speeds or self._full_report, now
+            ),
+            admitted_version=self._state.shedder.version,
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -399,6 +404,9 @@
             self._watch_version = reply.watch_version
         if reply.limits is not None:
             self._limit_guard.set_published(reply.limits_version, reply.limits, sent_at)
+        gateway_state.shedder.set_admitted(
+            reply.admitted_version, reply.admitted, asyncio.get_running_loop().time()
+        )
         if abs(reply.clock_correction_s) > MIN_CLOCK_CORRECTION_S:
             _log.info("wall clock corrected", seconds=reply.clock_correction_s)
             gateway_state.clock.correct(reply.clock_correction_s)
--- a/tarragonway/gateway/final_errors.py
+++ b/tarragonway/gateway/final_errors.py
@@ -13,6 +13,7 @@
     Refused,
     SendFailed,
     SendOutcome,
+    Shed,
     Unsent,
     VersionGone,
     VersionUnregistered,
@@ -48,6 +49,8 @@
     match outcome:
         case Overloaded(delay_ms):
             return ErrorCause.OVERLOADED, round(delay_ms / 1000 / 2, 3)
+        case Shed(return_s):
+            return ErrorCause.OVERLOADED, round(return_s, 3)
         case Limited(return_s):
             wait_s = max(return_s, DEFAULT_RETRY_AFTER_S)
             return ErrorCause.ENDPOINTS_LIMITED, round(wait_s, 3)
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -45,6 +45,7 @@
 from tarragonway.gateway.selection import EndpointSelector
 from tarragonway.gateway.self_reports import SelfReports
 from tarragonway.gateway.sender import Codec, Sender
+from tarragonway.gateway.shedding import compute_rank, shed_request
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import ConnectionPool, Request, ResponseWriter
@@ -61,7 +62,6 @@
 # Fraction of the latency objective within which a request may wait until an endpoint's
 # pause ends.
 PAUSE_WAIT_FRACTION = 0.5
-MAX_PRIORITY = 9
 MAX_LOGGED_PARTS = 16
 # 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
 # section 15.5.20).
@@ -184,9 +184,10 @@
     ) -> None:
         """Record what an endpoint states of itself."""
         self._self_reports.record(endpoint, info)
+        now = asyncio.get_running_loop().time()
         if info.load is not None:
             self._chooser.record_load(endpoint.key, info.load)
-        now = asyncio.get_running_loop().time()
+            self._state.shedder.record_load(endpoint.service, info.load, now)
         self._limit_guard.record_answer(endpoint, info.limits, attempt.sent_at, now)
 
     def handle_running(self, attempt: Attempt) -> None:
@@ -235,7 +236,8 @@
             attempt.service, attempt.facts.prompt, engine.slots if engine else 1
         )
         self._selector.record_request(attempt.service, work_s)
-        while True:
+        outcome = shed_request(self._state, attempt, work_s, self._counters)
+        while outcome is None or attempt.tried:
             choice = await self._selector.select(attempt, work_s)
             if isinstance(choice, Paused) and self._may_wait(attempt, choice):
                 await asyncio.sleep(choice.return_s)
@@ -414,10 +416,7 @@
     def _get_priority(self, attempt: Attempt) -> int | None:
         if not attempt.route.prompt_affinity:
             return None
-        priority = attempt.route.priority
-        if attempt.account is not None and attempt.account.priority is not None:
-            priority = attempt.account.priority
-        return max(0, min(MAX_PRIORITY, priority))
+        return compute_rank(attempt.route, attempt.account)
 
     def _compute_list_age(self) -> float:
         return asyncio.get_running_loop().time() - self._state.list_current_at
--- a/tarragonway/gateway/state.py
+++ b/tarragonway/gateway/state.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import random
 
 from tarragonway.core.clock import WallClock
 from tarragonway.endpoints.endpoint_list import EndpointView
+from tarragonway.overload import LoadShedder
 from tarragonway.routes.table import RouteTable
 
 # Number of gateways that is assumed until the leader sends it. Too high a number only
@@ -22,6 +24,7 @@
     those of which the replicated log knows; neither may be sent to endpoints.
     ``knows_held_parts`` is set once a coordinator has sent the prompt parts and
     contents that must not be sent to endpoints.
+    ``shedder`` has the offered load, and the part of it that the leader admits.
     ``intake_ends_at`` is the time from which arriving requests are refused, None unless
     the gateway drains.
 
@@ -43,6 +46,7 @@
         self.held_contents: frozenset[str] = frozenset()
         self.suspects: frozenset[str] = frozenset()
         self.knows_held_parts = False
+        self.shedder = LoadShedder(random.Random())
         self.intake_ends_at: float | None = None
         self._complete = asyncio.Event()
 
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -30,6 +30,7 @@
 )
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
+from tarragonway.overload.messages import AdmittedRows, OfferedService
 from tarragonway.rollouts import RolloutCounts, RolloutOrders, RolloutShare
 from tarragonway.versions import StreamOrigin
 
@@ -312,7 +313,9 @@
     ``request_rates``, the requests per second for each service, are sent with speeds.
     ``leaving`` are listed endpoints that have said themselves that they leave, sent
     with the first report to a new leader. ``rollouts`` are the counts of the rollouts
-    in progress.
+    in progress. ``offered`` is the offered load by service, rank and client account,
+    sent with speeds or when it has changed much; ``admitted_version`` is the version of
+    the admitted fractions that the gateway has, -1 without any.
     """
 
     name: ProcessName
@@ -332,6 +335,8 @@
     request_rates: dict[ServiceName, Amount] | None = None
     leaving: tuple[str, ...] = ()
     rollouts: tuple[RolloutCounts, ...] = ()
+    offered: dict[ServiceName, OfferedService] | None = None
+    admitted_version: int = -1
 
 
 class GatewayReportReply(
@@ -348,7 +353,9 @@
     the gateway has their ``watch_version``. ``limits`` are the request limits of
     endpoints; None if the gateway has their ``limits_version``. ``near_quota`` are the
     client accounts that have used most of their quota. ``rollouts`` are the leader's
-    decisions on the rollouts in progress.
+    decisions on the rollouts in progress. ``admitted`` are the fractions of the
+    offered load that gateways admit, None if the gateway has their
+    ``admitted_version``, which is -1 while no service is overloaded.
     """
 
     term: Count
@@ -366,6 +373,8 @@
     limits: dict[str, Amount] | None = None
     near_quota: tuple[AccountId, ...] = ()
     rollouts: tuple[RolloutShare, ...] = ()
+    admitted_version: int = -1
+    admitted: dict[ServiceName, AdmittedRows] | None = None
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
--- a/tarragonway/quotas/division.py
+++ b/tarragonway/quotas/division.py
@@ -101,7 +101,7 @@
             high = floor
     fractions: dict[RequestClass, float] = {}
     for group, fraction in zip(groups, _fill(groups, rate, high), strict=True):
-        _divide_by_size(group, fraction, fractions)
+        _divide_by_size(group, fraction, high, fractions)
     return fractions
 
 
@@ -151,15 +151,19 @@
 
 
 def _divide_by_size(
-    group: _Group, fraction: float, fractions: dict[RequestClass, float]
+    group: _Group,
+    fraction: float,
+    min_floor: float,
+    fractions: dict[RequestClass, float],
 ) -> None:
     """Divide a group's units among its size classes, small before large.
 
     The largest class gets at least :data:`SIZE_FLOOR` of the fraction of all requests
-    of the group, and the rest is given to the smaller classes first.
+    of the group, and at least ``min_floor``. The rest is given to the smaller classes
+    first.
     """
     members = sorted(group.members, key=lambda each: each.request_class.size)
-    low, high = 0.0, fraction
+    low, high = min(min_floor, fraction), fraction
     for _ in range(BISECTION_STEPS if len(members) > 1 else 0):
         floor = (low + high) / 2
         served = _fill_sizes(members, fraction * group.units, floor)
--- a/tarragonway/routes/model.py
+++ b/tarragonway/routes/model.py
@@ -142,6 +142,11 @@
     limits: ConnectionLimits
     accounts: tuple[Account, ...] | None = None
 
+    @property
+    def has_quotas(self) -> bool:
+        """Whether any client account has a quota."""
+        return any(account.per_s > 0 for account in self.accounts or ())
+
 
 def check_submitted(name: str, value: object) -> None:
     """Check that a new configuration's numbers and texts can be put into force.
