Shed load only at full services, and bound the time left in quota requests

Gateways refused from 0.85 of the slots on; a service with free slots should take requests. The bound is now 0.95 of the slots on average.

A timeout of over 1e9 s in the configuration would have made quota requests that the leader cannot decode.

--- a/tarragonway/gateway/admission.py
+++ b/tarragonway/gateway/admission.py
@@ -31,6 +31,9 @@
 QUOTA_WAIT_FRACTION = 1 / 8
 # Timeout of a request whose caller states none; the route's own timeout applies too.
 DEFAULT_TIMEOUT_S = 60.0
+# Longer times until a deadline make no difference to the leader; operators may state
+# timeouts that no message can carry.
+MAX_TIME_LEFT_S = 3600.0
 
 _log = structlog.get_logger()
 
@@ -188,7 +191,8 @@
         units = count_units(account, facts)
         max_wait_s = admitted.route.latency_objective_s * QUOTA_WAIT_FRACTION
         deadline = compute_deadline(admitted.route, request, facts)
-        time_left_s = max(0.0, deadline - asyncio.get_running_loop().time())
+        time_left_s = deadline - asyncio.get_running_loop().time()
+        time_left_s = max(0.0, min(MAX_TIME_LEFT_S, time_left_s))
         priority = admitted.route.priority
         wait_s = math.inf
         try:
--- a/tarragonway/gateway/tests/test_quota.py
+++ b/tarragonway/gateway/tests/test_quota.py
@@ -1,12 +1,17 @@
 import asyncio
 import random
+from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from tarragonway.core.counters import Counters
+from tarragonway.exchange import CallerRequest
+from tarragonway.gateway.admission import Admission, Admitted
 from tarragonway.gateway.quota import LeaderlessBucket, QuotaClient
 from tarragonway.links.messages import QuotaReply, QuotaRequest, QuotaReturn
 from tarragonway.routes import Account
+from tarragonway.routes.model import Repeatability, Route
 
 ACCOUNT = Account("a", (), counts_tokens=True, per_s=160.0, burst=160.0)
 
@@ -135,3 +140,24 @@
 
 def test_long_prompts_of_an_account_far_from_its_quota_are_admitted_once():
     assert take_long_prompts(is_near_quota=False) == 64 * 12_000.0
+
+
+# Guards against a request that the leader cannot decode, so that all of its account's
+# requests are limited locally.
+async def test_time_left_is_bounded_in_requests_to_the_leader():
+    asked = []
+
+    class Quota:
+        async def admit(self, account, units, max_wait_s, priority, time_left_s):
+            asked.append(QuotaRequest(1, account.id, units, priority, time_left_s))
+            return 0.0
+
+    route = Route("r", "h", "/", Repeatability.SAFE, 1e27, 1.0, 2, 1, ())
+    facts = CallerRequest("x", "h", "/", 1e26, "k", None, None)
+    now = asyncio.get_running_loop().time()
+    admission = Admission(None, None, Quota(), Counters())
+    request = SimpleNamespace(arrived_s=now)
+    assert await admission._take_quota(Admitted(route, ACCOUNT), request, facts)
+    encoded = msgspec.msgpack.encode(asked[0])
+    assert msgspec.msgpack.decode(encoded, type=QuotaRequest) == asked[0]
+    assert asked[0].priority == 2
--- a/tarragonway/overload/shedder.py
+++ b/tarragonway/overload/shedder.py
@@ -34,9 +34,10 @@
 # goes by its own estimates only.
 MAX_LEADER_AGE_S = 2.0
 # A service is full while the loads that its endpoints report are at least this part of
-# their slots, on average over this time constant. A refusal is harmful while under half
-# of the slots are taken.
-FULL_FRACTION = 0.85
+# their slots, on average over this time constant. With old figures, some endpoints have
+# free slots while others have queues, so a little less than all slots suffices. A
+# refusal is harmful while under half of the slots are taken and nothing waits.
+FULL_FRACTION = 0.95
 LOAD_SMOOTHING_S = 0.5
 # Weight of reports, each 1 when it arrives, without which fullness is not known.
 MIN_LOAD_WEIGHT = 1.5
@@ -52,6 +53,8 @@
 RETURN_FRACTION = 1 / 3
 # Multiples of the golden ratio are spread evenly, whatever their number.
 SPREAD_STEP = 0.6180339887498949
+# Largest number in a report; more is beyond any capacity.
+MAX_REPORTED = 10**12
 # Keys whose parts of a request are kept; the oldest is dropped first.
 MAX_KEYS = 1024
 
@@ -264,8 +267,8 @@
             key.account,
             key.rank,
             key.priority,
-            round(1000 * load.work),
-            round(100 * load.requests),
+            min(MAX_REPORTED, round(1000 * load.work)),
+            min(MAX_REPORTED, round(100 * load.requests)),
         )
         for key, load in largest
     )
--- a/tarragonway/overload/tests/test_shedder.py
+++ b/tarragonway/overload/tests/test_shedder.py
@@ -31,11 +31,11 @@
 
 
 # Guards against refusals by old fractions while endpoints have free slots.
-@pytest.mark.parametrize("running", [0, 3, 6, 9])
+@pytest.mark.parametrize("running", [0, 3, 6, 9, 11])
 def test_nothing_is_refused_while_endpoints_have_free_slots(shedder, running):
     for _ in range(12):
-        shedder.record_load("s", Load(running, 0, 12), 0.1)
-    assert all(decide(shedder, 0.1) == 0 for _ in range(20))
+        shedder.record_load("s", Load(running, 0, 12), 0.5)
+    assert all(decide(shedder, 0.5) == 0 for _ in range(20))
 
 
 def test_nothing_is_refused_without_recent_loads(shedder):
