--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -30,6 +30,7 @@
 from tarragonway.coordinator.quotas import QuotaBuckets, QuotaPolicy
 from tarragonway.coordinator.rollouts import RolloutCoordinator
 from tarragonway.coordinator.scaling import FleetReconciler
+from tarragonway.coordinator.service_capacity import list_capacities
 from tarragonway.coordinator.status import StatusPublisher, make_status
 from tarragonway.coordinator.stored_configuration import StoredConfiguration
 from tarragonway.coordinator.stream_origins import StreamOrigins
@@ -127,7 +128,15 @@
         )
         self._quotas = QuotaBuckets(QuotaPolicy.from_bounds(bounds), self._counters)
         self._lease = DutyLease(self._driver, bounds.lease_ms / 1000)
-        self._gateway_reports = GatewayReports(self._driver, self._lease, self._clock)
+        self._gateway_reports = GatewayReports(
+            self._driver,
+            self._lease,
+            self._clock,
+            lambda: list_capacities(
+                self._configuration.read(), self._view, self._get_pace
+            ),
+            self._counters,
+        )
         self._part_holds = PartHolds(
             self._gateway_reports.parts,
             self._gateway_reports.suspects,
@@ -216,7 +225,7 @@
             (configuration.decode_submitted, configuration.decode_configuration),
             (names.PUT_CONFIGURATION_PATH, names.GET_CONFIGURATION_PATH),
             rollouts.CALLS,
-            self._find_leader_operator_address,
+            lambda: find_operator_address(self._driver, settings.listen.operators),
             self._counters,
         )
         self._metrics = make_metrics_server(self._counters, self.make_dump)
@@ -247,8 +256,7 @@
         if "scaling" in self._settings.platform.duties:
             self._start_permanent_task(self._fleet.run())
         await self._operators.listen(self._settings.listen.operators)
-        metrics_address = self._settings.listen.metrics
-        if metrics_address:
+        if metrics_address := self._settings.listen.metrics:
             self._start_task(listen_for_metrics(self._metrics, metrics_address))
 
     def reload(self, settings: NodeSettings) -> None:
@@ -421,6 +429,9 @@
         accounts = self._configuration.read_accounts()
         link.send(self._quotas.handle_request(quota_request, accounts, now))
 
+    def _get_pace(self, endpoint: str) -> float:
+        return self._gateway_reports.paces.get_pace(endpoint)
+
     def _handle_list_change(self) -> None:
         self._gateway_reports.limits.retain(self._view.rows)
         self._fleet.notify_endpoints_changed()
@@ -437,8 +448,6 @@
             if not self._driver.is_leader:
                 self._gateway_reports.clear()
                 self._quotas.clear()
-            self._status.publish_due(asyncio.get_running_loop().time())
-
-    def _find_leader_operator_address(self) -> str:
-        """Return the leader's operator address, or "" if unknown or this process."""
-        return find_operator_address(self._driver, self._settings.listen.operators)
+            now = asyncio.get_running_loop().time()
+            self._quotas.update_divisions(self._configuration.read_accounts(), now)
+            self._status.publish_due(now)
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -30,6 +30,7 @@
 )
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.exchange import EngineSpeed
+from tarragonway.overload.messages import AdmittedRows, OfferedService
 from tarragonway.pace.messages import EndpointPace, MeasuredPace
 from tarragonway.rollouts import RolloutCounts, RolloutOrders, RolloutShare
 from tarragonway.versions import StreamOrigin
@@ -314,7 +315,9 @@
     ``leaving`` are listed endpoints that have said themselves that they leave, sent
     with the first report to a new leader. ``rollouts`` are the counts of the rollouts
     in progress. ``paces`` are what was newly learned about the paces of each service's
-    endpoints, sent with speeds.
+    endpoints, sent with speeds. ``offered`` is the offered load by service, rank and
+    client account, sent with speeds or when it has changed much; ``admitted_version``
+    is the version of the admitted fractions that the gateway has, -1 without any.
     """
 
     name: ProcessName
@@ -335,6 +338,8 @@
     leaving: tuple[str, ...] = ()
     rollouts: tuple[RolloutCounts, ...] = ()
     paces: dict[ServiceName, dict[str, MeasuredPace]] = {}
+    offered: dict[ServiceName, OfferedService] | None = None
+    admitted_version: int = -1
 
 
 class GatewayReportReply(
@@ -352,7 +357,9 @@
     endpoints; None if the gateway has their ``limits_version``. ``near_quota`` are the
     client accounts that have used most of their quota. ``rollouts`` are the leader's
     decisions on the rollouts in progress. ``paces`` are the combined paces of each
-    service's endpoints, sent with speeds.
+    service's endpoints, sent with speeds. ``admitted`` are the fractions of the offered
+    load that gateways admit, None if the gateway has their ``admitted_version``, which
+    is -1 while no service is overloaded.
     """
 
     term: Count
@@ -371,6 +378,8 @@
     near_quota: tuple[AccountId, ...] = ()
     rollouts: tuple[RolloutShare, ...] = ()
     paces: dict[ServiceName, dict[str, EndpointPace]] = {}
+    admitted_version: int = -1
+    admitted: dict[ServiceName, AdmittedRows] | None = None
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
--- a/tarragonway/routes/model.py
+++ b/tarragonway/routes/model.py
@@ -135,3 +135,8 @@
     services: tuple[Service, ...]
     limits: ConnectionLimits
     accounts: tuple[Account, ...] | None = None
+
+    @property
+    def has_quotas(self) -> bool:
+        """Whether any client account has a quota."""
+        return any(account.per_s > 0 for account in self.accounts or ())
