--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -133,7 +133,9 @@
             self._lease,
             self._clock,
             lambda: list_capacities(
-                self._configuration.read(), self._view, self._get_pace
+                self._configuration.read(),
+                self._view,
+                lambda key: self._gateway_reports.paces.get_pace(key),
             ),
             self._counters,
         )
@@ -429,9 +431,6 @@
         accounts = self._configuration.read_accounts()
         link.send(self._quotas.handle_request(quota_request, accounts, now))
 
-    def _get_pace(self, endpoint: str) -> float:
-        return self._gateway_reports.paces.get_pace(endpoint)
-
     def _handle_list_change(self) -> None:
         self._gateway_reports.limits.retain(self._view.rows)
         self._fleet.notify_endpoints_changed()
