--- a/tarragonway/coordinator/rollouts.py
+++ b/tarragonway/coordinator/rollouts.py
@@ -31,6 +31,9 @@
 # A judgement takes effect within half a second at all gateways, of which their report
 # interval is a quarter of a second.
 DECISION_INTERVAL_S = 0.1
+# A new leader that cannot read the endpoint list for so long decides without endpoints,
+# so that an order ends at its deadline.
+LIST_GRACE_S = 5.0
 
 _log = structlog.get_logger()
 
@@ -169,7 +172,9 @@
             # The end may be committed already, so the share stays as it is.
             return
         has_list = self._has_current_list()
-        may_raise = has_list and self._lease.leadership_age_s >= NEW_LEADER_GRACE_S
+        grace_s = NEW_LEADER_GRACE_S if has_list else LIST_GRACE_S
+        may_raise = self._lease.leadership_age_s >= grace_s
+        live = set(self._gateway_reports.list_live(now))
         rows = [
             row
             for row in self._view.rows.values()
@@ -179,15 +184,14 @@
         seen.update(row.version for row in rows)
         endpoints = self._count_endpoints(rollout, rows)
         former = progress.decision
-        decision = progress.decide(endpoints, may_raise, now)
+        decision = progress.decide(endpoints, may_raise, now, bool(live))
         if _is_change(former, decision):
             self._counters.increment("rollouts.decisions")
             self._log_decision(progress, decision, endpoints, now)
         if decision.verdict is Verdict.ROLL_BACK:
             self._propose_end(rollout, RolloutState.ROLLED_BACK)
         elif decision.verdict is Verdict.READY and may_raise:
-            live = {*self._gateway_reports.list_live(now), *self._gateways.values()}
-            if live and not progress.list_unconfirmed(live):
+            if not progress.list_unconfirmed(live | {*self._gateways.values()}):
                 self._propose_end(rollout, RolloutState.COMPLETED)
 
     def _count_endpoints(
--- a/tarragonway/coordinator/tests/test_rollouts.py
+++ b/tarragonway/coordinator/tests/test_rollouts.py
@@ -312,6 +312,31 @@
     assert leader.state is RolloutState.ROLLED_BACK
 
 
+# Guards against share 1 without evidence, given to gateways that connect again.
+async def test_share_stays_zero_while_no_gateway_reports(leader):
+    leader.live = set()
+    await leader.update()
+    leader.rollouts._progress[1]._begun_at -= 9.0
+    await leader.update()
+    assert leader.report("g1", VersionCounts(), share=0.0) == 0.0
+    leader.rollouts._progress[1]._begun_at -= 9.0
+    await leader.update()
+    assert leader.state is RolloutState.ROLLED_BACK
+
+
+# Guards against an order that does not end while the platform's list is unreadable.
+async def test_order_ends_without_a_list(leader):
+    leader.rollouts._has_current_list = lambda: False
+    await leader.update()
+    leader.rollouts._progress[1]._begun_at -= 12.1
+    leader.lease.leadership_age_s = 2.0
+    await leader.update()
+    assert leader.state is RolloutState.IN_PROGRESS
+    leader.lease.leadership_age_s = 6.0
+    await leader.update()
+    assert leader.state is RolloutState.ROLLED_BACK
+
+
 # Guards against a gateway that accepts requests before it knows the orders, and against
 # orders of a process that has not applied its log.
 async def test_every_coordinator_sends_the_orders(leader, machine):
--- a/tarragonway/rollouts/decision.py
+++ b/tarragonway/rollouts/decision.py
@@ -93,7 +93,8 @@
     present share, since ``share_age_s`` seconds; ``at_step`` are the sums at that time.
     ``totals`` are the sums since the order, ``windows`` those that are judged, and
     ``rates`` the requests per second of each route. ``may_raise`` is whether the
-    gateways have reported to this leader.
+    gateways have had time to report to this leader, and ``has_gateways`` whether any
+    reports now.
     """
 
     time_s: float
@@ -107,6 +108,7 @@
     share_age_s: float = 0.0
     at_step: RouteSums = {}
     may_raise: bool = True
+    has_gateways: bool = True
 
 
 class Verdict(enum.Enum):
@@ -183,6 +185,8 @@
     share, endpoints = situation.share, situation.endpoints
     if not situation.may_raise:
         return share, "reports of gateways are awaited"
+    if not situation.has_gateways:
+        return 0.0, "no gateway reports"
     if endpoints.new <= 0:
         return 0.0, "no endpoint of the version is usable"
     if share >= FULL:
--- a/tarragonway/rollouts/judgement.py
+++ b/tarragonway/rollouts/judgement.py
@@ -85,13 +85,14 @@
 
     Routes with fewer than :data:`MIN_OLD_RESPONSES` of the old side have none yet.
     """
-    slow_ms = {}
+    slow_ms: dict[str, float] = {}
     for route, row in totals.items():
         good = row.old.answers - row.old.failures
         if good >= MIN_OLD_RESPONSES:
             # A time above e^30 ms is a report's error, and would overflow.
             mean = min(30.0, row.old.log_ms / good)
-            slow_ms[route] = round(SLOW_FACTOR * math.exp(mean), 1)
+            # Whole numbers are short in messages; a fast route has 1 ms at least.
+            slow_ms[route] = max(1, round(SLOW_FACTOR * math.exp(mean)))
     return slow_ms
 
 
--- a/tarragonway/rollouts/progress.py
+++ b/tarragonway/rollouts/progress.py
@@ -53,6 +53,7 @@
         self._begun_at = now - time_s
         self._gateways: dict[ProcessName, _Gateway] = {}
         self._may_raise = False
+        self._slow_ms: dict[str, float] = {}
         self._share_since = now
         self._at_step: RouteSums = {}
         self._canary_began_s: float | None = None
@@ -83,12 +84,16 @@
             self.rollout.number,
             share,
             decision.endpoint_fraction,
-            compute_slow_ms(self.evidence.totals),
+            self._slow_ms,
             decision.route_shares,
         )
 
     def decide(
-        self, endpoints: RolloutEndpoints, may_raise: bool, now: float
+        self,
+        endpoints: RolloutEndpoints,
+        may_raise: bool,
+        now: float,
+        has_gateways: bool = True,
     ) -> Decision:
         """Make the decision anew, and return it.
 
@@ -100,9 +105,12 @@
             Whether the gateways have had time to report to this leader.
         now : float
             The event loop's time in seconds.
+        has_gateways : bool
+            Whether any gateway reports now.
         """
         if self.decision.verdict is Verdict.ROLL_BACK:
             return self.decision
+        self._slow_ms = compute_slow_ms(self.evidence.totals)
         if may_raise and not self._may_raise:
             self._take_over_share(now)
         time_s = self.measure_age(now)
@@ -125,6 +133,7 @@
             now - self._share_since,
             self._at_step,
             may_raise,
+            has_gateways,
         )
         decision = decide(situation, self._policy)
         if decision.share != self.decision.share:
--- a/tarragonway/rollouts/tests/stepwise.py
+++ b/tarragonway/rollouts/tests/stepwise.py
@@ -52,7 +52,10 @@
     bound on them.
     """
 
-    def __init__(self, draw, *, deadline_s=12.0, listed_s=4.0, routes=ROUTES, new=36):
+    def __init__(
+        self, draw, seed=1, *, deadline_s=12.0, listed_s=4.0, routes=ROUTES, new=36
+    ):
+        random.seed(seed)
         order = RolloutOrder("s", "v2", deadline_s)
         self.progress = RolloutProgress(Rollout(1, order, 0.0), POLICY, 0.0, 0.0)
         self.draw = draw
@@ -64,8 +67,7 @@
         self.time_s, self.exposed, self.bad, self.arrived = 0.0, 0, 0, 0
         self.shares = []
 
-    def run(self, seed):
-        random.seed(seed)
+    def run(self):
         while self.time_s < self.deadline_s + 30.0:
             self.step()
             if self.completed or self.rolled_back:
--- a/tarragonway/rollouts/tests/test_decision.py
+++ b/tarragonway/rollouts/tests/test_decision.py
@@ -41,7 +41,7 @@
     ids=str,
 )
 def test_good_version_is_completed_by_its_deadline(options, seed):
-    rollout = StepwiseRollout(draw_good, **options).run(seed)
+    rollout = StepwiseRollout(draw_good, seed, **options).run()
     assert rollout.completed
     assert rollout.time_s < rollout.deadline_s
 
@@ -49,7 +49,7 @@
 # Guards against endpoints that come late: fewer seconds are left for each step.
 @pytest.mark.parametrize("seed", SEEDS)
 def test_good_version_with_late_endpoints_is_not_rolled_back(seed):
-    assert StepwiseRollout(draw_good, listed_s=6.0).run(seed).completed
+    assert StepwiseRollout(draw_good, seed, listed_s=6.0).run().completed
 
 
 # Guards against a bad version that gets more than its part of the requests, or is
@@ -82,7 +82,7 @@
     ],
 )
 def test_bad_version_is_rolled_back_within_its_exposure(draw, deadline_s, seed):
-    rollout = StepwiseRollout(draw, deadline_s=deadline_s).run(seed)
+    rollout = StepwiseRollout(draw, seed, deadline_s=deadline_s).run()
     assert rollout.rolled_back
     assert rollout.exposed <= rollout.allowed
     assert rollout.bad < 50
@@ -104,8 +104,8 @@
 
 # Guards against a rare route whose faults aren't seen among many other responses.
 def test_rare_route_gets_a_larger_share():
-    rollout = StepwiseRollout(draw_good, deadline_s=30.0)
-    while rollout.time_s < 6.0:
+    rollout = StepwiseRollout(draw_good)
+    while rollout.time_s < 5.0:
         rollout.step()
     shares = rollout.progress.decision.route_shares
     assert rollout.progress.decision.share < shares["rare"] <= MAX_CANARY_SHARE
@@ -114,14 +114,14 @@
 
 # Guards against a rollout without traffic that never ends.
 def test_version_without_any_request_is_completed_near_the_deadline():
-    rollout = StepwiseRollout(draw_good, routes={}).run(1)
+    rollout = StepwiseRollout(draw_good, routes={}).run()
     assert rollout.completed
     assert 6.0 < rollout.time_s < 12.0
 
 
 # Guards against a version without endpoints that stays in progress.
 def test_version_without_endpoints_is_rolled_back_at_the_deadline():
-    rollout = StepwiseRollout(draw_good, listed_s=99.0).run(1)
+    rollout = StepwiseRollout(draw_good, listed_s=99.0).run()
     assert rollout.rolled_back
     assert rollout.time_s == pytest.approx(12.0, abs=0.1)
     assert rollout.exposed == 0
