--- a/tarragonway/coordinator/rollouts.py
+++ b/tarragonway/coordinator/rollouts.py
@@ -190,9 +190,11 @@
             self._log_decision(progress, decision, endpoints, now)
         if decision.verdict is Verdict.ROLL_BACK:
             self._propose_end(rollout, RolloutState.ROLLED_BACK)
-        elif decision.verdict is Verdict.READY and may_raise:
-            if not progress.list_unconfirmed(live | {*self._gateways.values()}):
-                self._propose_end(rollout, RolloutState.COMPLETED)
+            return
+        live |= {*self._gateways.values()}
+        is_ready = decision.verdict is Verdict.READY and may_raise
+        if is_ready and not progress.list_unconfirmed(live):
+            self._propose_end(rollout, RolloutState.COMPLETED)
 
     def _count_endpoints(
         self, rollout: Rollout, rows: Iterable[ListedEndpoint]
