--- a/tarragonway/coordinator/rollouts.py
+++ b/tarragonway/coordinator/rollouts.py
@@ -11,6 +11,7 @@
 from tarragonway.coordinator.usage_windows import NEW_LEADER_GRACE_S
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
+from tarragonway.core.errors import InvariantError
 from tarragonway.core.ids import ProcessName, SoftwareVersion
 from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
 from tarragonway.links import Link
@@ -34,6 +35,7 @@
 # A new leader that cannot read the endpoint list for so long decides without endpoints,
 # so that an order ends at its deadline.
 LIST_GRACE_S = 5.0
+FAILED = "the decision failed"
 
 _log = structlog.get_logger()
 
@@ -112,7 +114,7 @@
         now = asyncio.get_running_loop().time()
         self._refresh(now)
         for progress in list(self._progress.values()):
-            self._decide(progress, now)
+            self._decide_safely(progress, now)
 
     def send_orders(self, link: Link) -> None:
         """Send the orders to a gateway, if this process knows all that it has stored.
@@ -165,6 +167,22 @@
                     rollout, self._policy, now, max(0.0, age_s)
                 )
 
+    def _decide_safely(self, progress: RolloutProgress, now: float) -> None:
+        """Decide on a rollout; an unexpected error sets its share to 0."""
+        try:
+            self._decide(progress, now)
+        except InvariantError:
+            raise
+        except Exception:
+            self._counters.increment("rollouts.undecided")
+            if progress.decision.reason != FAILED:
+                _log.exception(
+                    "rollout cannot be decided on",
+                    service=progress.rollout.order.service,
+                    number=progress.rollout.number,
+                )
+            progress.decision = Decision(Verdict.CONTINUE, 0.0, FAILED)
+
     def _decide(self, progress: RolloutProgress, now: float) -> None:
         rollout = progress.rollout
         proposal = self._proposals.get(rollout.number)
--- a/tarragonway/coordinator/tests/test_rollouts.py
+++ b/tarragonway/coordinator/tests/test_rollouts.py
@@ -337,6 +337,15 @@
     assert leader.state is RolloutState.ROLLED_BACK
 
 
+# Guards against a fault of the decision that ends the coordinator, or leaves a share.
+async def test_failing_decision_sets_the_share_to_zero(leader):
+    await leader.update()
+    assert leader.report("g1", GOOD) > 0
+    leader.rollouts._progress[1].decide = None
+    await leader.update()
+    assert leader.report("g1", GOOD) == 0.0
+
+
 # Guards against a gateway that accepts requests before it knows the orders, and against
 # orders of a process that has not applied its log.
 async def test_every_coordinator_sends_the_orders(leader, machine):
--- a/tarragonway/rollouts/decision.py
+++ b/tarragonway/rollouts/decision.py
@@ -35,6 +35,9 @@
 MIDDLE_SHARE = 0.3
 STEP_S = 0.7
 MAX_CANARY_SHARE = 0.5
+# The same for a route with few requests: at 8 a second, half of those in 3 s are too
+# few to find a version of which half of the responses on this route are bad.
+MAX_RARE_ROUTE_SHARE = 0.8
 # Time in seconds until a judgement takes effect at all gateways: a report interval, a
 # decision and a reply, and the responses that judge.
 REACTION_S = 0.75
@@ -65,6 +68,7 @@
 # A canary share within this factor of the present one does not replace it.
 MIN_CHANGE = 0.8
 FULL = 1.0
+SUSPECTED = "the version is suspected"
 
 
 class RolloutPolicy(msgspec.Struct, frozen=True):
@@ -151,6 +155,9 @@
     if share < FULL and is_late and situation.may_raise:
         return Decision(Verdict.ROLL_BACK, 0.0, f"the deadline has passed: {reason}")
     if share >= FULL:
+        if _is_suspected(situation):
+            # A completed rollout cannot be rolled back, so more responses decide first.
+            return Decision(Verdict.CONTINUE, FULL, SUSPECTED)
         return Decision(Verdict.READY, FULL, reason)
     if not situation.may_raise:
         # Each gateway keeps its share, which this leader may not know yet.
@@ -267,8 +274,8 @@
 
 def _find_missing_evidence(situation: Situation) -> str:
     """Return why the share may not rise, or "" if every route has enough evidence."""
-    if find_bad(situation.windows, situation.totals, suspicion=True) is not None:
-        return "the version is suspected"
+    if _is_suspected(situation):
+        return SUSPECTED
     for route, row in situation.totals.items():
         share = max(situation.share, 0.01)
         has_rate = situation.rates.get(route, 0.0) * share * MIN_CANARY_S >= 1
@@ -280,6 +287,10 @@
     return ""
 
 
+def _is_suspected(situation: Situation) -> bool:
+    return find_bad(situation.windows, situation.totals, suspicion=True) is not None
+
+
 def _find_missing_at_step(situation: Situation) -> str:
     """Return what the step before share 1 lacks, or ""."""
     answers = sent = 0
@@ -333,7 +344,7 @@
         if suspected is not None and suspected.route == route:
             wanted += SUSPECTED_ROUTE_REQUESTS
         if wanted > 0 and wanted > share * rate * left_s and rate > 0:
-            raised = min(MAX_CANARY_SHARE, wanted / (rate * left_s))
+            raised = min(MAX_RARE_ROUTE_SHARE, wanted / (rate * left_s))
             if raised > share:
                 shares[route] = round(raised, 2)
     return shares
--- a/tarragonway/rollouts/tests/test_decision.py
+++ b/tarragonway/rollouts/tests/test_decision.py
@@ -1,7 +1,7 @@
 import pytest
 
 from tarragonway.rollouts.decision import (
-    MAX_CANARY_SHARE,
+    MAX_RARE_ROUTE_SHARE,
     RolloutEndpoints,
     RolloutPolicy,
     Situation,
@@ -108,7 +108,7 @@
     while rollout.time_s < 5.0:
         rollout.step()
     shares = rollout.progress.decision.route_shares
-    assert rollout.progress.decision.share < shares["rare"] <= MAX_CANARY_SHARE
+    assert rollout.progress.decision.share < shares["rare"] <= MAX_RARE_ROUTE_SHARE
     assert "short" not in shares
 
 
@@ -184,6 +184,15 @@
     assert decide(situation, POLICY).verdict is Verdict.ROLL_BACK
 
 
+# Guards against the completion of a version that a few more responses show to be bad.
+def test_suspected_version_is_not_completed():
+    suspected = RouteCounts(VersionCounts(2000, 2000), VersionCounts(20, 20, 3))
+    totals = {"r": suspected}
+    situation = make_situation(share=1.0, totals=totals, windows={"all": totals})
+    decision = decide(situation, POLICY)
+    assert (decision.verdict, decision.share) == (Verdict.CONTINUE, 1.0)
+
+
 # Guards against a new leader that rolls back, or goes on, before it has reports.
 def test_new_leader_judges_before_it_may_raise():
     bad = {"r": RouteCounts(VersionCounts(2000, 2000), VersionCounts(30, 30, 12))}
