--- a/tarragonway/rollouts/decision.py
+++ b/tarragonway/rollouts/decision.py
@@ -53,6 +53,9 @@
 # the route sends if it has few requests.
 MIN_ROUTE_ANSWERS = 6
 MIN_ANSWERED_FRACTION = 0.25
+# At a low rate, single routes need no response; of all requests, the version must have
+# answered this fraction.
+MIN_NEW_FRACTION = 0.1
 # Requests that a rarely used route is to send to the new version: enough for the
 # evidence, as some take seconds.
 WANTED_ROUTE_REQUESTS = 16
@@ -68,6 +71,8 @@
 # A canary share within this factor of the present one does not replace it.
 MIN_CHANGE = 0.8
 FULL = 1.0
+# Window of all counts since requests could be sent to the new version.
+WHOLE_WINDOW = "all"
 SUSPECTED = "the version is suspected"
 
 
@@ -95,6 +100,7 @@
     ``time_s`` and ``deadline_s`` are seconds since the order, and ``canary_began_s`` is
     when a request could first be sent to the new version. ``share`` is the
     present share, since ``share_age_s`` seconds; ``at_step`` are the sums at that time.
+    The window :data:`WHOLE_WINDOW` has the counts since the canary began.
     ``totals`` are the sums since the order, ``windows`` those that are judged, and
     ``rates`` the requests per second of each route. ``may_raise`` is whether the
     gateways have had time to report to this leader, and ``has_gateways`` whether any
@@ -224,6 +230,7 @@
     if situation.share_age_s < STEP_S:
         return share, "the step is observed"
     missing = missing or _find_missing_at_step(situation)
+    missing = missing or _find_missing_endpoints(situation)
     if not missing:
         return FULL, "every step has evidence"
     exposed = count_exposed(situation) + rate * share * REACTION_S
@@ -276,6 +283,8 @@
     """Return why the share may not rise, or "" if every route has enough evidence."""
     if _is_suspected(situation):
         return SUSPECTED
+    if _lacks_answers(situation):
+        return "responses are missing"
     for route, row in situation.totals.items():
         share = max(situation.share, 0.01)
         has_rate = situation.rates.get(route, 0.0) * share * MIN_CANARY_S >= 1
@@ -287,6 +296,14 @@
     return ""
 
 
+def _lacks_answers(situation: Situation) -> bool:
+    """Return whether requests arrive, but hardly any was answered by the version."""
+    rows = situation.windows.get(WHOLE_WINDOW, {}).values()
+    answers = sum(row.new.answers for row in rows)
+    sent = sum(row.old.sent + row.new.sent for row in rows)
+    return answers < min(MIN_ROUTE_ANSWERS, math.ceil(MIN_NEW_FRACTION * sent))
+
+
 def _is_suspected(situation: Situation) -> bool:
     return find_bad(situation.windows, situation.totals, suspicion=True) is not None
 
--- a/tarragonway/rollouts/progress.py
+++ b/tarragonway/rollouts/progress.py
@@ -5,6 +5,7 @@
 from tarragonway.core.ids import ProcessName
 from tarragonway.rollouts.decision import (
     FULL,
+    WHOLE_WINDOW,
     Decision,
     RolloutEndpoints,
     RolloutPolicy,
@@ -125,7 +126,7 @@
             totals,
             {
                 "recent": self.evidence.sum_recent(now),
-                "all": subtract(totals, self._at_canary),
+                WHOLE_WINDOW: subtract(totals, self._at_canary),
             },
             self.evidence.measure_rates(now),
             self._canary_began_s,
--- a/tarragonway/rollouts/tests/test_decision.py
+++ b/tarragonway/rollouts/tests/test_decision.py
@@ -1,6 +1,7 @@
 import pytest
 
 from tarragonway.rollouts.decision import (
+    MAX_CANARY_SHARE,
     MAX_RARE_ROUTE_SHARE,
     RolloutEndpoints,
     RolloutPolicy,
@@ -184,6 +185,18 @@
     assert decide(situation, POLICY).verdict is Verdict.ROLL_BACK
 
 
+# Guards against the completion of a version that no request has reached, at a rate at
+# which no single route needs evidence.
+def test_version_without_responses_does_not_rise():
+    totals = {"r": RouteCounts(VersionCounts(5, 5), VersionCounts())}
+    situation = make_situation(
+        share=0.3, totals=totals, windows={"all": totals}, rates={"r": 1.0}
+    )
+    decision = decide(situation, POLICY)
+    assert decision.share <= MAX_CANARY_SHARE
+    assert decision.reason == "responses are missing"
+
+
 # Guards against the completion of a version that a few more responses show to be bad.
 def test_suspected_version_is_not_completed():
     suspected = RouteCounts(VersionCounts(2000, 2000), VersionCounts(20, 20, 3))
