--- a/tarragonway/coordinator/rollouts.py
+++ b/tarragonway/coordinator/rollouts.py
@@ -11,6 +11,7 @@
 from tarragonway.coordinator.usage_windows import NEW_LEADER_GRACE_S
 from tarragonway.core.clock import WallClock
 from tarragonway.core.counters import Counters
+from tarragonway.core.errors import InvariantError
 from tarragonway.core.ids import ProcessName, SoftwareVersion
 from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
 from tarragonway.links import Link
@@ -31,6 +32,10 @@
 # A judgement takes effect within half a second at all gateways, of which their report
 # interval is a quarter of a second.
 DECISION_INTERVAL_S = 0.1
+# A new leader that cannot read the endpoint list for so long decides without endpoints,
+# so that an order ends at its deadline.
+LIST_GRACE_S = 5.0
+FAILED = "the decision failed"
 
 _log = structlog.get_logger()
 
@@ -109,7 +114,7 @@
         now = asyncio.get_running_loop().time()
         self._refresh(now)
         for progress in list(self._progress.values()):
-            self._decide(progress, now)
+            self._decide_safely(progress, now)
 
     def send_orders(self, link: Link) -> None:
         """Send the orders to a gateway, if this process knows all that it has stored.
@@ -162,6 +167,22 @@
                     rollout, self._policy, now, max(0.0, age_s)
                 )
 
+    def _decide_safely(self, progress: RolloutProgress, now: float) -> None:
+        """Decide on a rollout; an unexpected error sets its share to 0."""
+        try:
+            self._decide(progress, now)
+        except InvariantError:
+            raise
+        except Exception:
+            self._counters.increment("rollouts.undecided")
+            if progress.decision.reason != FAILED:
+                _log.exception(
+                    "rollout cannot be decided on",
+                    service=progress.rollout.order.service,
+                    number=progress.rollout.number,
+                )
+            progress.decision = Decision(Verdict.CONTINUE, 0.0, FAILED)
+
     def _decide(self, progress: RolloutProgress, now: float) -> None:
         rollout = progress.rollout
         proposal = self._proposals.get(rollout.number)
@@ -169,7 +190,9 @@
             # The end may be committed already, so the share stays as it is.
             return
         has_list = self._has_current_list()
-        may_raise = has_list and self._lease.leadership_age_s >= NEW_LEADER_GRACE_S
+        grace_s = NEW_LEADER_GRACE_S if has_list else LIST_GRACE_S
+        may_raise = self._lease.leadership_age_s >= grace_s
+        live = set(self._gateway_reports.list_live(now))
         rows = [
             row
             for row in self._view.rows.values()
@@ -179,16 +202,17 @@
         seen.update(row.version for row in rows)
         endpoints = self._count_endpoints(rollout, rows)
         former = progress.decision
-        decision = progress.decide(endpoints, may_raise, now)
+        decision = progress.decide(endpoints, may_raise, now, bool(live))
         if _is_change(former, decision):
             self._counters.increment("rollouts.decisions")
             self._log_decision(progress, decision, endpoints, now)
         if decision.verdict is Verdict.ROLL_BACK:
             self._propose_end(rollout, RolloutState.ROLLED_BACK)
-        elif decision.verdict is Verdict.READY and may_raise:
-            live = {*self._gateway_reports.list_live(now), *self._gateways.values()}
-            if live and not progress.list_unconfirmed(live):
-                self._propose_end(rollout, RolloutState.COMPLETED)
+            return
+        live |= {*self._gateways.values()}
+        is_ready = decision.verdict is Verdict.READY and may_raise
+        if is_ready and not progress.list_unconfirmed(live):
+            self._propose_end(rollout, RolloutState.COMPLETED)
 
     def _count_endpoints(
         self, rollout: Rollout, rows: Iterable[ListedEndpoint]
--- a/tarragonway/rollouts/decision.py
+++ b/tarragonway/rollouts/decision.py
@@ -35,6 +35,9 @@
 MIDDLE_SHARE = 0.3
 STEP_S = 0.7
 MAX_CANARY_SHARE = 0.5
+# The same for a route with few requests: at 8 a second, half of those in 3 s are too
+# few to find a version of which half of the responses on this route are bad.
+MAX_RARE_ROUTE_SHARE = 0.8
 # Time in seconds until a judgement takes effect at all gateways: a report interval, a
 # decision and a reply, and the responses that judge.
 REACTION_S = 0.75
@@ -50,6 +53,9 @@
 # the route sends if it has few requests.
 MIN_ROUTE_ANSWERS = 6
 MIN_ANSWERED_FRACTION = 0.25
+# At a low rate, single routes need no response; of all requests, the version must have
+# answered this fraction.
+MIN_NEW_FRACTION = 0.1
 # Requests that a rarely used route is to send to the new version: enough for the
 # evidence, as some take seconds.
 WANTED_ROUTE_REQUESTS = 16
@@ -65,6 +71,9 @@
 # A canary share within this factor of the present one does not replace it.
 MIN_CHANGE = 0.8
 FULL = 1.0
+# Window of all counts since requests could be sent to the new version.
+WHOLE_WINDOW = "all"
+SUSPECTED = "the version is suspected"
 
 
 class RolloutPolicy(msgspec.Struct, frozen=True):
@@ -91,9 +100,11 @@
     ``time_s`` and ``deadline_s`` are seconds since the order, and ``canary_began_s`` is
     when a request could first be sent to the new version. ``share`` is the
     present share, since ``share_age_s`` seconds; ``at_step`` are the sums at that time.
+    The window :data:`WHOLE_WINDOW` has the counts since the canary began.
     ``totals`` are the sums since the order, ``windows`` those that are judged, and
     ``rates`` the requests per second of each route. ``may_raise`` is whether the
-    gateways have reported to this leader.
+    gateways have had time to report to this leader, and ``has_gateways`` whether any
+    reports now.
     """
 
     time_s: float
@@ -107,6 +118,7 @@
     share_age_s: float = 0.0
     at_step: RouteSums = {}
     may_raise: bool = True
+    has_gateways: bool = True
 
 
 class Verdict(enum.Enum):
@@ -149,6 +161,9 @@
     if share < FULL and is_late and situation.may_raise:
         return Decision(Verdict.ROLL_BACK, 0.0, f"the deadline has passed: {reason}")
     if share >= FULL:
+        if _is_suspected(situation):
+            # A completed rollout cannot be rolled back, so more responses decide first.
+            return Decision(Verdict.CONTINUE, FULL, SUSPECTED)
         return Decision(Verdict.READY, FULL, reason)
     if not situation.may_raise:
         # Each gateway keeps its share, which this leader may not know yet.
@@ -183,6 +198,8 @@
     share, endpoints = situation.share, situation.endpoints
     if not situation.may_raise:
         return share, "reports of gateways are awaited"
+    if not situation.has_gateways:
+        return 0.0, "no gateway reports"
     if endpoints.new <= 0:
         return 0.0, "no endpoint of the version is usable"
     if share >= FULL:
@@ -213,6 +230,7 @@
     if situation.share_age_s < STEP_S:
         return share, "the step is observed"
     missing = missing or _find_missing_at_step(situation)
+    missing = missing or _find_missing_endpoints(situation)
     if not missing:
         return FULL, "every step has evidence"
     exposed = count_exposed(situation) + rate * share * REACTION_S
@@ -263,8 +281,10 @@
 
 def _find_missing_evidence(situation: Situation) -> str:
     """Return why the share may not rise, or "" if every route has enough evidence."""
-    if find_bad(situation.windows, situation.totals, suspicion=True) is not None:
-        return "the version is suspected"
+    if _is_suspected(situation):
+        return SUSPECTED
+    if _lacks_answers(situation):
+        return "responses are missing"
     for route, row in situation.totals.items():
         share = max(situation.share, 0.01)
         has_rate = situation.rates.get(route, 0.0) * share * MIN_CANARY_S >= 1
@@ -276,6 +296,18 @@
     return ""
 
 
+def _lacks_answers(situation: Situation) -> bool:
+    """Return whether requests arrive, but hardly any was answered by the version."""
+    rows = situation.windows.get(WHOLE_WINDOW, {}).values()
+    answers = sum(row.new.answers for row in rows)
+    sent = sum(row.old.sent + row.new.sent for row in rows)
+    return answers < min(MIN_ROUTE_ANSWERS, math.ceil(MIN_NEW_FRACTION * sent))
+
+
+def _is_suspected(situation: Situation) -> bool:
+    return find_bad(situation.windows, situation.totals, suspicion=True) is not None
+
+
 def _find_missing_at_step(situation: Situation) -> str:
     """Return what the step before share 1 lacks, or ""."""
     answers = sent = 0
@@ -329,7 +361,7 @@
         if suspected is not None and suspected.route == route:
             wanted += SUSPECTED_ROUTE_REQUESTS
         if wanted > 0 and wanted > share * rate * left_s and rate > 0:
-            raised = min(MAX_CANARY_SHARE, wanted / (rate * left_s))
+            raised = min(MAX_RARE_ROUTE_SHARE, wanted / (rate * left_s))
             if raised > share:
                 shares[route] = round(raised, 2)
     return shares
