--- a/tarragonway/rollouts/judgement.py
+++ b/tarragonway/rollouts/judgement.py
@@ -30,6 +30,9 @@
 # a bad version a few seconds after its 50th.
 MANY_BAD_RESPONSES = 35
 MANY_RATIO_TOLERANCE = 1.2
+# From this one on, a suspicion suffices: at share 1 it would last while requests at old
+# endpoints end, and the 50th bad response is a second away.
+LAST_BAD_RESPONSES = 45
 # With fewer old responses in a window, those since the order are the reference.
 MIN_OLD_RESPONSES = 30
 # The old side's responses on all routes count as so many on each route. Without them a
@@ -128,9 +131,9 @@
         for route, new, bound in judged:
             limit = _compute_limit(new, bound)
             bad = new.failures + new.slow
-            if bad >= least and (
-                compute_bounds(bad, new.answers, deviations)[0] > limit
-            ):
+            is_last = bad >= LAST_BAD_RESPONSES
+            used = SUSPICION_DEVIATIONS if is_last else deviations
+            if bad >= least and compute_bounds(bad, new.answers, used)[0] > limit:
                 return BadVersion(
                     route, name, new.answers, new.failures, new.slow, round(limit, 4)
                 )
--- a/tarragonway/rollouts/tests/test_judgement.py
+++ b/tarragonway/rollouts/tests/test_judgement.py
@@ -65,6 +65,13 @@
     assert judge(VersionCounts(1000, 1000, 45), old) is not None
 
 
+# Guards against a version that stays suspected at share 1 for a hundred bad responses.
+def test_suspicion_suffices_after_the_last_bad_response():
+    old = VersionCounts(2000, 2000, 40)
+    assert judge(VersionCounts(1000, 1000, 43), old) is None
+    assert judge(VersionCounts(1000, 1000, 46), old) is not None
+
+
 # Guards against a fault that begins after many good responses: they would hide it.
 def test_recent_responses_are_judged_alone():
     evidence = RolloutEvidence()
