--- a/tarragonway/rollouts/tests/test_traffic.py
+++ b/tarragonway/rollouts/tests/test_traffic.py
@@ -93,6 +93,21 @@
     assert sent["quiet"] == pytest.approx(68 * 10 * share, rel=0.6)
 
 
+# Guards against a rarely used route on which a fault shows too late, and against its
+# larger share on other routes, or once the version is given up.
+def test_rare_route_has_a_larger_share():
+    traffic = make_traffic()
+    shares = (RolloutShare(1, 0.1, route_shares={"rare": 0.5}),)
+    traffic.set_shares(shares, 0.0)
+    counts = {
+        route: sum(list_versions(traffic, route=route) == ["v2"] for _ in range(40))
+        for route in ("rare", "busy")
+    }
+    assert counts == {"rare": 20, "busy": 4}
+    traffic.set_shares((RolloutShare(1, 0.0, route_shares={"rare": 0.5}),), 1.0)
+    assert list_versions(traffic, route="rare", now=1.0) == ["v1"]
+
+
 # Guards against a random choice by request, which sends many or none at times.
 def test_choice_is_even_within_a_route():
     traffic = make_traffic(0.25)
--- a/tarragonway/rollouts/traffic.py
+++ b/tarragonway/rollouts/traffic.py
@@ -203,7 +203,7 @@
         new = [row for row in usable if row.version == version and not row.leaving]
         if not new:
             return old
-        share = self._get_share(entry, now)
+        share = self._get_route_share(entry, request.route, now)
         if self._choose_new(entry, request, share):
             return self._select_canaries(entry, new)
         if any(not row.leaving and row.key not in request.tried for row in old):
@@ -340,6 +340,14 @@
             return 0.0
         return decision.share.share
 
+    def _get_route_share(self, entry: ServiceRollout, route: str, now: float) -> float:
+        """Return the share of a route, which may be larger for a rarely used one."""
+        share = self._get_share(entry, now)
+        if not 0 < share < 1:
+            return share
+        route_shares = self._decisions[entry.rollout.number].share.route_shares
+        return max(share, route_shares.get(route, 0.0))
+
     def _compute_used_share(
         self, entry: ServiceRollout, rows: list[ListedEndpoint], now: float
     ) -> float:
