Plan endpoints by their capacity instead of their number

Cause: the plan counts endpoints, but those of one service differ in speed, so that slow ones leave too little after a reclaim and fast ones cost spare ones.

Change: the plan counts the sum of 1 / pace of the serving endpoints of each kind; others count as usual ones. Reclaimable endpoints are those of the smallest need whose capacity remains after the worst loss.

--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -3,6 +3,9 @@
 Reclaimable endpoints carry the load, with enough spare ones that the remaining ones
 suffice when several zones lose theirs at once. On-demand endpoints replace reclaimable
 ones while too few of these are available.
+
+Load pattern: endpoints of one service differ in speed, so that equal numbers of them
+serve unequal loads. Capacity is the sum of 1 / pace, in usual endpoints.
 """
 
 import math
@@ -12,6 +15,7 @@
 
 from tarragonway.core.ids import ZoneName
 from tarragonway.endpoints.endpoint_list import ListedEndpoint
+from tarragonway.pace import MAX_PACE
 from tarragonway.routes.model import ScalingTraits
 
 # Zones that may lose all reclaimable endpoints at once, since reclaims come in waves.
@@ -47,7 +51,8 @@
     zones that have recently refused reclaimable endpoints, ``unavailable_on_demand``
     those that have refused on-demand ones. ``idle`` means that no
     request has arrived yet, so that fewer endpoints than needed may serve while
-    on-demand ones are replaced by reclaimable ones.
+    on-demand ones are replaced by reclaimable ones. ``capacities`` are the sums of
+    1 / pace of the serving endpoints, for kinds where they differ from the numbers.
     """
 
     serving: Mapping[EndpointKind, int]
@@ -55,6 +60,25 @@
     unavailable: frozenset[ZoneName] = frozenset()
     idle: bool = False
     unavailable_on_demand: frozenset[ZoneName] = frozenset()
+    capacities: Mapping[EndpointKind, float] = {}
+
+    def compute_capacity(self, kind: EndpointKind, count: int) -> float:
+        """Return the capacity of ``count`` endpoints of a kind, in usual endpoints.
+
+        Endpoints that do not serve yet count as usual ones.
+
+        Examples
+        --------
+        >>> kind = EndpointKind("a", True)
+        >>> state = FleetState({kind: 4}, {}, capacities={kind: 2.0})
+        >>> [state.compute_capacity(kind, count) for count in (2, 4, 5)]
+        [1.0, 2.0, 3.0]
+        """
+        serving = self.serving.get(kind, 0)
+        capacity = self.capacities.get(kind, serving)
+        if count < serving:
+            return capacity * count / serving
+        return capacity + count - serving
 
     @property
     def reclaimable_expected(self) -> int:
@@ -109,8 +133,8 @@
     zones : iterable of ZoneName
         Availability zones of the deployment.
     needed : int
-        Endpoints that must remain after :data:`MAX_LOST_ZONES` zones have lost their
-        reclaimable endpoints.
+        Usual endpoints whose capacity must remain after :data:`MAX_LOST_ZONES` zones
+        have lost their reclaimable endpoints.
     state : FleetState
         Current and expected endpoints.
 
@@ -130,7 +154,7 @@
     [('a', False, 1), ('a', True, 2), ('b', True, 2), ('c', True, 2)]
     """
     ordered = sorted(zones, key=lambda z: traits.zone_prices.get(z, 1.0))
-    wanted = _spread_reclaimable(traits, ordered, needed)
+    wanted = _spread_by_capacity(traits, ordered, needed, state)
     if state.unavailable:
         # An endpoint that is removed during a wave of reclaims can't be replaced soon.
         wanted = {
@@ -187,18 +211,24 @@
     leave no room for reclaimable ones are removed a few at a time.
     """
     planned = sum(
-        state.expected.get(EndpointKind(zone, True), 0)
-        if zone in state.unavailable
-        else count
+        state.compute_capacity(
+            kind,
+            state.expected.get(kind, 0) if zone in state.unavailable else count,
+        )
         for zone, count in placed.items()
+        for kind in [EndpointKind(zone, True)]
     )
     serving_reclaimable = sum(
-        n for kind, n in state.serving.items() if kind.reclaimable
+        state.compute_capacity(kind, n)
+        for kind, n in state.serving.items()
+        if kind.reclaimable
     )
     if state.idle and state.reclaimable_expected >= needed:
-        return max(0, MIN_ENDPOINTS - serving_reclaimable)
+        return max(0, math.ceil(MIN_ENDPOINTS - serving_reclaimable))
     on_demand_expected = sum(
-        n for kind, n in state.expected.items() if not kind.reclaimable
+        state.compute_capacity(kind, n)
+        for kind, n in state.expected.items()
+        if not kind.reclaimable
     )
     shortfall = max(0, needed - planned)
     on_demand = min(
@@ -214,7 +244,26 @@
         0 if planned > serving_reclaimable else compute_max_shortfall(needed)
     )
     lower_bound = max(0, needed - serving_reclaimable - max_shortfall)
-    return max(on_demand - blocked, min(on_demand, lower_bound))
+    capacity = max(on_demand - blocked, min(on_demand, lower_bound))
+    return _count_for_capacity(capacity, on_demand_expected, state)
+
+
+def _count_for_capacity(
+    capacity: float, expected_capacity: float, state: FleetState
+) -> int:
+    """Return how many on-demand endpoints have the capacity.
+
+    The expected ones have ``expected_capacity``; further ones count as usual ones.
+    """
+    expected = sum(n for kind, n in state.expected.items() if not kind.reclaimable)
+    if capacity < expected_capacity:
+        return _round_up(capacity * expected / expected_capacity)
+    return expected + _round_up(capacity - expected_capacity)
+
+
+def _round_up(value: float) -> int:
+    """Return the next whole number, without errors of rounding."""
+    return math.ceil(value - 1e-9)
 
 
 def _place_on_demand(
@@ -242,6 +291,41 @@
     return placed
 
 
+def _spread_by_capacity(
+    traits: ScalingTraits, zones: list[ZoneName], needed: int, state: FleetState
+) -> dict[ZoneName, int]:
+    """Return the cheapest numbers whose capacity suffices after the worst loss.
+
+    These are the numbers for the smallest need at which the capacity suffices, so that
+    fast endpoints need fewer spare ones and slow ones more.
+    """
+    plan = _spread_reclaimable(traits, zones, needed)
+    if not state.capacities or needed <= 0:
+        return plan
+    insufficient, sufficient = 0, math.ceil(needed * MAX_PACE)
+    plan = _spread_reclaimable(traits, zones, sufficient)
+    while sufficient - insufficient > 1:
+        tried_need = (insufficient + sufficient) // 2
+        tried = _spread_reclaimable(traits, zones, tried_need)
+        remaining = _count_remaining(
+            {
+                zone: state.compute_capacity(EndpointKind(zone, True), count)
+                for zone, count in tried.items()
+            }
+        )
+        if remaining < needed:
+            insufficient = tried_need
+        else:
+            sufficient, plan = tried_need, tried
+    return plan
+
+
+def _count_remaining(by_zone: Mapping[ZoneName, float]) -> float:
+    """Return what is left when the zones with most lose theirs."""
+    lost_zones = min(MAX_LOST_ZONES, len(by_zone) - 1)
+    return sum(sorted(by_zone.values())[: len(by_zone) - lost_zones])
+
+
 def _spread_reclaimable(
     traits: ScalingTraits, zones: list[ZoneName], needed: int
 ) -> dict[ZoneName, int]:
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -17,6 +17,7 @@
     count_lost_endpoints,
     plan_fleet,
 )
+from tarragonway.capacity.measured_capacity import MeasuredCapacities
 from tarragonway.coordinator.gateways import GatewayReports
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.counters import Counters
@@ -120,6 +121,7 @@
         self._services_with_load: set[ServiceName] = set()
         self._reclaimed_keys: set[str] = set()
         self._unplanned: set[ServiceName] = set()
+        self._capacities = MeasuredCapacities()
         self._changed = asyncio.Event()
 
     async def run(self) -> None:
@@ -177,7 +179,8 @@
     def _make_plan(self, service: Service, traits: ScalingTraits, now: float) -> _Plan:
         rows = [r for r in self._view.rows.values() if r.service == service.name]
         rollout = self._list_rollouts().get(service.name)
-        counts = count_by_kind(_remove_uncounted(rows, rollout))
+        counted = _remove_uncounted(rows, rollout)
+        counts = count_by_kind(counted)
         self._handle_reclaims(service.name, rows, now)
         needed = self._compute_recent_need(service.name, counts, now)
         expected = self._estimate_expected(service.name, traits, counts, now)
@@ -187,6 +190,9 @@
             self._list_unavailable(service.name, True, now),
             self._is_idle(service.name),
             self._list_unavailable(service.name, False, now),
+            self._capacities.measure(
+                service.name, counted, self._gateway_reports.paces.get_pace
+            ),
         )
         planned = plan_fleet(traits, self._zones, needed, state)
         if rollout is not None and rollout.is_in_progress:
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -11,6 +11,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
 from tarragonway.http1.call import CallResponse
+from tarragonway.pace import CombinedPaces, MeasuredPace
 from tarragonway.rollouts import Rollout, RolloutOrder, RolloutState
 from tarragonway.routes import Configuration, ConnectionLimits, Service
 from tarragonway.routes.model import ScalingTraits
@@ -26,6 +27,7 @@
         self.refused = set()
         self.orders = []
         self.limits = SimpleNamespace(stated={})
+        self.paces = CombinedPaces()
 
     async def call(self, order, timeout_s, may_send):
         zone, _count, reclaimable = order
@@ -58,6 +60,7 @@
             sum_offered_load=lambda service, now: 3.0,
             sum_request_rate=lambda service, now: 20.0,
             limits=platform.limits,
+            paces=platform.paces,
         ),
         view,
         lambda: True,
@@ -204,3 +207,18 @@
     assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] < 4
     set_rollout(fleet, RolloutState.IN_PROGRESS)
     assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 4
+
+
+# Guards against slow endpoints that the leader counts as whole ones: the load pattern
+# is that of a deployment whose endpoints differ in speed.
+async def test_slow_endpoint_counts_for_what_it_serves(fleet, platform):
+    now = asyncio.get_running_loop().time()
+    fleet._gateway_reports.sum_offered_load = lambda service, now: 3.2
+    list_versions(fleet, *["v1"] * 4)
+    platform.refused = {("a", True), ("b", True)}
+    fleet._unavailable = {("llm", EndpointKind(z, True)): now + 9.0 for z in "ab"}
+    kind = EndpointKind("b", False)
+    assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 0
+    platform.paces.record({"llm": {"e0": MeasuredPace(400, 9, 100, 0)}}, now)
+    platform.paces.combine(now)
+    assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 1
