Estimate the need of endpoints without returns of refused requests

Cause: each attempt of a caller counts as offered load, also one that is refused at once. On a trace of a service without any endpoint left, the need rose from 51 to 164 within 3 s, and 90 on-demand endpoints were ordered.

Change: gateways report which part of the offered load no endpoint began (refused_load, default empty).

--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -44,6 +44,7 @@
     offered_load: dict[str, float]
     request_rates: dict[ServiceName, float] = {}
     speeds: dict[ServiceName, EngineSpeed] = {}
+    refused_load: dict[ServiceName, float] = {}
 
 
 class GatewayReports:
@@ -206,6 +207,11 @@
         live = self._list_live(now).values()
         return sum(gateway.offered_load.get(service, 0.0) for gateway in live)
 
+    def sum_refused_load(self, service: ServiceName, now: float) -> float:
+        """Return the part of the offered load whose requests no endpoint got."""
+        live = self._list_live(now).values()
+        return sum(gateway.refused_load.get(service, 0.0) for gateway in live)
+
     def sum_request_rate(self, service: ServiceName, now: float) -> float:
         """Return the number of requests per second for a service."""
         live = self._list_live(now).values()
@@ -223,6 +229,7 @@
         gateway.clock_offset_s = gateway_report.clock_s - self._clock.now()
         gateway.clock_s = gateway_report.clock_s
         gateway.offered_load = gateway_report.offered_load
+        gateway.refused_load = gateway_report.refused_load
         if gateway_report.request_rates is not None:
             gateway.request_rates = gateway_report.request_rates
         if gateway_report.speeds is not None:
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from tarragonway.capacity.confirmed_need import ConfirmedLoads
 from tarragonway.capacity.fleet import (
     EndpointKind,
     FleetPolicy,
@@ -121,6 +122,7 @@
         self._services_with_load: set[ServiceName] = set()
         self._reclaimed_keys: set[str] = set()
         self._unplanned: set[ServiceName] = set()
+        self._confirmed_loads = ConfirmedLoads()
         self._capacities = MeasuredCapacities()
         self._changed = asyncio.Event()
 
@@ -133,6 +135,7 @@
                 self._orders.clear()
                 self._need_history.clear()
                 self._services_with_load.clear()
+                self._confirmed_loads.clear()
             elif configuration is not None and self._knows_endpoints:
                 for service in configuration.services:
                     if service.scaling is not None:
@@ -231,7 +234,7 @@
         history = self._need_history.get(service)
         if history is None:
             history = [(now, count_after_zone_loss(counts))]
-        offered_load = self._gateway_reports.sum_offered_load(service, now)
+        offered_load = self._measure_load(service, now)
         if offered_load:
             self._services_with_load.add(service)
         if service in self._services_with_load:
@@ -244,6 +247,21 @@
         ]
         return max(count for _, count in self._need_history[service])
 
+    def _measure_load(self, service: ServiceName, now: float) -> float:
+        """Return the load to plan for, without the returns of refused requests.
+
+        Where no endpoint states a slowdown, it is the offered load.
+        """
+        reports = self._gateway_reports
+        offered = reports.sum_offered_load(service, now)
+        if not reports.paces.has_paces(service):
+            return offered
+        refused = reports.sum_refused_load(service, now)
+        limited = self._confirmed_loads.limit(service, offered, refused, now)
+        if limited < offered:
+            self._counters.increment("fleet.load_limited")
+        return limited
+
     def _count_lost(self, service: ServiceName, needed: int, now: float) -> int:
         """Return how many endpoints replace what limited endpoints do not take."""
         stated = self._gateway_reports.limits.stated
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -58,6 +58,7 @@
         StubLease(),
         SimpleNamespace(
             sum_offered_load=lambda service, now: 3.0,
+            sum_refused_load=lambda service, now: 0.0,
             sum_request_rate=lambda service, now: 20.0,
             limits=platform.limits,
             paces=platform.paces,
@@ -222,3 +223,31 @@
     platform.paces.record({"llm": {"e0": MeasuredPace(400, 9, 100, 0)}}, now)
     platform.paces.combine(now)
     assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 1
+
+
+def set_load(fleet, offered, refused):
+    fleet._gateway_reports.sum_offered_load = lambda service, now: offered
+    fleet._gateway_reports.sum_refused_load = lambda service, now: refused
+
+
+# Guards against 164 endpoints for a need of 30: the load pattern is that of a service
+# without any endpoint left, whose requests are refused and come back.
+async def test_refused_requests_that_come_back_do_not_raise_the_need(fleet, platform):
+    platform.paces.record({"llm": {"e1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+    platform.paces.combine(0.0)
+    set_load(fleet, 24.0, 0.0)
+    assert fleet._compute_recent_need("llm", {}, 0.0) == 30
+    for second, offered in enumerate((30.0, 40.0, 48.0), start=1):
+        set_load(fleet, offered, 2 * (offered - 24.0))
+        assert fleet._compute_recent_need("llm", {}, float(second)) <= 31
+    # The estimated work of each request has doubled as well.
+    set_load(fleet, 130.0, 130.0)
+    assert fleet._compute_recent_need("llm", {}, 4.0) <= 60
+
+
+# Guards against other needs on deployments whose endpoints state no slowdown.
+async def test_need_without_paces_is_that_of_the_offered_load(fleet):
+    set_load(fleet, 24.0, 0.0)
+    fleet._compute_recent_need("llm", {}, 0.0)
+    set_load(fleet, 130.0, 130.0)
+    assert fleet._compute_recent_need("llm", {}, 1.0) == 163
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -369,6 +369,7 @@
                 now,
             ),
             self._paces.take_report() if has_speeds or self._full_report else {},
+            self._offered_load.refused_rates,
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -256,9 +256,15 @@
             if not self._may_retry(attempt, outcome, budget):
                 break
             self._counters.increment("request.sent_again")
+        self._record_refused(attempt, work_s)
         await self._finish(attempt, outcome)
         self._log_end(attempt, type(outcome).__name__.lower(), started)
 
+    def _record_refused(self, attempt: Attempt, work_s: float) -> None:
+        """Record the work of a request that no endpoint began."""
+        if not attempt.usage_counted:
+            self._offered_load.add_refused(attempt.service, work_s)
+
     async def _send(self, attempt: Attempt, choice: Choice) -> SendOutcome:
         loop = asyncio.get_running_loop()
         endpoint = choice.endpoint
--- a/tarragonway/gateway/offered_load.py
+++ b/tarragonway/gateway/offered_load.py
@@ -35,6 +35,8 @@
         self._speeds = speeds
         self._sums: dict[ServiceName, float] = {}
         self._rates: dict[ServiceName, float] = {}
+        self._refused_sums: dict[ServiceName, float] = {}
+        self._refused_rates: dict[ServiceName, float] = {}
         self._counts: dict[ServiceName, int] = {}
         self._request_rates: dict[ServiceName, float] = {}
         self._at: float | None = None
@@ -61,6 +63,19 @@
         self._sums[service] = self._sums.get(service, 0.0) + work_s
         return work_s
 
+    def add_refused(self, service: ServiceName, work_s: float) -> None:
+        """Add the work of a request that was added before and that no endpoint got.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Service that the request was for.
+        work_s : float
+            Its estimated work in seconds.
+        """
+        if work_s > 0:
+            self._refused_sums[service] = self._refused_sums.get(service, 0.0) + work_s
+
     def measure(self, now: float) -> dict[str, float]:
         """Return the smoothed rate by service and start a new interval.
 
@@ -79,9 +94,16 @@
         # After a pause of the process, the last interval alone counts.
         weight = min(1.0, interval_s / min(SMOOTHING_WINDOW_S, known_s))
         _smooth(self._rates, self._sums, interval_s, weight)
+        _smooth(self._refused_rates, self._refused_sums, interval_s, weight)
         _smooth(self._request_rates, self._counts, interval_s, weight)
         return {name: round(rate, 4) for name, rate in self._rates.items()}
 
+    @property
+    def refused_rates(self) -> dict[ServiceName, float]:
+        """Smoothed rate of the work that no endpoint got, as far as it is not 0."""
+        rates = {name: round(rate, 4) for name, rate in self._refused_rates.items()}
+        return {name: rate for name, rate in rates.items() if rate}
+
     @property
     def request_rates(self) -> dict[ServiceName, float]:
         """Smoothed requests per second by service, as of the last measurement."""
--- a/tarragonway/gateway/tests/test_offered_load.py
+++ b/tarragonway/gateway/tests/test_offered_load.py
@@ -19,3 +19,17 @@
         rate = meter.measure(20.0 + pause_s + after_s)["llm"]
         assert 0 <= rate < before
         assert meter.request_rates["llm"] >= 0
+
+
+# Guards against refused requests that cannot be told from those that endpoints took:
+# the load pattern is that of a service without any endpoint left.
+def test_refused_work_is_a_part_of_the_offered_load():
+    meter = OfferedLoadMeter(EngineSpeeds())
+    meter.measure(0.0)
+    for step in range(1, 9):
+        for is_refused in (True, False):
+            work_s = meter.add("llm", Prompt(9000, 900), 64)
+            if is_refused:
+                meter.add_refused("llm", work_s)
+        offered = meter.measure(step * 0.25)["llm"]
+        assert meter.refused_rates["llm"] == pytest.approx(offered / 2, abs=1e-3)
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -314,7 +314,8 @@
     ``leaving`` are listed endpoints that have said themselves that they leave, sent
     with the first report to a new leader. ``rollouts`` are the counts of the rollouts
     in progress. ``paces`` are what was newly learned about the paces of each service's
-    endpoints, sent with speeds.
+    endpoints, sent with speeds. ``refused_load`` is the part of ``offered_load`` whose
+    requests no endpoint got.
     """
 
     name: ProcessName
@@ -335,6 +336,7 @@
     leaving: tuple[str, ...] = ()
     rollouts: tuple[RolloutCounts, ...] = ()
     paces: dict[ServiceName, dict[str, MeasuredPace]] = {}
+    refused_load: dict[ServiceName, Amount] = {}
 
 
 class GatewayReportReply(
--- a/tarragonway/pace/combination.py
+++ b/tarragonway/pace/combination.py
@@ -136,6 +136,10 @@
             return 1.0
         return limit_pace(row[1].slowdown * row[1].ratio / 10_000)
 
+    def has_paces(self, service: ServiceName) -> bool:
+        """Return whether an endpoint of the service has stated a slowdown."""
+        return any(name == service for name, _ in self._combined.values())
+
     def list_paces(
         self, turn: int, now: float
     ) -> dict[ServiceName, dict[str, EndpointPace]]:
