Keep on-demand endpoints as an insurance during waves of reclaims

Cause: zones lose their reclaimable endpoints in waves. The plan ordered on-demand endpoints only once too few were left, which starts them after the last zone is gone: on a trace no endpoint was left for 4 s.

Only services of which an endpoint states a slowdown have it.

--- a/tarragonway/capacity/fleet.py
+++ b/tarragonway/capacity/fleet.py
@@ -53,6 +53,7 @@
     request has arrived yet, so that fewer endpoints than needed may serve while
     on-demand ones are replaced by reclaimable ones. ``capacities`` are the sums of
     1 / pace of the serving endpoints, for kinds where they differ from the numbers.
+    ``insured`` is the capacity of on-demand endpoints that is kept in any case.
     """
 
     serving: Mapping[EndpointKind, int]
@@ -61,6 +62,7 @@
     idle: bool = False
     unavailable_on_demand: frozenset[ZoneName] = frozenset()
     capacities: Mapping[EndpointKind, float] = {}
+    insured: int = 0
 
     def compute_capacity(self, kind: EndpointKind, count: int) -> float:
         """Return the capacity of ``count`` endpoints of a kind, in usual endpoints.
@@ -244,7 +246,7 @@
         0 if planned > serving_reclaimable else compute_max_shortfall(needed)
     )
     lower_bound = max(0, needed - serving_reclaimable - max_shortfall)
-    capacity = max(on_demand - blocked, min(on_demand, lower_bound))
+    capacity = max(on_demand - blocked, min(on_demand, lower_bound), state.insured)
     return _count_for_capacity(capacity, on_demand_expected, state)
 
 
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -19,6 +19,7 @@
     plan_fleet,
 )
 from tarragonway.capacity.measured_capacity import MeasuredCapacities
+from tarragonway.capacity.reclaim_insurance import ReclaimInsurance
 from tarragonway.coordinator.gateways import GatewayReports
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.counters import Counters
@@ -123,6 +124,7 @@
         self._reclaimed_keys: set[str] = set()
         self._unplanned: set[ServiceName] = set()
         self._confirmed_loads = ConfirmedLoads()
+        self._insurance = ReclaimInsurance(counters)
         self._capacities = MeasuredCapacities()
         self._changed = asyncio.Event()
 
@@ -197,6 +199,9 @@
                 service.name, counted, self._gateway_reports.paces.get_pace
             ),
         )
+        if self._gateway_reports.paces.has_paces(service.name):
+            insured = self._insurance.compute_insured(service.name, needed, state, now)
+            state = msgspec.structs.replace(state, insured=insured)
         planned = plan_fleet(traits, self._zones, needed, state)
         if rollout is not None and rollout.is_in_progress:
             planned = self._keep_ordered(service.name, planned, counts)
@@ -298,6 +303,7 @@
                 kind = EndpointKind(row.zone, True)
                 self._orders.pop((service, kind), None)
                 self._unavailable[service, kind] = now + UNAVAILABLE_ZONE_BACKOFF_S
+                self._insurance.record_notice(service, now)
                 self._reclaimed_keys.add(row.key)
         self._reclaimed_keys &= set(self._view.rows)
 
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -251,3 +251,36 @@
     fleet._compute_recent_need("llm", {}, 0.0)
     set_load(fleet, 130.0, 130.0)
     assert fleet._compute_recent_need("llm", {}, 1.0) == 163
+
+
+def list_reclaimed(fleet):
+    fleet._view.apply_full_list(
+        ListedEndpoint(
+            f"{zone}{n}",
+            f"{zone}{n}",
+            "llm",
+            "127.0.0.1:1",
+            zone,
+            4,
+            zone == "a",
+            True,
+            leaves_s=2.0 if zone == "a" else -1.0,
+        )
+        for zone in "ab"
+        for n in range(4)
+    )
+
+
+# Guards against insurance on deployments whose endpoints state no slowdown: the load
+# pattern is that of a zone whose reclaimable endpoints get their notice.
+@pytest.mark.parametrize(("is_paced", "on_demand"), [(True, 3), (False, 0)])
+async def test_notice_orders_insurance_where_paces_are_known(
+    fleet, platform, is_paced, on_demand
+):
+    list_reclaimed(fleet)
+    set_load(fleet, 3.2, 0.0)
+    if is_paced:
+        platform.paces.record({"llm": {"b1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+        platform.paces.combine(0.0)
+    await fleet._reconcile(SERVICE, TRAITS)
+    assert sum(count for _, count, kind in platform.orders if not kind) == on_demand
