Let a new leader plan at once for endpoints that have got their notice

Cause: a new leader infers the need from endpoints without a notice and from the few reports that have arrived, so during a wave of reclaims it orders nothing, or fewer on-demand endpoints than the former leader had ordered.

Change: it infers the need for which the former leader planned from all endpoints that it finds, those with a notice included, and uses it as a lower bound for 10 s while a wave goes on. The wait for the lease is unchanged. Only services of which an endpoint states a slowdown are concerned.

capacity/tests/test_reclaim_insurance.py and coordinator/tests/test_scaling.py cover it.

--- a/tarragonway/capacity/reclaim_insurance.py
+++ b/tarragonway/capacity/reclaim_insurance.py
@@ -6,12 +6,15 @@
 """
 
 import math
+from collections.abc import Iterable
 
+import msgspec
 import structlog
 
 from tarragonway.capacity.fleet import MAX_LOST_ZONES, FleetState
 from tarragonway.core.counters import Counters
-from tarragonway.core.ids import ServiceName
+from tarragonway.core.ids import ServiceName, ZoneName
+from tarragonway.endpoints.endpoint_list import ListedEndpoint
 
 # Fraction of the need that is left if all reclaimable endpoints go. The need leaves a
 # fifth of the endpoints' time free, so that this serves three quarters of the load;
@@ -21,10 +24,17 @@
 # notices of two zones (6 s), the time until the endpoints with the notice are gone
 # (3 s), and the delay of the list.
 WAVE_TIMEOUT_S = 10.0
+# Time for which a new leader uses the need that it infers from the endpoints found.
+FOUND_NEED_S = 10.0
 
 _log = structlog.get_logger()
 
 
+class _Found(msgspec.Struct, frozen=True):
+    at: float
+    needed: int
+
+
 class ReclaimInsurance:
     """Capacity that is kept on demand for each service during waves of reclaims.
 
@@ -38,6 +48,15 @@
         self._counters = counters
         self._noticed_at: dict[ServiceName, float] = {}
         self._insured: dict[ServiceName, int] = {}
+        self._found: dict[ServiceName, _Found] = {}
+
+    def clear_found(self) -> None:
+        """Remove the inferred needs; called while this process is not the leader."""
+        self._found.clear()
+
+    def record_found(self, service: ServiceName, needed: int, now: float) -> None:
+        """Record the need that a new leader infers from the endpoints that it finds."""
+        self._found[service] = _Found(now, needed)
 
     def record_notice(self, service: ServiceName, now: float) -> None:
         """Record that a reclaimable endpoint of the service has got its notice."""
@@ -48,6 +67,16 @@
         noticed_at = self._noticed_at.get(service, float("-inf"))
         return now - noticed_at < WAVE_TIMEOUT_S
 
+    def complete_need(self, service: ServiceName, needed: int, now: float) -> int:
+        """Return the need, at least the inferred one of a new leader during a wave.
+
+        The reports of most gateways arrive after the first check of a new leader.
+        """
+        found = self._found.get(service)
+        if found is None or now - found.at >= FOUND_NEED_S:
+            return needed
+        return max(needed, found.needed) if self.is_in_wave(service, now) else needed
+
     def compute_insured(
         self, service: ServiceName, needed: int, state: FleetState, now: float
     ) -> int:
@@ -112,3 +141,30 @@
         if kind.reclaimable
     ]
     return sum(sorted(capacities)[: max(0, len(capacities) - MAX_LOST_ZONES)])
+
+
+def infer_former_need(rows: Iterable[ListedEndpoint], zones: Iterable[ZoneName]) -> int:
+    """Return the need for which the former leader probably planned the endpoints.
+
+    It is what would remain after the loss of :data:`MAX_LOST_ZONES` zones, of which
+    those without reclaimable endpoints may be lost already. Endpoints with a notice
+    count, since they were planned before it.
+
+    Parameters
+    ----------
+    rows : iterable of ListedEndpoint
+        Endpoints of the service.
+    zones : iterable of ZoneName
+        Availability zones of the deployment.
+    """
+    on_demand = 0
+    counts = dict.fromkeys(zones, 0)
+    for row in rows:
+        if row.reclaimable:
+            counts[row.zone] = counts.get(row.zone, 0) + 1
+        elif not row.leaving:
+            on_demand += 1
+    lost_zones = min(MAX_LOST_ZONES, len(counts) - 1)
+    still_lost = max(0, lost_zones - sum(not n for n in counts.values()))
+    largest_first = sorted(counts.values(), reverse=True)
+    return on_demand + sum(largest_first[still_lost:])
--- a/tarragonway/capacity/tests/test_reclaim_insurance.py
+++ b/tarragonway/capacity/tests/test_reclaim_insurance.py
@@ -14,8 +14,10 @@
     INSURED_FRACTION,
     WAVE_TIMEOUT_S,
     ReclaimInsurance,
+    infer_former_need,
 )
 from tarragonway.core.counters import Counters
+from tarragonway.endpoints.endpoint_list import ListedEndpoint
 from tarragonway.routes.model import ScalingTraits
 
 ZONES = ("a", "b", "c")
@@ -96,3 +98,23 @@
     assert insurance.compute_insured("s", NEEDED, make_state("a"), 1.0) == 18
     state = make_state(lost)
     assert insurance.compute_insured("s", NEEDED, state, 1.0 + after_s) == insured
+
+
+def list_rows(**leaving_by_zone):
+    return [
+        ListedEndpoint(
+            f"{zone}{n}", f"{zone}{n}", "s", "127.0.0.1:1", zone, 4, leaving, True
+        )
+        for zone, leaving in leaving_by_zone.items()
+        for n in range(30)
+    ]
+
+
+# Guards against a new leader that infers no need, or three times the need, while
+# endpoints have their notice.
+@pytest.mark.parametrize(
+    "leaving",
+    [{"a": True, "b": False, "c": False}, {"b": True, "c": False}, {"c": True}],
+)
+def test_former_need_is_inferred_during_a_wave(leaving):
+    assert infer_former_need(list_rows(**leaving), ZONES) == NEEDED
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -19,7 +19,7 @@
     plan_fleet,
 )
 from tarragonway.capacity.measured_capacity import MeasuredCapacities
-from tarragonway.capacity.reclaim_insurance import ReclaimInsurance
+from tarragonway.capacity.reclaim_insurance import ReclaimInsurance, infer_former_need
 from tarragonway.coordinator.gateways import GatewayReports
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.counters import Counters
@@ -138,6 +138,7 @@
                 self._need_history.clear()
                 self._services_with_load.clear()
                 self._confirmed_loads.clear()
+                self._insurance.clear_found()
             elif configuration is not None and self._knows_endpoints:
                 for service in configuration.services:
                     if service.scaling is not None:
@@ -187,6 +188,9 @@
         counted = _remove_uncounted(rows, rollout)
         counts = count_by_kind(counted)
         self._handle_reclaims(service.name, rows, now)
+        if service.name not in self._need_history:
+            found = infer_former_need(_remove_uncounted(rows, rollout), self._zones)
+            self._insurance.record_found(service.name, found, now)
         needed = self._compute_recent_need(service.name, counts, now)
         expected = self._estimate_expected(service.name, traits, counts, now)
         state = FleetState(
@@ -200,6 +204,7 @@
             ),
         )
         if self._gateway_reports.paces.has_paces(service.name):
+            needed = self._insurance.complete_need(service.name, needed, now)
             insured = self._insurance.compute_insured(service.name, needed, state, now)
             state = msgspec.structs.replace(state, insured=insured)
         planned = plan_fleet(traits, self._zones, needed, state)
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -284,3 +284,19 @@
         platform.paces.combine(0.0)
     await fleet._reconcile(SERVICE, TRAITS)
     assert sum(count for _, count, kind in platform.orders if not kind) == on_demand
+
+
+# Guards against a new leader that orders nothing for endpoints with a notice until the
+# reports of most gateways have arrived; it must not order anything more for those of
+# deployments whose endpoints state no slowdown.
+@pytest.mark.parametrize(("is_paced", "on_demand"), [(True, 3), (False, 0)])
+async def test_new_leader_orders_for_endpoints_with_a_notice(
+    fleet, platform, is_paced, on_demand
+):
+    list_reclaimed(fleet)
+    set_load(fleet, 0.1, 0.0)
+    if is_paced:
+        platform.paces.record({"llm": {"b1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+        platform.paces.combine(0.0)
+    await fleet._reconcile(SERVICE, TRAITS)
+    assert sum(count for _, count, kind in platform.orders if not kind) == on_demand
