Let a gateway's part of shared limits follow its requests

Cause: the balancer hashes callers and instances are unequal. With equal parts of connections and of the retry reserve, busy gateways run out of them while others leave theirs unused.

Change: the leader divides by requests per second, between half and three times the equal part, and sends the part with its replies (optional field, 0 for the equal part). It is 0 while loads are within a factor of 1.25 of the mean. Gateways whose settings state no limits ignore it.

--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -12,6 +12,7 @@
 from tarragonway.core.clock import WallClock
 from tarragonway.core.ids import AccountId, PartId, ProcessName, ServiceName
 from tarragonway.exchange import EngineSpeed, combine_speeds
+from tarragonway.limits.gateway_parts import compute_parts
 from tarragonway.limits.request_limits import RequestLimits
 from tarragonway.links.messages import (
     CrashReport,
@@ -30,6 +31,9 @@
 GATEWAY_RETENTION_S = 120.0
 # Smaller deviations of this process's clock from the median are not corrected.
 MIN_CLOCK_STEP_S = 0.02
+# Time for which the gateways' parts of shared limits are sent without being computed
+# again; their request rates arrive every two seconds.
+PARTS_INTERVAL_S = 1.0
 # Time for which the combined speeds of engines are sent without being computed again.
 SPEEDS_INTERVAL_S = 1.0
 
@@ -71,6 +75,8 @@
         self._gateways: dict[ProcessName, _GatewayState] = {}
         self._speeds: dict[ServiceName, EngineSpeed] = {}
         self._speeds_combined_at = float("-inf")
+        self._parts: dict[ProcessName, float] = {}
+        self._parts_computed_at = float("-inf")
         self.suspects = SuspectedContents()
         self.parts = PartQuarantine()
         self.limits = RequestLimits()
@@ -82,6 +88,8 @@
         Crash records and quarantined contents remain.
         """
         self._gateways.clear()
+        self._parts.clear()
+        self._parts_computed_at = float("-inf")
         self.limits.clear()
         self.paces.clear()
 
@@ -137,6 +145,7 @@
                 gateway_report.speeds is not None,
                 now,
             ),
+            self._get_part(gateway_report.name, now) if is_grace_over else 0.0,
         )
 
     def record_crash(
@@ -274,6 +283,16 @@
         self._speeds, self._speeds_combined_at = combined, now
         return combined
 
+    def _get_part(self, name: ProcessName, now: float) -> float:
+        """Return a gateway's part of shared limits, 0 for the equal part."""
+        if now - self._parts_computed_at >= PARTS_INTERVAL_S:
+            rates = {
+                name: sum(gateway.request_rates.values())
+                for name, gateway in self._list_live(now).items()
+            }
+            self._parts, self._parts_computed_at = compute_parts(rates), now
+        return self._parts.get(name, 0.0)
+
     def _list_live(self, now: float) -> dict[ProcessName, _GatewayState]:
         return {
             name: gateway
--- a/tarragonway/coordinator/tests/test_gateways.py
+++ b/tarragonway/coordinator/tests/test_gateways.py
@@ -134,3 +134,20 @@
     assert reports.paces.get_pace("e1") == 2.0
     reports.clear()
     assert reports.paces.get_pace("e1") == 1.0
+
+
+# Guards against parts by the load of one gateway: the load pattern is that of a
+# balancer that hashes callers. Gateways with even loads get no part.
+def test_parts_follow_the_requests_of_all_gateways(reports):
+    def report(rates, now):
+        replies = {}
+        for name, rate in rates.items():
+            message = msgspec.structs.replace(
+                make_gateway_report(reports, name), request_rates={"s": rate}
+            )
+            replies[name] = reports.handle_report(message, 0, 0.0, now).part
+        return replies
+
+    report({"g1": 10.0, "g2": 11.0}, 0.0)
+    assert report({"g1": 10.0, "g2": 30.0}, 1.0) == {"g1": 0.0, "g2": 0.0}
+    assert report({"g1": 10.0, "g2": 30.0}, 2.0) == {"g1": 0.25, "g2": 0.75}
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -415,6 +415,9 @@
         gateway_state = self._state
         if reply.gateways:
             gateway_state.gateways = self._quota.gateways = reply.gateways
+            gateway_state.set_part(reply.part)
+            if reply.part:
+                self._counters.increment("control.parts_received")
         gateway_state.rollouts.set_shares(reply.rollouts, sent_at)
         self._quota.near_quota = frozenset(reply.near_quota)
         gateway_state.quarantined = frozenset(reply.quarantined)
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -20,7 +20,7 @@
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import CallClient, HttpServer, Request, ResponseWriter
 from tarragonway.node.metrics import listen_for_metrics, make_metrics_server
-from tarragonway.node.settings import NodeSettings
+from tarragonway.node.settings import InstanceLimits, NodeSettings
 from tarragonway.pace import PaceTracker
 from tarragonway.platform import configuration, listing, names, requests
 from tarragonway.process.tasks import BackgroundTasks
@@ -74,7 +74,9 @@
         rollouts = RolloutTraffic(
             bounds.rollback_ms / 1000 * RESUME_FRACTION, self._counters
         )
-        self._state = GatewayState(bounds.drain_ms / 1000, rollouts)
+        self._state = GatewayState(
+            bounds.drain_ms / 1000, rollouts, settings.limits != InstanceLimits()
+        )
         self._usage = UsageCounter(bounds.report_window_s)
         speeds = EngineSpeeds()
         paces = PaceTracker()
@@ -189,11 +191,21 @@
         return table.configuration.limits if table else ConnectionLimits()
 
     def _make_budget(self) -> RetryBudget:
-        bounds = self._settings.bounds
-        gateways = self._state.gateways
-        reserve = bounds.retry_slack * RETRY_BUDGET_FRACTION / gateways
-        reserve = max(1.0, reserve)
-        return RetryBudget(bounds.retry_ratio * RETRY_BUDGET_FRACTION, reserve, reserve)
+        reserve = self._compute_retry_reserve()
+        return RetryBudget(
+            self._settings.bounds.retry_ratio * RETRY_BUDGET_FRACTION,
+            reserve,
+            reserve,
+            self._read_retry_reserve,
+        )
+
+    def _read_retry_reserve(self) -> float | None:
+        """Return the reserve for the stated part, None if all parts are equal."""
+        return self._compute_retry_reserve() if self._state.stated_part else None
+
+    def _compute_retry_reserve(self) -> float:
+        slack = self._settings.bounds.retry_slack * RETRY_BUDGET_FRACTION
+        return max(1.0, self._state.compute_part(slack))
 
     def _is_ready(self) -> bool:
         return self._state.is_complete and self._state.intake_ends_at is None
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -278,12 +278,12 @@
     def _compute_connection_limit(self, service: ServiceName) -> float:
         """Return how many connections this gateway may use to each endpoint.
 
-        The service's limit is divided evenly among all gateways, but each may use a few
+        The service's limit is divided among all gateways, but each may use a few
         connections in any case. Without a limit, the result is infinite.
         """
         table = self._state.table
         known = table.services.get(service) if table else None
         if known is None or not known.max_connections:
             return math.inf
-        own_part = known.max_connections / self._state.gateways
+        own_part = self._state.compute_part(known.max_connections)
         return max(MIN_CONNECTIONS, own_part)
--- a/tarragonway/gateway/state.py
+++ b/tarragonway/gateway/state.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import structlog
+
 from tarragonway.core.clock import WallClock
 from tarragonway.endpoints.endpoint_list import EndpointView
 from tarragonway.rollouts.traffic import RolloutTraffic
@@ -12,6 +14,10 @@
 # makes each gateway's part of shared limits smaller.
 DEFAULT_GATEWAYS = 16
 DEFAULT_DRAIN_S = 3.0
+# A change of the part of shared limits by more than this factor is logged.
+LOGGED_PART_CHANGE = 1.25
+
+_log = structlog.get_logger()
 
 
 class GatewayState:
@@ -34,10 +40,15 @@
         requests any more.
     rollouts : RolloutTraffic, optional
         Rollouts of software versions, of which none is known at first.
+    has_unequal_parts : bool, optional
+        Whether the gateway's part of limits that all gateways share follows its load.
     """
 
     def __init__(
-        self, drain_s: float = DEFAULT_DRAIN_S, rollouts: RolloutTraffic | None = None
+        self,
+        drain_s: float = DEFAULT_DRAIN_S,
+        rollouts: RolloutTraffic | None = None,
+        has_unequal_parts: bool = False,
     ) -> None:
         self.drain_s = drain_s
         self.rollouts = rollouts or RolloutTraffic()
@@ -46,6 +57,8 @@
         self.list_current_at = float("-inf")
         self.clock = WallClock()
         self.gateways = DEFAULT_GATEWAYS
+        self._has_unequal_parts = has_unequal_parts
+        self._part = self._logged_part = 0.0
         self.quarantined: frozenset[str] = frozenset()
         self.held_contents: frozenset[str] = frozenset()
         self.suspects: frozenset[str] = frozenset()
@@ -53,6 +66,31 @@
         self.intake_ends_at: float | None = None
         self._complete = asyncio.Event()
 
+    @property
+    def stated_part(self) -> float:
+        """Part of shared limits that the leader states, 0 for the equal part."""
+        return self._part
+
+    def compute_part(self, total: float) -> float:
+        """Return this gateway's part of a limit that all gateways share."""
+        return total * self._part if self._part else total / self.gateways
+
+    def set_part(self, part: float) -> None:
+        """Set the part that the leader states, 0 for the equal part."""
+        if not self._has_unequal_parts:
+            return
+        self._part = part
+        current = self.compute_part(1.0)
+        known = self._logged_part or 1 / self.gateways
+        if max(current, known) > LOGGED_PART_CHANGE * min(current, known):
+            _log.info(
+                "part of shared limits changed",
+                part=round(current, 5),
+                part_before=round(known, 5),
+                gateways=self.gateways,
+            )
+            self._logged_part = part
+
     @property
     def is_complete(self) -> bool:
         """Whether a configuration, an endpoint and the held parts are known."""
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -354,7 +354,8 @@
     endpoints; None if the gateway has their ``limits_version``. ``near_quota`` are the
     client accounts that have used most of their quota. ``rollouts`` are the leader's
     decisions on the rollouts in progress. ``paces`` are the combined paces of each
-    service's endpoints, sent with speeds.
+    service's endpoints, sent with speeds. ``part`` is the gateway's part of limits that
+    all gateways share, 0 for the equal part.
     """
 
     term: Count
@@ -373,6 +374,7 @@
     near_quota: tuple[AccountId, ...] = ()
     rollouts: tuple[RolloutShare, ...] = ()
     paces: dict[ServiceName, dict[str, EndpointPace]] = {}
+    part: Annotated[float, Meta(ge=0, le=1)] = 0.0
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
--- a/tarragonway/retries/budget.py
+++ b/tarragonway/retries/budget.py
@@ -1,5 +1,7 @@
 """Budget that limits retries to a fraction of requests."""
 
+from collections.abc import Callable
+
 DEFAULT_RETRY_RATIO = 0.1
 DEFAULT_RESERVE_RETRIES = 10.0
 
@@ -19,6 +21,9 @@
     balance : float
         Initial balance in retries.
 
+    read_reserve : callable, optional
+        Returns the reserve that holds instead at the moment, or None.
+
     Examples
     --------
     >>> budget = RetryBudget(0.5, 1.0)
@@ -35,14 +40,20 @@
         ratio: float = DEFAULT_RETRY_RATIO,
         reserve: float = DEFAULT_RESERVE_RETRIES,
         balance: float = 0.0,
+        read_reserve: Callable[[], float | None] | None = None,
     ) -> None:
+        self._read_reserve = read_reserve
         self._ratio = ratio
         self._reserve = reserve
         self._balance = balance
 
     def deposit(self) -> None:
         """Add the fraction for one request; not called for its retries."""
-        self._balance = min(self._reserve, self._balance + self._ratio)
+        self._balance = min(self._get_reserve(), self._balance + self._ratio)
+
+    def _get_reserve(self) -> float:
+        reserve = self._read_reserve() if self._read_reserve else None
+        return self._reserve if reserve is None else reserve
 
     def withdraw(self) -> bool:
         """Subtract one retry; return False if the balance is too low."""
