Let a new leader use the need that the former one planned for

Cause: a new leader counts what remains after the loss of one zone as the need. The former leader's plan leaves that twice, as it bears the loss of two zones, so each change of leader ordered spare endpoints for twice the need. In a wave of reclaims it counted too little; a lower bound during waves covered that.

Change: where endpoints state slowdowns, the need that is inferred from the former plan takes the place of the first need, in waves and at other times. The bound during waves is removed, since it is included.

--- a/tarragonway/capacity/reclaim_insurance.py
+++ b/tarragonway/capacity/reclaim_insurance.py
@@ -8,7 +8,6 @@
 import math
 from collections.abc import Iterable
 
-import msgspec
 import structlog
 
 from tarragonway.capacity.fleet import MAX_LOST_ZONES, FleetState
@@ -24,17 +23,10 @@
 # notices of two zones (6 s), the time until the endpoints with the notice are gone
 # (3 s), and the delay of the list.
 WAVE_TIMEOUT_S = 10.0
-# Time for which a new leader uses the need that it infers from the endpoints found.
-FOUND_NEED_S = 10.0
 
 _log = structlog.get_logger()
 
 
-class _Found(msgspec.Struct, frozen=True):
-    at: float
-    needed: int
-
-
 class ReclaimInsurance:
     """Capacity that is kept on demand for each service during waves of reclaims.
 
@@ -48,15 +40,6 @@
         self._counters = counters
         self._noticed_at: dict[ServiceName, float] = {}
         self._insured: dict[ServiceName, int] = {}
-        self._found: dict[ServiceName, _Found] = {}
-
-    def clear_found(self) -> None:
-        """Remove the inferred needs; called while this process is not the leader."""
-        self._found.clear()
-
-    def record_found(self, service: ServiceName, needed: int, now: float) -> None:
-        """Record the need that a new leader infers from the endpoints that it finds."""
-        self._found[service] = _Found(now, needed)
 
     def record_notice(self, service: ServiceName, now: float) -> None:
         """Record that a reclaimable endpoint of the service has got its notice."""
@@ -67,16 +50,6 @@
         noticed_at = self._noticed_at.get(service, float("-inf"))
         return now - noticed_at < WAVE_TIMEOUT_S
 
-    def complete_need(self, service: ServiceName, needed: int, now: float) -> int:
-        """Return the need, at least the inferred one of a new leader during a wave.
-
-        The reports of most gateways arrive after the first check of a new leader.
-        """
-        found = self._found.get(service)
-        if found is None or now - found.at >= FOUND_NEED_S:
-            return needed
-        return max(needed, found.needed) if self.is_in_wave(service, now) else needed
-
     def compute_insured(
         self, service: ServiceName, needed: int, state: FleetState, now: float
     ) -> int:
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -120,6 +120,7 @@
         self._orders: dict[tuple[ServiceName, EndpointKind], _Order] = {}
         self._unavailable: dict[tuple[ServiceName, EndpointKind], float] = {}
         self._need_history: dict[ServiceName, list[tuple[float, int]]] = {}
+        self._found_needs: dict[ServiceName, tuple[float, int]] = {}
         self._services_with_load: set[ServiceName] = set()
         self._reclaimed_keys: set[str] = set()
         self._unplanned: set[ServiceName] = set()
@@ -138,7 +139,7 @@
                 self._need_history.clear()
                 self._services_with_load.clear()
                 self._confirmed_loads.clear()
-                self._insurance.clear_found()
+                self._found_needs.clear()
             elif configuration is not None and self._knows_endpoints:
                 for service in configuration.services:
                     if service.scaling is not None:
@@ -190,7 +191,7 @@
         self._handle_reclaims(service.name, rows, now)
         if service.name not in self._need_history:
             found = infer_former_need(_remove_uncounted(rows, rollout), self._zones)
-            self._insurance.record_found(service.name, found, now)
+            self._found_needs[service.name] = (now, found)
         needed = self._compute_recent_need(service.name, counts, now)
         expected = self._estimate_expected(service.name, traits, counts, now)
         state = FleetState(
@@ -204,7 +205,6 @@
             ),
         )
         if self._gateway_reports.paces.has_paces(service.name):
-            needed = self._insurance.complete_need(service.name, needed, now)
             insured = self._insurance.compute_insured(service.name, needed, state, now)
             state = msgspec.structs.replace(state, insured=insured)
         planned = plan_fleet(traits, self._zones, needed, state)
@@ -238,7 +238,8 @@
         Until a load has been reported, the operator's own estimate of the need is
         inferred from the endpoints: the number of those found at first that would
         remain after the loss of a zone, or the number of on-demand ones if it is
-        larger.
+        larger. A later leader infers the need for which a former one planned instead,
+        where endpoints state slowdowns.
         """
         on_demand = sum(n for kind, n in counts.items() if not kind.reclaimable)
         history = self._need_history.get(service)
@@ -255,8 +256,24 @@
         self._need_history[service] = [
             (at, n) for at, n in history if now - at < SCALE_DOWN_DELAY_S
         ]
+        self._use_found_need(service, self._need_history[service])
         return max(count for _, count in self._need_history[service])
 
+    def _use_found_need(
+        self, service: ServiceName, history: list[tuple[float, int]]
+    ) -> None:
+        """Replace the first need of a later leader by that of the former one.
+
+        The reports of most gateways arrive after the first check, and endpoints with a
+        notice are no longer counted then.
+        """
+        found = self._found_needs.get(service)
+        if found is None or self._driver.replica.is_first_ready_leader:
+            return
+        is_paced = self._gateway_reports.paces.has_paces(service)
+        if is_paced and history[0][0] == found[0]:
+            history[0] = found
+
     def _measure_load(self, service: ServiceName, now: float) -> float:
         """Return the load to plan for, without the returns of refused requests.
 
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -300,3 +300,20 @@
         platform.paces.combine(0.0)
     await fleet._reconcile(SERVICE, TRAITS)
     assert sum(count for _, count, kind in platform.orders if not kind) == on_demand
+
+
+# Guards against a new leader that orders spare endpoints for twice the former need: the
+# load pattern is that of a change of leader while no zone is lost.
+@pytest.mark.parametrize(("is_paced", "needed"), [(True, 4), (False, 8)])
+async def test_new_leader_plans_for_the_former_need(fleet, platform, is_paced, needed):
+    fleet._zones = ["a", "b", "c"]
+    fleet._view.apply_full_list(
+        ListedEndpoint(f"{z}{n}", f"{z}{n}", "llm", "127.0.0.1:1", z, 4, False, True)
+        for z in "abc"
+        for n in range(4)
+    )
+    set_load(fleet, 0.1, 0.0)
+    if is_paced:
+        platform.paces.record({"llm": {"b1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+        platform.paces.combine(0.0)
+    assert fleet._make_plan(SERVICE, TRAITS, 0.0).needed == needed
