--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -13,6 +13,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import AccountId, PartId, ProcessName, ServiceName
 from tarragonway.exchange import EngineSpeed, combine_speeds
+from tarragonway.limits.gateway_parts import compute_parts
 from tarragonway.limits.request_limits import RequestLimits
 from tarragonway.links.messages import (
     CrashReport,
@@ -32,6 +33,9 @@
 GATEWAY_RETENTION_S = 120.0
 # Smaller deviations of this process's clock from the median are not corrected.
 MIN_CLOCK_STEP_S = 0.02
+# Time for which the gateways' parts of shared limits are sent without being computed
+# again; their request rates arrive every two seconds.
+PARTS_INTERVAL_S = 1.0
 # Time for which the combined speeds of engines are sent without being computed again.
 SPEEDS_INTERVAL_S = 1.0
 
@@ -46,6 +50,7 @@
     offered_load: dict[str, float]
     request_rates: dict[ServiceName, float] = {}
     speeds: dict[ServiceName, EngineSpeed] = {}
+    refused_load: dict[ServiceName, float] = {}
 
 
 class GatewayReports:
@@ -83,6 +88,8 @@
         self._gateways: dict[ProcessName, _GatewayState] = {}
         self._speeds: dict[ServiceName, EngineSpeed] = {}
         self._speeds_combined_at = float("-inf")
+        self._parts: dict[ProcessName, float] = {}
+        self._parts_computed_at = float("-inf")
         self.suspects = SuspectedContents()
         self.parts = PartQuarantine()
         self.limits = RequestLimits()
@@ -95,6 +102,8 @@
         Crash records and quarantined contents remain.
         """
         self._gateways.clear()
+        self._parts.clear()
+        self._parts_computed_at = float("-inf")
         self.limits.clear()
         self.paces.clear()
         self.shedding.clear()
@@ -154,6 +163,7 @@
             ),
             admitted_version=self.shedding.version,
             admitted=admitted,
+            part=self._get_part(gateway_report.name, now) if is_grace_over else 0.0,
         )
 
     def record_crash(
@@ -224,6 +234,11 @@
         live = self._list_live(now).values()
         return sum(gateway.offered_load.get(service, 0.0) for gateway in live)
 
+    def sum_refused_load(self, service: ServiceName, now: float) -> float:
+        """Return the part of the offered load whose requests no endpoint got."""
+        live = self._list_live(now).values()
+        return sum(gateway.refused_load.get(service, 0.0) for gateway in live)
+
     def sum_request_rate(self, service: ServiceName, now: float) -> float:
         """Return the number of requests per second for a service."""
         live = self._list_live(now).values()
@@ -241,6 +256,7 @@
         gateway.clock_offset_s = gateway_report.clock_s - self._clock.now()
         gateway.clock_s = gateway_report.clock_s
         gateway.offered_load = gateway_report.offered_load
+        gateway.refused_load = gateway_report.refused_load
         if gateway_report.request_rates is not None:
             gateway.request_rates = gateway_report.request_rates
         if gateway_report.offered is not None:
@@ -287,6 +303,21 @@
         self._speeds, self._speeds_combined_at = combined, now
         return combined
 
+    def _get_part(self, name: ProcessName, now: float) -> float:
+        """Return a gateway's part of shared limits, 0 for the equal part.
+
+        Deployments whose endpoints state no slowdown keep equal parts.
+        """
+        if not self.paces.are_known:
+            return 0.0
+        if now - self._parts_computed_at >= PARTS_INTERVAL_S:
+            rates = {
+                name: sum(gateway.request_rates.values())
+                for name, gateway in self._list_live(now).items()
+            }
+            self._parts, self._parts_computed_at = compute_parts(rates), now
+        return self._parts.get(name, 0.0)
+
     def _list_live(self, now: float) -> dict[ProcessName, _GatewayState]:
         return {
             name: gateway
--- a/tarragonway/coordinator/scaling.py
+++ b/tarragonway/coordinator/scaling.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from tarragonway.capacity.confirmed_need import ConfirmedLoads
 from tarragonway.capacity.fleet import (
     EndpointKind,
     FleetPolicy,
@@ -17,6 +18,8 @@
     count_lost_endpoints,
     plan_fleet,
 )
+from tarragonway.capacity.measured_capacity import MeasuredCapacities
+from tarragonway.capacity.reclaim_insurance import ReclaimInsurance, infer_former_need
 from tarragonway.coordinator.gateways import GatewayReports
 from tarragonway.coordinator.lease import DutyLease
 from tarragonway.core.counters import Counters
@@ -117,9 +120,13 @@
         self._orders: dict[tuple[ServiceName, EndpointKind], _Order] = {}
         self._unavailable: dict[tuple[ServiceName, EndpointKind], float] = {}
         self._need_history: dict[ServiceName, list[tuple[float, int]]] = {}
+        self._found_needs: dict[ServiceName, tuple[float, int]] = {}
         self._services_with_load: set[ServiceName] = set()
         self._reclaimed_keys: set[str] = set()
         self._unplanned: set[ServiceName] = set()
+        self._confirmed_loads = ConfirmedLoads()
+        self._insurance = ReclaimInsurance(counters)
+        self._capacities = MeasuredCapacities()
         self._changed = asyncio.Event()
 
     async def run(self) -> None:
@@ -131,6 +138,8 @@
                 self._orders.clear()
                 self._need_history.clear()
                 self._services_with_load.clear()
+                self._confirmed_loads.clear()
+                self._found_needs.clear()
             elif configuration is not None and self._knows_endpoints:
                 for service in configuration.services:
                     if service.scaling is not None:
@@ -177,8 +186,12 @@
     def _make_plan(self, service: Service, traits: ScalingTraits, now: float) -> _Plan:
         rows = [r for r in self._view.rows.values() if r.service == service.name]
         rollout = self._list_rollouts().get(service.name)
-        counts = count_by_kind(_remove_uncounted(rows, rollout))
+        counted = _remove_uncounted(rows, rollout)
+        counts = count_by_kind(counted)
         self._handle_reclaims(service.name, rows, now)
+        if service.name not in self._need_history:
+            found = infer_former_need(_remove_uncounted(rows, rollout), self._zones)
+            self._found_needs[service.name] = (now, found)
         needed = self._compute_recent_need(service.name, counts, now)
         expected = self._estimate_expected(service.name, traits, counts, now)
         state = FleetState(
@@ -187,7 +200,13 @@
             self._list_unavailable(service.name, True, now),
             self._is_idle(service.name),
             self._list_unavailable(service.name, False, now),
+            self._capacities.measure(
+                service.name, counted, self._gateway_reports.paces.get_pace
+            ),
         )
+        if self._gateway_reports.paces.has_paces(service.name):
+            insured = self._insurance.compute_insured(service.name, needed, state, now)
+            state = msgspec.structs.replace(state, insured=insured)
         planned = plan_fleet(traits, self._zones, needed, state)
         if rollout is not None and rollout.is_in_progress:
             planned = self._keep_ordered(service.name, planned, counts)
@@ -219,13 +238,14 @@
         Until a load has been reported, the operator's own estimate of the need is
         inferred from the endpoints: the number of those found at first that would
         remain after the loss of a zone, or the number of on-demand ones if it is
-        larger.
+        larger. A later leader infers the need for which a former one planned instead,
+        where endpoints state slowdowns.
         """
         on_demand = sum(n for kind, n in counts.items() if not kind.reclaimable)
         history = self._need_history.get(service)
         if history is None:
             history = [(now, count_after_zone_loss(counts))]
-        offered_load = self._gateway_reports.sum_offered_load(service, now)
+        offered_load = self._measure_load(service, now)
         if offered_load:
             self._services_with_load.add(service)
         if service in self._services_with_load:
@@ -236,8 +256,39 @@
         self._need_history[service] = [
             (at, n) for at, n in history if now - at < SCALE_DOWN_DELAY_S
         ]
+        self._use_found_need(service, self._need_history[service])
         return max(count for _, count in self._need_history[service])
 
+    def _use_found_need(
+        self, service: ServiceName, history: list[tuple[float, int]]
+    ) -> None:
+        """Replace the first need of a later leader by that of the former one.
+
+        The reports of most gateways arrive after the first check, and endpoints with a
+        notice are no longer counted then.
+        """
+        found = self._found_needs.get(service)
+        if found is None or self._driver.replica.is_first_ready_leader:
+            return
+        is_paced = self._gateway_reports.paces.has_paces(service)
+        if is_paced and history[0][0] == found[0]:
+            history[0] = found
+
+    def _measure_load(self, service: ServiceName, now: float) -> float:
+        """Return the load to plan for, without the returns of refused requests.
+
+        Where no endpoint states a slowdown, it is the offered load.
+        """
+        reports = self._gateway_reports
+        offered = reports.sum_offered_load(service, now)
+        if not reports.paces.has_paces(service):
+            return offered
+        refused = reports.sum_refused_load(service, now)
+        limited = self._confirmed_loads.limit(service, offered, refused, now)
+        if limited < offered:
+            self._counters.increment("fleet.load_limited")
+        return limited
+
     def _count_lost(self, service: ServiceName, needed: int, now: float) -> int:
         """Return how many endpoints replace what limited endpoints do not take."""
         stated = self._gateway_reports.limits.stated
@@ -274,6 +325,7 @@
                 kind = EndpointKind(row.zone, True)
                 self._orders.pop((service, kind), None)
                 self._unavailable[service, kind] = now + UNAVAILABLE_ZONE_BACKOFF_S
+                self._insurance.record_notice(service, now)
                 self._reclaimed_keys.add(row.key)
         self._reclaimed_keys &= set(self._view.rows)
 
--- a/tarragonway/coordinator/tests/test_scaling.py
+++ b/tarragonway/coordinator/tests/test_scaling.py
@@ -11,6 +11,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.endpoints.endpoint_list import EndpointView, ListedEndpoint
 from tarragonway.http1.call import CallResponse
+from tarragonway.pace import CombinedPaces, MeasuredPace
 from tarragonway.rollouts import Rollout, RolloutOrder, RolloutState
 from tarragonway.routes import Configuration, ConnectionLimits, Service
 from tarragonway.routes.model import ScalingTraits
@@ -26,6 +27,7 @@
         self.refused = set()
         self.orders = []
         self.limits = SimpleNamespace(stated={})
+        self.paces = CombinedPaces()
 
     async def call(self, order, timeout_s, may_send):
         zone, _count, reclaimable = order
@@ -56,8 +58,10 @@
         StubLease(),
         SimpleNamespace(
             sum_offered_load=lambda service, now: 3.0,
+            sum_refused_load=lambda service, now: 0.0,
             sum_request_rate=lambda service, now: 20.0,
             limits=platform.limits,
+            paces=platform.paces,
         ),
         view,
         lambda: True,
@@ -204,3 +208,112 @@
     assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] < 4
     set_rollout(fleet, RolloutState.IN_PROGRESS)
     assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 4
+
+
+# Guards against slow endpoints that the leader counts as whole ones: the load pattern
+# is that of a deployment whose endpoints differ in speed.
+async def test_slow_endpoint_counts_for_what_it_serves(fleet, platform):
+    now = asyncio.get_running_loop().time()
+    fleet._gateway_reports.sum_offered_load = lambda service, now: 3.2
+    list_versions(fleet, *["v1"] * 4)
+    platform.refused = {("a", True), ("b", True)}
+    fleet._unavailable = {("llm", EndpointKind(z, True)): now + 9.0 for z in "ab"}
+    kind = EndpointKind("b", False)
+    assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 0
+    platform.paces.record({"llm": {"e0": MeasuredPace(400, 9, 100, 0)}}, now)
+    platform.paces.combine(now)
+    assert fleet._make_plan(SERVICE, TRAITS, now).planned[kind] == 1
+
+
+def set_load(fleet, offered, refused):
+    fleet._gateway_reports.sum_offered_load = lambda service, now: offered
+    fleet._gateway_reports.sum_refused_load = lambda service, now: refused
+
+
+# Guards against 164 endpoints for a need of 30: the load pattern is that of a service
+# without any endpoint left, whose requests are refused and come back.
+async def test_refused_requests_that_come_back_do_not_raise_the_need(fleet, platform):
+    platform.paces.record({"llm": {"e1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+    platform.paces.combine(0.0)
+    set_load(fleet, 24.0, 0.0)
+    assert fleet._compute_recent_need("llm", {}, 0.0) == 30
+    for second, offered in enumerate((30.0, 40.0, 48.0), start=1):
+        set_load(fleet, offered, 2 * (offered - 24.0))
+        assert fleet._compute_recent_need("llm", {}, float(second)) <= 31
+    # The estimated work of each request has doubled as well.
+    set_load(fleet, 130.0, 130.0)
+    assert fleet._compute_recent_need("llm", {}, 4.0) <= 60
+
+
+# Guards against other needs on deployments whose endpoints state no slowdown.
+async def test_need_without_paces_is_that_of_the_offered_load(fleet):
+    set_load(fleet, 24.0, 0.0)
+    fleet._compute_recent_need("llm", {}, 0.0)
+    set_load(fleet, 130.0, 130.0)
+    assert fleet._compute_recent_need("llm", {}, 1.0) == 163
+
+
+def list_reclaimed(fleet):
+    fleet._view.apply_full_list(
+        ListedEndpoint(
+            f"{zone}{n}",
+            f"{zone}{n}",
+            "llm",
+            "127.0.0.1:1",
+            zone,
+            4,
+            zone == "a",
+            True,
+            leaves_s=2.0 if zone == "a" else -1.0,
+        )
+        for zone in "ab"
+        for n in range(4)
+    )
+
+
+# Guards against insurance on deployments whose endpoints state no slowdown: the load
+# pattern is that of a zone whose reclaimable endpoints get their notice.
+@pytest.mark.parametrize(("is_paced", "on_demand"), [(True, 3), (False, 0)])
+async def test_notice_orders_insurance_where_paces_are_known(
+    fleet, platform, is_paced, on_demand
+):
+    list_reclaimed(fleet)
+    set_load(fleet, 3.2, 0.0)
+    if is_paced:
+        platform.paces.record({"llm": {"b1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+        platform.paces.combine(0.0)
+    await fleet._reconcile(SERVICE, TRAITS)
+    assert sum(count for _, count, kind in platform.orders if not kind) == on_demand
+
+
+# Guards against a new leader that orders nothing for endpoints with a notice until the
+# reports of most gateways have arrived; it must not order anything more for those of
+# deployments whose endpoints state no slowdown.
+@pytest.mark.parametrize(("is_paced", "on_demand"), [(True, 3), (False, 0)])
+async def test_new_leader_orders_for_endpoints_with_a_notice(
+    fleet, platform, is_paced, on_demand
+):
+    list_reclaimed(fleet)
+    set_load(fleet, 0.1, 0.0)
+    if is_paced:
+        platform.paces.record({"llm": {"b1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+        platform.paces.combine(0.0)
+    await fleet._reconcile(SERVICE, TRAITS)
+    assert sum(count for _, count, kind in platform.orders if not kind) == on_demand
+
+
+# Guards against a new leader that orders spare endpoints for twice the former need: the
+# load pattern is that of a change of leader while no zone is lost.
+@pytest.mark.parametrize(("is_paced", "needed"), [(True, 4), (False, 8)])
+async def test_new_leader_plans_for_the_former_need(fleet, platform, is_paced, needed):
+    fleet._zones = ["a", "b", "c"]
+    fleet._view.apply_full_list(
+        ListedEndpoint(f"{z}{n}", f"{z}{n}", "llm", "127.0.0.1:1", z, 4, False, True)
+        for z in "abc"
+        for n in range(4)
+    )
+    set_load(fleet, 0.1, 0.0)
+    if is_paced:
+        platform.paces.record({"llm": {"b1": MeasuredPace(100, 9, 100, 0)}}, 0.0)
+        platform.paces.combine(0.0)
+    assert fleet._make_plan(SERVICE, TRAITS, 0.0).needed == needed
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -374,6 +374,7 @@
                 has_speeds or self._full_report, now
             ),
             admitted_version=self._state.shedder.version,
+            refused_load=self._offered_load.refused_rates,
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -419,6 +420,9 @@
         gateway_state = self._state
         if reply.gateways:
             gateway_state.gateways = self._quota.gateways = reply.gateways
+            gateway_state.set_part(reply.part)
+            if reply.part:
+                self._counters.increment("control.parts_received")
         gateway_state.rollouts.set_shares(reply.rollouts, sent_at)
         self._quota.near_quota = frozenset(reply.near_quota)
         gateway_state.quarantined = frozenset(reply.quarantined)
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -318,6 +318,7 @@
     endpoints, sent with speeds. ``offered`` is the offered load by service, rank and
     client account, sent with speeds or when it has changed much; ``admitted_version``
     is the version of the admitted fractions that the gateway has, -1 without any.
+    ``refused_load`` is the part of ``offered_load`` whose requests no endpoint got.
     """
 
     name: ProcessName
@@ -340,6 +341,7 @@
     paces: dict[ServiceName, dict[str, MeasuredPace]] = {}
     offered: dict[ServiceName, OfferedService] | None = None
     admitted_version: int = -1
+    refused_load: dict[ServiceName, Amount] = {}
 
 
 class GatewayReportReply(
@@ -359,7 +361,8 @@
     decisions on the rollouts in progress. ``paces`` are the combined paces of each
     service's endpoints, sent with speeds. ``admitted`` are the fractions of the offered
     load that gateways admit, None if the gateway has their ``admitted_version``, which
-    is -1 while no service is overloaded.
+    is -1 while no service is overloaded. ``part`` is the gateway's part
+    of limits that all gateways share, 0 for the equal part.
     """
 
     term: Count
@@ -380,6 +383,7 @@
     paces: dict[ServiceName, dict[str, EndpointPace]] = {}
     admitted_version: int = -1
     admitted: dict[ServiceName, AdmittedRows] | None = None
+    part: Annotated[float, Meta(ge=0, le=1)] = 0.0
 
 
 class EndpointUpdate(msgspec.Struct, frozen=True, tag=True):
