Add hedged requests, off by default

Cause: an endpoint whose speed changes while it runs a request makes single requests late although others have room.

Change: the package hedging holds the limit (a fraction of a gateway's own sends in a window), the delay (a quantile of the route's measured times relative to the estimates) and the decision. gateway/hedged_send.py races two sends; the first good answer claims the caller's response and the other send is cancelled. Without [hedging] fraction the gateway sends as before.

--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -7,6 +7,7 @@
 from tarragonway.gateway.estimates import Choice
 from tarragonway.gateway.origin_guard import OriginNotFound
 from tarragonway.gateway.part_guard import Probe
+from tarragonway.gateway.race import Race
 from tarragonway.http1.client import ResponseHead
 from tarragonway.http1.response import Request, ResponseWriter
 from tarragonway.rollouts.send_counts import RolloutSend
@@ -37,6 +38,8 @@
     once the leader knows the probe's outcome.
     ``routed`` is the choice of a version while rollouts restrict the service,
     ``rollout_send`` the record of the latest send for the evidence of rollouts.
+    ``race`` decides among the sends of the request while these may be more than one,
+    ``hedged`` is set once it was sent to two endpoints at a time.
     """
 
     request: Request
@@ -64,6 +67,13 @@
     probe: Probe | None = None
     routed: RoutedRequest | None = None
     rollout_send: RolloutSend | None = None
+    race: Race | None = None
+    hedged: bool = False
+
+    def claim_answer(self) -> None:
+        """Let this send answer the caller (see :meth:`Race.claim`)."""
+        if self.race is not None:
+            self.race.claim(self)
 
     @property
     def resumed_id(self) -> str | None:
--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -2,7 +2,7 @@
 
 import functools
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -233,6 +233,10 @@
         """Return the expected number of requests on an endpoint."""
         return self._load_tracker.get_expected(EndpointId(key))
 
+    def list_loads(self, keys: Sequence[str]) -> list[float]:
+        """Return the expected number of requests on each endpoint."""
+        return self._load_tracker.list_expected(keys)
+
     def record_load(self, endpoint: ListedEndpoint, load: Load, now: float) -> None:
         """Record the load that an endpoint reported."""
         key, requests = endpoint.key, load.running + load.waiting
--- a/tarragonway/gateway/content_reports.py
+++ b/tarragonway/gateway/content_reports.py
@@ -57,12 +57,18 @@
         """Report content whose endpoint failed, or a suspect that was answered.
 
         The parts of a prompt are suspected only if no answer on them had begun. An
-        endpoint whose end was announced did not crash.
+        endpoint whose end was announced did not crash. Crashes during the sends of a
+        hedged request are reported once, so that one request does not count as two.
         """
+        race = attempt.race
         match outcome:
             case Broken() if not self._is_leaving(endpoint.key):
                 fingerprint = make_fingerprint(attempt.request, attempt.account)
                 probe, attempt.probe = attempt.probe, None
+                if race is not None:
+                    if race.crash_reported:
+                        return
+                    race.crash_reported = True
                 self._reporter.report_crash(
                     CrashReport(
                         fingerprint,
--- a/tarragonway/gateway/daemon.py
+++ b/tarragonway/gateway/daemon.py
@@ -108,6 +108,7 @@
             self._link.origins,
             requests,
             self._counters,
+            settings.hedging,
         )
         self._reader = ListReader(
             CallClient(settings.platform.address),
@@ -180,6 +181,7 @@
             "endpoints": list(self._state.endpoints.rows.values()),
             "list_age_s": loop.time() - self._state.list_current_at,
             "rollouts": self._state.rollouts.make_dump(loop.time()),
+            "hedging": self._forwarder.make_hedging_dump(),
             "control": self._link.make_dump(),
             "counters": self._counters.snapshot(),
         }
--- a/tarragonway/gateway/final_errors.py
+++ b/tarragonway/gateway/final_errors.py
@@ -77,9 +77,10 @@
     """Return whether an answer would tell that a request that ran has not run.
 
     An endpoint's own failure may have such a status. Callers repeat after it even what
-    must run at most once.
+    must run at most once. Of a hedged request, the other send may have run.
     """
-    return not attempt.route.is_repeatable and outcome.head.status in PROMISING_STATUSES
+    may_run_elsewhere = attempt.hedged or not attempt.route.is_repeatable
+    return may_run_elsewhere and outcome.head.status in PROMISING_STATUSES
 
 
 def is_endpoint_failure(outcome: SendOutcome) -> bool:
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -39,6 +39,7 @@
     is_endpoint_failure,
     is_false_promise,
 )
+from tarragonway.gateway.hedged_send import HedgedSender
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.measurements import AnswerMeasurements
 from tarragonway.gateway.offered_load import OfferedLoadMeter
@@ -52,6 +53,7 @@
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
 from tarragonway.http1 import ConnectionPool, Request, ResponseWriter
+from tarragonway.node.settings import HedgingSettings
 from tarragonway.retries.budget import RetryBudget
 from tarragonway.routes.model import EngineTraits, Repeatability
 from tarragonway.routing.engine_speed import EngineSpeeds
@@ -101,6 +103,8 @@
         Decodes and encodes requests and answers for the platform.
     counters : Counters
         Receives ``request.*`` counters.
+    hedging : HedgingSettings, optional
+        Limit of hedged requests, which are off by default.
     """
 
     def __init__(
@@ -118,6 +122,7 @@
         origins: OriginGuard,
         codec: Codec,
         counters: Counters,
+        hedging: HedgingSettings | None = None,
     ) -> None:
         self._state = state
         self._admission = admission
@@ -150,6 +155,12 @@
             counters,
         )
         self._sender = Sender(self.pool, codec, self)
+        self._hedged_sender: HedgedSender | None = None
+        if hedging is not None and hedging.fraction > 0:
+            self._hedged_sender = HedgedSender(
+                hedging, state, chooser, self._selector, guard, limit_guard,
+                self._send, counters,
+            )  # fmt: skip
 
     async def handle(self, request: Request, writer: ResponseWriter) -> None:
         """Admit one request, forward it and answer it."""
@@ -192,6 +203,8 @@
     def handle_sent(self, attempt: Attempt) -> None:
         """Count the request as sent to its endpoint's version."""
         self._rollouts.record_sent(attempt)
+        if self._hedged_sender is not None:
+            self._hedged_sender.record_sent(attempt)
 
     def handle_running(self, attempt: Attempt) -> None:
         """Record that the endpoint began to answer, and count the request once."""
@@ -206,11 +219,15 @@
         if attempt.usage_counted:
             return
         attempt.usage_counted = True
+        if attempt.race is not None and not attempt.race.claim_usage():
+            return
         if attempt.account_id:
             self._usage.count(attempt.account_id, self._state.clock.now())
 
     def handle_first_event(self, attempt: Attempt, endpoint: ListedEndpoint) -> None:
         """Bind the stream to the version that begins it."""
+        if self._hedged_sender is not None:
+            self._hedged_sender.record_first_event(attempt)
         self._resumption.record_first_event(attempt, endpoint)
 
     def forget_unlisted(self, keys: Collection[str]) -> None:
@@ -218,6 +235,10 @@
         self.pool.prune(keys)
         self._notices.retain(keys)
 
+    def make_hedging_dump(self) -> dict[str, object]:
+        """Return the state of hedged requests, empty if they are off."""
+        return self._hedged_sender.make_dump() if self._hedged_sender else {}
+
     # Sends
 
     async def _run(self, attempt: Attempt) -> None:
@@ -250,7 +271,8 @@
                 outcome = Overloaded(choice.delay_ms)
                 break
             attempt.tried.add(choice.endpoint.key)
-            previous, outcome = outcome, await self._send(attempt, choice)
+            previous = outcome
+            outcome = await self._send_once_or_hedged(attempt, choice, work_s, budget)
             if isinstance(previous, Answered) and not isinstance(outcome, Answered):
                 outcome = previous
             if not self._may_retry(attempt, outcome, budget):
@@ -259,6 +281,13 @@
         await self._finish(attempt, outcome)
         self._log_end(attempt, type(outcome).__name__.lower(), started)
 
+    async def _send_once_or_hedged(
+        self, attempt: Attempt, choice: Choice, work_s: float, budget: RetryBudget
+    ) -> SendOutcome:
+        if self._hedged_sender is None:
+            return await self._send(attempt, choice)
+        return await self._hedged_sender.send(attempt, choice, work_s, budget)
+
     async def _send(self, attempt: Attempt, choice: Choice) -> SendOutcome:
         loop = asyncio.get_running_loop()
         endpoint = choice.endpoint
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -242,6 +242,7 @@
                     return NotContinued(f"event {first_id} after {attempt.resumed_id}")
                 has_events = True
                 if not attempt.writer.started:
+                    attempt.claim_answer()
                     self._observer.handle_first_event(attempt, endpoint)
                 pauses.record(splitter.events, asyncio.get_running_loop().time())
                 await self._relay_data(attempt, head, complete)
@@ -251,6 +252,7 @@
         if not has_events and not _is_complete_without_events(attempt, head):
             return NotContinued(f"no event after {attempt.resumed_id}")
         if not attempt.writer.started:
+            attempt.claim_answer()
             await self._relay_data(attempt, head, b"")
         attempt.writer.finish()
         return Streamed(splitter.events, tuple(pauses.pauses_ms))
--- a/tarragonway/node/settings.py
+++ b/tarragonway/node/settings.py
@@ -96,6 +96,19 @@
     link_mbps: Annotated[float, Meta(ge=0)] = 0.0
 
 
+class HedgingSettings(_Table, frozen=True):
+    """Limit of hedged requests at a gateway; 0 as ``fraction`` turns them off.
+
+    In the ``window_s`` before an extra send, the extra sends of a service are at most
+    ``fraction`` of the gateway's other sends. A request is late if it takes
+    longer, relative to the estimate, than the ``quantile`` of its route's requests.
+    """
+
+    fraction: Annotated[float, Meta(ge=0, le=0.2)] = 0.0
+    window_s: Annotated[float, Meta(gt=0, le=3600)] = 10.0
+    quantile: Annotated[float, Meta(ge=0.5, lt=1)] = 0.95
+
+
 class NodeSettings(_Table, frozen=True):
     """Settings of one process.
 
@@ -111,6 +124,7 @@
     platform: PlatformSettings
     bounds: Bounds = Bounds()
     limits: InstanceLimits = InstanceLimits()
+    hedging: HedgingSettings = HedgingSettings()
     data_folder: str = ""
     bootstrap: bool = False
 
--- a/tarragonway/rollouts/traffic.py
+++ b/tarragonway/rollouts/traffic.py
@@ -164,6 +164,11 @@
         """Return whether a rollout may keep some endpoints from requests."""
         return service in self._services
 
+    def is_in_progress(self, service: ServiceName) -> bool:
+        """Return whether a rollout of the service is in progress."""
+        entry = self._services.get(service)
+        return entry is not None and entry.rollout.is_in_progress
+
     def list_allowed(
         self,
         rows: Iterable[ListedEndpoint],
