--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -206,6 +206,10 @@
         """Record that the endpoint began to answer ``taken_ms`` after the send."""
         self._estimator.backlogs.record_first_event(choice, taken_ms, now)
 
+    def record_late(self, choice: Choice, taken_ms: float, now: float) -> None:
+        """Record that a send was given up without an answer after ``taken_ms``."""
+        self._estimator.backlogs.record_late(choice, taken_ms, now)
+
     def record_completion(
         self, choice: Choice, began: bool, failed: bool, now: float
     ) -> None:
--- a/tarragonway/gateway/estimates.py
+++ b/tarragonway/gateway/estimates.py
@@ -92,6 +92,17 @@
         backlog.delay_ms = (_decay_delay(backlog, now) + measured_ms) / 2
         backlog.measured_at = now
 
+    def record_late(self, choice: Choice, taken_ms: float, now: float) -> None:
+        """Record that a send was given up without a first event after ``taken_ms``.
+
+        The delay is at least the time beyond the work, so the estimate only rises.
+        """
+        backlog = self._backlogs.setdefault(choice.endpoint.key, _Backlog())
+        before_ms = _decay_delay(backlog, now)
+        measured_ms = max(before_ms, taken_ms - choice.work_ms)
+        backlog.delay_ms = (before_ms + measured_ms) / 2
+        backlog.measured_at = now
+
     def record_unanswered(self, choice: Choice) -> None:
         """Record that a request has ended without a first event."""
         backlog = self._backlogs.get(choice.endpoint.key)
--- a/tarragonway/gateway/hedged_send.py
+++ b/tarragonway/gateway/hedged_send.py
@@ -353,6 +353,7 @@
     def _record_cancelled(self, first: _Send, delay_ms: float) -> None:
         """Record the time after which the late first send was cancelled.
 
+        Without it, the endpoint would count as quick for the next requests.
         An extra send is never recorded: those that answer are the quick ones only.
         """
         attempt = first.attempt
@@ -361,9 +362,9 @@
         now = asyncio.get_running_loop().time()
         taken_ms = (now - attempt.sent_at) * 1000
         if taken_ms >= delay_ms:
-            self._delays.record(
-                attempt.route.name, first.choice.delay_ms, taken_ms, now
-            )
+            route = attempt.route.name
+            self._delays.record(route, first.choice.delay_ms, taken_ms, now)
+            self._chooser.record_late(first.choice, taken_ms, now)
 
     def _record_time(self, attempt: Attempt) -> None:
         is_extra = attempt.race is not None and attempt.race.is_extra(attempt)
