--- a/bench/run.py
+++ b/bench/run.py
@@ -23,6 +23,7 @@
     measure_shares,
 )
 from bench.end_to_end import measure_end_to_end
+from bench.hedging import measure_hedging
 from bench.idle import measure_idle
 from bench.load import measure_load
 from bench.measurements import Comparison, Slope, print_measurements
@@ -35,6 +36,7 @@
     "capacity": measure_capacity,
     "admission": measure_admission,
     "choice": measure_choice,
+    "hedging": measure_hedging,
     "state": measure_state,
     "log": measure_log,
     "messages": measure_messages,
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -272,7 +272,7 @@
                 break
             attempt.tried.add(choice.endpoint.key)
             previous = outcome
-            outcome = await self._send_once_or_hedged(attempt, choice, work_s, budget)
+            outcome = await self._send_once_or_hedged(attempt, choice, budget)
             if isinstance(previous, Answered) and not isinstance(outcome, Answered):
                 outcome = previous
             if not self._may_retry(attempt, outcome, budget):
@@ -282,11 +282,11 @@
         self._log_end(attempt, type(outcome).__name__.lower(), started)
 
     async def _send_once_or_hedged(
-        self, attempt: Attempt, choice: Choice, work_s: float, budget: RetryBudget
+        self, attempt: Attempt, choice: Choice, budget: RetryBudget
     ) -> SendOutcome:
         if self._hedged_sender is None:
             return await self._send(attempt, choice)
-        return await self._hedged_sender.send(attempt, choice, work_s, budget)
+        return await self._hedged_sender.send(attempt, choice, budget)
 
     async def _send(self, attempt: Attempt, choice: Choice) -> SendOutcome:
         loop = asyncio.get_running_loop()
--- a/tarragonway/gateway/hedged_send.py
+++ b/tarragonway/gateway/hedged_send.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import copy
+import random
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -45,6 +46,11 @@
     "estimated_ms", "load_at_send", "origin",
 )  # fmt: skip
 
+# Endpoints that are examined for an extra send, and those of them that are compared.
+# They bound the time of the decision.
+MAX_EXAMINED = 8
+MAX_CANDIDATES = 2
+
 _log = structlog.get_logger()
 
 
@@ -106,14 +112,14 @@
         self._limit_guard = limit_guard
         self._send_once = send
         self._counters = counters
-        self._budget = HedgeBudget(settings.fraction, settings.window_s)
-        self._delays = HedgeDelays(settings.quantile)
+        self.budget = HedgeBudget(settings.fraction, settings.window_s)
+        self.delays = HedgeDelays(settings.quantile)
 
     def record_sent(self, attempt: Attempt) -> None:
         """Count a send that is not an extra one."""
         if attempt.race is None or not attempt.race.is_extra(attempt):
             now = asyncio.get_running_loop().time()
-            self._budget.record_send(attempt.service, now)
+            self.budget.record_send(attempt.service, now)
 
     def record_first_event(self, attempt: Attempt) -> None:
         """Record the time until the first event of a stream."""
@@ -126,12 +132,12 @@
         return {
             "fraction": self._settings.fraction,
             "window_s": self._settings.window_s,
-            "services": self._budget.make_dump(now),
-            "routes": self._delays.make_dump(),
+            "services": self.budget.make_dump(now),
+            "routes": self.delays.make_dump(),
         }
 
     async def send(
-        self, attempt: Attempt, choice: Choice, work_s: float, budget: RetryBudget
+        self, attempt: Attempt, choice: Choice, budget: RetryBudget
     ) -> SendOutcome:
         """Send the attempt, to a second endpoint too if it is late there.
 
@@ -141,32 +147,33 @@
             The request.
         choice : Choice
             Endpoint of the first send.
-        work_s : float
-            Estimated work of the request in seconds.
         budget : RetryBudget
             Retry budget of the service, from which an extra send withdraws.
         """
-        now = asyncio.get_running_loop().time()
-        route = attempt.route
-        denial = check_request(self._describe(attempt, attempt.sends + 1))
-        delay_ms = None
-        if denial is None:
-            delay_ms = self._delays.find_delay_ms(route.name, choice.delay_ms, now)
-            if delay_ms is None:
-                denial = HedgeDenial.NO_SAMPLES
-            elif now + delay_ms / 1000 >= attempt.deadline:
-                denial = HedgeDenial.DEADLINE
-        if denial is not None or delay_ms is None:
-            self._count_denial(denial)
+        delay_ms = self.find_delay_ms(attempt, choice)
+        if isinstance(delay_ms, HedgeDenial):
+            self._count_denial(delay_ms)
             return await self._send_recorded(attempt, choice)
-        return await self._race(attempt, choice, delay_ms, work_s, budget)
+        return await self._race(attempt, choice, delay_ms, budget)
+
+    def find_delay_ms(self, attempt: Attempt, choice: Choice) -> float | HedgeDenial:
+        """Return when the send counts as late, or why it is not hedged in any case."""
+        denial = check_request(self._describe(attempt, attempt.sends + 1))
+        if denial is not None:
+            return denial
+        now = asyncio.get_running_loop().time()
+        route = attempt.route.name
+        delay_ms = self.delays.find_delay_ms(route, choice.delay_ms, now)
+        if delay_ms is None:
+            return HedgeDenial.NO_SAMPLES
+        is_in_time = now + delay_ms / 1000 < attempt.deadline
+        return delay_ms if is_in_time else HedgeDenial.DEADLINE
 
     async def _race(
         self,
         attempt: Attempt,
         choice: Choice,
         delay_ms: float,
-        work_s: float,
         budget: RetryBudget,
     ) -> SendOutcome:
         may_have_run, sends = attempt.may_have_run, attempt.sends
@@ -178,7 +185,7 @@
             await asyncio.wait({first.task}, timeout=delay_ms / 1000)
             # An answer that has begun is not late.
             if not first.task.done() and attempt.choice is not None:
-                second = await self._find_second(attempt, choice, sends, work_s, budget)
+                second = self.find_second(attempt, choice, sends, budget)
                 if second is not None:
                     second.attempt.may_have_run = may_have_run
                     extra = self._start_extra(attempt, second, race, delay_ms)
@@ -217,20 +224,22 @@
             self._record_time(attempt)
         return outcome
 
-    async def _find_second(
+    def find_second(
         self,
         attempt: Attempt,
         choice: Choice,
         sends_before: int,
-        work_s: float,
         budget: RetryBudget,
     ) -> _Second | None:
-        """Return the endpoint for an extra send, None if it is denied."""
+        """Return the endpoint for an extra send, None if it is denied.
+
+        ``sends_before`` is the number of the request's sends before the late one.
+        """
         now = asyncio.get_running_loop().time()
         request = self._describe(attempt, sends_before + 1, is_late=True)
         time_left_ms = (attempt.deadline - now) * 1000
         objective_ms = attempt.route.latency_objective_s * 1000
-        has_budget = self._budget.may_send_extra(attempt.service, now)
+        has_budget = self.budget.may_send_extra(attempt.service, now)
         endpoint = choice.endpoint
         first = EndpointFigures(
             choice.delay_ms,
@@ -240,7 +249,7 @@
         )
         second: _Second | None = None
         if has_budget and check_request(request) is None:
-            second = await self._select(attempt, choice, first, work_s)
+            second = self._select(attempt, first)
         figures = second.second if second is not None else None
         denial = may_hedge(
             request, first, figures, objective_ms, time_left_ms, has_budget
@@ -252,22 +261,15 @@
             return None
         return second
 
-    async def _select(
-        self, attempt: Attempt, choice: Choice, first: EndpointFigures, work_s: float
-    ) -> _Second | None:
-        """Return the best endpoint that is neither slower nor fuller than the first."""
+    def _select(self, attempt: Attempt, first: EndpointFigures) -> _Second | None:
+        """Return the best of a few endpoints that are neither slower nor fuller."""
         now = asyncio.get_running_loop().time()
-        loads = self._list_suitable(attempt, first, now)
-        service = attempt.service
+        loads = self._draw_suitable(attempt, first, now)
+        rows = self._state.endpoints.rows
         second = copy.copy(attempt)
         second.choice = second.rollout_send = second.routed = None
-        second.tried = attempt.tried.union(
-            row.key
-            for row in self._state.endpoints.rows.values()
-            if row.service == service and row.key not in loads
-        )
-        selected = await self._selector.select(second, work_s)
-        if not isinstance(selected, Choice):
+        selected = self._selector.select_among(second, [rows[key] for key in loads])
+        if selected is None:
             return None
         endpoint = selected.endpoint
         pace = self._chooser.paces.get_pace(endpoint.key, now)
@@ -276,37 +278,53 @@
         )
         return _Second(second, selected, first, figures)
 
-    def _list_suitable(
+    def _draw_suitable(
         self, attempt: Attempt, first: EndpointFigures, now: float
     ) -> dict[str, float]:
-        """Return the load of each endpoint that is neither slower nor fuller."""
-        service, tried = attempt.service, attempt.tried
-        rows: list[ListedEndpoint] = [
-            row
-            for row in self._state.endpoints.rows.values()
-            if row.service == service and row.key not in tried
-        ]
+        """Return the loads of a few endpoints that are neither slower nor fuller."""
+        rows = self._draw(attempt)
         loads = self._chooser.list_loads([row.key for row in rows])
         get_pace = self._chooser.paces.get_pace
         fill, pace = first.fill, first.pace
-        return {
-            row.key: load
-            for row, load in zip(rows, loads, strict=True)
-            if load + 1 <= row.slots
-            and load <= fill * row.slots
-            and get_pace(row.key, now) <= pace
-            and not self._chooser.is_unhealthy(row.key, now)
-        }
+        suitable = {}
+        for row, load in zip(rows, loads, strict=True):
+            if (
+                load + 1 <= row.slots
+                and load <= fill * row.slots
+                and get_pace(row.key, now) <= pace
+                and not self._chooser.is_unhealthy(row.key, now)
+            ):
+                suitable[row.key] = load
+                if len(suitable) == MAX_CANDIDATES:
+                    break
+        return suitable
+
+    def _draw(self, attempt: Attempt) -> list[ListedEndpoint]:
+        """Return endpoints of the service that follow each other in the list.
+
+        The first is drawn at random, so that gateways do not all choose the same ones.
+        """
+        service, tried = attempt.service, attempt.tried
+        listed = list(self._state.endpoints.rows.values())
+        start = random.randrange(len(listed)) if listed else 0
+        drawn = []
+        for index in range(start - len(listed), start):
+            row = listed[index]
+            if row.service == service and row.key not in tried:
+                drawn.append(row)
+                if len(drawn) == MAX_EXAMINED:
+                    break
+        return drawn
 
     def _start_extra(
         self, attempt: Attempt, second: _Second, race: Race, delay_ms: float
     ) -> _Send:
         now = asyncio.get_running_loop().time()
-        self._budget.record_extra_send(attempt.service, now)
+        self.budget.record_extra_send(attempt.service, now)
         self._counters.increment("hedge.sent")
         attempt.hedged = second.attempt.hedged = True
         attempt.tried.add(second.choice.endpoint.key)
-        sends, extra_sends = self._budget.count(attempt.service, now)
+        sends, extra_sends = self.budget.count(attempt.service, now)
         _log.info(
             "late request is sent to a second endpoint",
             attempt=attempt.facts.attempt,
@@ -363,7 +381,7 @@
         taken_ms = (now - attempt.sent_at) * 1000
         if taken_ms >= delay_ms:
             route = attempt.route.name
-            self._delays.record(route, first.choice.delay_ms, taken_ms, now)
+            self.delays.record(route, first.choice.delay_ms, taken_ms, now)
             self._chooser.record_late(first.choice, taken_ms, now)
 
     def _record_time(self, attempt: Attempt) -> None:
@@ -372,7 +390,7 @@
             return
         now = asyncio.get_running_loop().time()
         taken_ms = (now - attempt.sent_at) * 1000
-        self._delays.record(attempt.route.name, attempt.estimated_ms, taken_ms, now)
+        self.delays.record(attempt.route.name, attempt.estimated_ms, taken_ms, now)
 
     def _describe(
         self, attempt: Attempt, sends: int, is_late: bool = False
@@ -401,9 +419,8 @@
             self._limit_guard.has_limits,
         )
 
-    def _count_denial(self, denial: HedgeDenial | None) -> None:
-        if denial is not None:
-            self._counters.increment(f"hedge.denied.{denial.value}")
+    def _count_denial(self, denial: HedgeDenial) -> None:
+        self._counters.increment(f"hedge.denied.{denial.value}")
 
 
 async def _cancel(sends: list[_Send | None]) -> None:
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -159,6 +159,37 @@
             case PermitDenied(_, return_s):
                 return self._choose_among(attempt, free) or Limited(return_s)
 
+    def select_among(
+        self, attempt: Attempt, candidates: list[ListedEndpoint]
+    ) -> Choice | None:
+        """Return one of a few endpoints of the service by the rules of all sends.
+
+        It is None if none may be sent the request now. Request limits and open
+        connections are not considered.
+        """
+        now = asyncio.get_running_loop().time()
+        allowed: Iterable[ListedEndpoint] = candidates
+        if self._state.rollouts.restricts(attempt.service):
+            allowed = self._list_allowed(attempt, candidates)
+        limit = self._compute_connection_limit(attempt.service)
+        rows = [
+            row
+            for row in allowed
+            if not row.leaving
+            and row.key not in attempt.tried
+            and self._pool.count_used(row.key) < limit
+            and self._notices.get_pause(row.key, now) <= 0
+            and not self._notices.backs_off(row.key, now)
+        ]
+        if rows and attempt.route.resumable:
+            facts = attempt.facts
+            rows = self._list_beginnable(rows, attempt.account_id, facts.attempt)
+        if not rows:
+            return None
+        objective_ms = attempt.route.latency_objective_s * 1000
+        prompt = attempt.facts.prompt
+        return self._chooser.choose(rows, attempt.service, prompt, now, objective_ms)
+
     def find_common_pause(self, service: ServiceName) -> Paused | None:
         """Return when the first endpoint takes requests again, if none does now."""
         now = asyncio.get_running_loop().time()
@@ -199,7 +230,7 @@
         origin = attempt.origin
         rows = [
             row
-            for row in self._list_allowed(attempt)
+            for row in self._list_allowed(attempt, self._state.endpoints.rows.values())
             if row.service == attempt.service
             and (origin is None or origin.matches(row))
             and (row.key not in attempt.tried or row.key in attempt.broken)
@@ -219,9 +250,10 @@
             if row.key not in attempt.tried and self._still_takes_streams(row)
         ]
 
-    def _list_allowed(self, attempt: Attempt) -> Iterable[ListedEndpoint]:
-        """Return the listed endpoints that no rollout keeps from the request."""
-        rows = self._state.endpoints.rows.values()
+    def _list_allowed(
+        self, attempt: Attempt, rows: Iterable[ListedEndpoint]
+    ) -> Iterable[ListedEndpoint]:
+        """Return the endpoints that no rollout keeps from the request."""
         rollouts = self._state.rollouts
         if not rollouts.restricts(attempt.service):
             return rows
@@ -235,7 +267,8 @@
 
     def _is_allowed(self, attempt: Attempt, choice: Choice) -> bool:
         return any(
-            row.key == choice.endpoint.key for row in self._list_allowed(attempt)
+            row.key == choice.endpoint.key
+            for row in self._list_allowed(attempt, self._state.endpoints.rows.values())
         )
 
     def _still_takes_streams(self, row: ListedEndpoint) -> bool:
--- a/tarragonway/hedging/delays.py
+++ b/tarragonway/hedging/delays.py
@@ -5,9 +5,12 @@
 """
 
 import math
+from typing import TYPE_CHECKING
 
 import msgspec
-from hdrh.histogram import HdrHistogram
+
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 # Times are recorded in hundredths of the estimated delay.
 UNITS = 100
@@ -28,8 +31,8 @@
 
 class _Times(msgspec.Struct):
     began_at: float
-    current: HdrHistogram
-    previous: HdrHistogram
+    current: "HdrHistogram"
+    previous: "HdrHistogram"
     unfitted: int = 0
     quantile: float | None = None
 
@@ -118,7 +121,10 @@
         times.quantile = value / UNITS
 
 
-def _make_histogram() -> HdrHistogram:
+def _make_histogram() -> "HdrHistogram":
+    # Imported here, so that gateways that do not hedge don't load it.
+    from hdrh.histogram import HdrHistogram
+
     return HdrHistogram(1, MAX_RECORDED, SIGNIFICANT_DIGITS)
 
 
