--- a/tarragonway/gateway/hedged_send.py
+++ b/tarragonway/gateway/hedged_send.py
@@ -264,24 +264,27 @@
     def _select(self, attempt: Attempt, first: EndpointFigures) -> _Second | None:
         """Return the best of a few endpoints that are neither slower nor fuller."""
         now = asyncio.get_running_loop().time()
-        loads = self._draw_suitable(attempt, first, now)
+        suitable = self._draw_suitable(attempt, first, now)
+        if not suitable:
+            return None
         rows = self._state.endpoints.rows
         second = copy.copy(attempt)
         second.choice = second.rollout_send = second.routed = None
-        selected = self._selector.select_among(second, [rows[key] for key in loads])
+        selected = self._selector.select_among(second, [rows[key] for key in suitable])
         if selected is None:
             return None
         endpoint = selected.endpoint
-        pace = self._chooser.paces.get_pace(endpoint.key, now)
-        figures = EndpointFigures(
-            selected.delay_ms, loads[endpoint.key], endpoint.slots, pace
-        )
+        load, pace = suitable[endpoint.key]
+        figures = EndpointFigures(selected.delay_ms, load, endpoint.slots, pace)
         return _Second(second, selected, first, figures)
 
     def _draw_suitable(
         self, attempt: Attempt, first: EndpointFigures, now: float
-    ) -> dict[str, float]:
-        """Return the loads of a few endpoints that are neither slower nor fuller."""
+    ) -> dict[str, tuple[float, float]]:
+        """Return load and pace of a few endpoints that are neither slower nor fuller.
+
+        The endpoints are returned by key.
+        """
         rows = self._draw(attempt)
         loads = self._chooser.list_loads([row.key for row in rows])
         get_pace = self._chooser.paces.get_pace
@@ -291,10 +294,10 @@
             if (
                 load + 1 <= row.slots
                 and load <= fill * row.slots
-                and get_pace(row.key, now) <= pace
+                and (own_pace := get_pace(row.key, now)) <= pace
                 and not self._chooser.is_unhealthy(row.key, now)
             ):
-                suitable[row.key] = load
+                suitable[row.key] = load, own_pace
                 if len(suitable) == MAX_CANDIDATES:
                     break
         return suitable
--- a/tarragonway/gateway/selection.py
+++ b/tarragonway/gateway/selection.py
@@ -186,9 +186,8 @@
             rows = self._list_beginnable(rows, attempt.account_id, facts.attempt)
         if not rows:
             return None
-        objective_ms = attempt.route.latency_objective_s * 1000
-        prompt = attempt.facts.prompt
-        return self._chooser.choose(rows, attempt.service, prompt, now, objective_ms)
+        # Without an objective, the least delay decides alone.
+        return self._chooser.choose(rows, attempt.service, attempt.facts.prompt, now)
 
     def find_common_pause(self, service: ServiceName) -> Paused | None:
         """Return when the first endpoint takes requests again, if none does now."""
--- a/tarragonway/gateway/tests/test_hedging.py
+++ b/tarragonway/gateway/tests/test_hedging.py
@@ -8,6 +8,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.gateway.admission import make_fingerprint
 from tarragonway.gateway.hedged_send import HedgedSender
+from tarragonway.gateway.part_guard import Probe
 from tarragonway.gateway.tests.harness import (
     NOT_RUN,
     SIGNED,
@@ -404,6 +405,33 @@
     assert hedging.count("denied.rollout") == 1
 
 
+# Guards against a rest of a stream from two endpoints, for which the origin's version
+# has few endpoints left.
+async def test_resumed_stream_is_not_hedged(hedging):
+    rest = [stream(0.2, "one")[0], *stream(0.2, "one")[3:]]
+    script = await hedging.play(stream(0.0, "one")[:3], rest, count=3)
+    assert (await ask(hedging, "/patient/")).count(b"data: one") == 5
+    assert len(script.heads) == 2
+    assert hedging.count("denied.resumed") == 1
+
+
+# Guards against a probe of held parts that runs at two endpoints.
+async def test_probe_is_not_hedged(hedging, monkeypatch):
+    script = await hedging.play(answer(0.2, "one"), answer(0.0, "two"))
+    admit = hedging.forwarder._admission.admit
+
+    async def admit_probe(*arguments):
+        attempt = await admit(*arguments)
+        attempt.probe = Probe(1)
+        return attempt
+
+    monkeypatch.setattr(hedging.forwarder._admission, "admit", admit_probe)
+    monkeypatch.setattr(hedging.guard, "end_probe", lambda probe: None)
+    assert (await ask(hedging, "/read/")).endswith(b"one")
+    assert len(script.heads) == 1
+    assert hedging.count("denied.probe") == 1
+
+
 # Guards against a resumable stream that begins at a version no leader has recorded.
 async def test_second_endpoint_has_a_recorded_version(hedging):
     script = Script(stream(0.2, "one"), stream(0.0, "two"))
--- a/tarragonway/hedging/delays.py
+++ b/tarragonway/hedging/delays.py
@@ -27,6 +27,9 @@
 PERIOD_S = 60.0
 # Number of new samples after which the quantile is computed again.
 REFIT_INTERVAL = 16
+# Routes whose times are kept; each takes about 9 KB, and configurations may have
+# thousands of routes.
+MAX_ROUTES = 256
 
 
 class _Times(msgspec.Struct):
@@ -73,6 +76,8 @@
         if times is None:
             times = _Times(now, _make_histogram(), _make_histogram())
             self._routes[route] = times
+            if len(self._routes) > MAX_ROUTES:
+                self._drop_oldest()
         self._drop_old(times, now)
         ratio = taken_ms / max(MIN_ESTIMATED_MS, estimated_ms)
         units = math.ceil(ratio * UNITS)
@@ -109,6 +114,10 @@
         times.current, times.began_at = _make_histogram(), now
         self._fit(times)
 
+    def _drop_oldest(self) -> None:
+        oldest = min(self._routes, key=lambda route: self._routes[route].began_at)
+        del self._routes[oldest]
+
     def _fit(self, times: _Times) -> None:
         times.unfitted = 0
         if _count_samples(times) < MIN_SAMPLES:
--- a/tarragonway/hedging/tests/test_hedging.py
+++ b/tarragonway/hedging/tests/test_hedging.py
@@ -13,7 +13,7 @@
     HedgedRequest,
     may_hedge,
 )
-from tarragonway.hedging.delays import MIN_SAMPLES, PERIOD_S
+from tarragonway.hedging.delays import MAX_ROUTES, MIN_SAMPLES, PERIOD_S
 from tarragonway.node.settings import load_node_settings
 
 GATEWAYS = 40
@@ -145,6 +145,14 @@
     assert delays.find_delay_ms("r", 1.0, later + 4 * PERIOD_S) is None
 
 
+# Guards against memory that grows with the routes of a configuration.
+def test_number_of_routes_is_bounded():
+    delays = HedgeDelays(0.95)
+    for number in range(MAX_ROUTES + 10):
+        delays.record(str(number), 1.0, 1.0, float(number))
+    assert set(delays.make_dump()) == {str(n) for n in range(10, MAX_ROUTES + 10)}
+
+
 @pytest.mark.parametrize("taken_ms", [0.0, 1e12])
 # Guards against times out of the histogram's range, which it does not count.
 def test_extreme_times_count(taken_ms):
