--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -2,7 +2,7 @@
 
 import functools
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -206,6 +206,10 @@
         """Record that the endpoint began to answer ``taken_ms`` after the send."""
         self._estimator.backlogs.record_first_event(choice, taken_ms, now)
 
+    def record_late(self, choice: Choice, taken_ms: float, now: float) -> None:
+        """Record that a send was given up without an answer after ``taken_ms``."""
+        self._estimator.backlogs.record_late(choice, taken_ms, now)
+
     def record_completion(
         self, choice: Choice, began: bool, failed: bool, now: float
     ) -> None:
@@ -233,6 +237,10 @@
         """Return the expected number of requests on an endpoint."""
         return self._load_tracker.get_expected(EndpointId(key))
 
+    def list_loads(self, keys: Sequence[str]) -> list[float]:
+        """Return the expected number of requests on each endpoint."""
+        return self._load_tracker.list_expected(keys)
+
     def record_load(self, endpoint: ListedEndpoint, load: Load, now: float) -> None:
         """Record the load that an endpoint reported."""
         key, requests = endpoint.key, load.running + load.waiting
