--- a/tarragonway/gateway/choice.py
+++ b/tarragonway/gateway/choice.py
@@ -159,6 +159,7 @@
                 chosen[1],
                 warm_tokens if key in warm else cold_tokens,
                 chosen[2],
+                is_paced=True,
             )
         works_ms = [warm_ms if row.key in warm else cold_ms for row in pool]
         delays_ms = self._estimator.estimate_all_ms(pool, works_ms, speed, now)
--- a/tarragonway/gateway/delay_checks.py
+++ b/tarragonway/gateway/delay_checks.py
@@ -22,12 +22,17 @@
 
 
 def is_overloaded(attempt: Attempt, choice: Choice, now: float) -> bool:
-    """Return whether the estimated delay is too far above the latency objective."""
+    """Return whether the estimated delay is too far above the latency objective.
+
+    A plain service that is sent more than it serves resets further connections. Whether
+    a request on one of these has run is unknown, so a caller whose request must not run
+    twice could not repeat it. A refusal lets it return.
+    """
     if attempt.origin is not None:
         # The latency objective was decided by the first event, and no other version
         # can take the stream; it only has to go on before the caller leaves.
         return choice.delay_ms > (attempt.deadline - now) * 1000
     objective_ms = attempt.route.latency_objective_s * 1000
-    if attempt.facts.prompt is None or not objective_ms:
+    if not objective_ms or (attempt.facts.prompt is None and not choice.is_paced):
         return False
     return choice.delay_ms > OVERLOAD_FACTOR * objective_ms
--- a/tarragonway/gateway/estimates.py
+++ b/tarragonway/gateway/estimates.py
@@ -35,7 +35,9 @@
     ``work_ms`` is the part of ``delay_ms`` that the request itself causes;
     ``prompt_tokens`` is the number of its prompt tokens that are probably not cached.
     ``expected_ms`` is the time that a usual endpoint with this load would take; None if
-    the endpoint has no free slot, or its service has no paces.
+    the endpoint has no free slot, or its service has no paces. ``is_paced`` is whether
+    it has some; without them, the delays of plain services only serve to compare
+    endpoints.
     """
 
     endpoint: ListedEndpoint
@@ -43,6 +45,7 @@
     work_ms: float
     prompt_tokens: int = 0
     expected_ms: float | None = None
+    is_paced: bool = False
 
 
 class _Backlog(msgspec.Struct):
