--- a/tarragonway/gateway/tests/test_hedging_denials.py
+++ b/tarragonway/gateway/tests/test_hedging_denials.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tarragonway.gateway.admission import make_fingerprint
+from tarragonway.gateway.daemon import GatewayProcess
 from tarragonway.gateway.part_guard import Probe
 from tarragonway.gateway.tests.hedging_harness import (
     DELAY_MS,
@@ -15,6 +16,12 @@
     stream,
 )
 from tarragonway.gateway.tests.test_rollouts import set_rollout
+from tarragonway.node.settings import (
+    HedgingSettings,
+    Listen,
+    NodeSettings,
+    PlatformSettings,
+)
 from tarragonway.retries.budget import RetryBudget
 
 
@@ -197,6 +204,18 @@
         assert f": {slow}\r\n" not in script.heads[-1].decode()
 
 
+# Guards against settings that the process does not pass on.
+async def test_process_hedges_by_its_settings():
+    for fraction in (0.0, 0.05):
+        settings = NodeSettings(
+            name="g", zone="a", zones=["a"], listen=Listen(peers="127.0.0.1:1"),
+            seeds=["127.0.0.1:2"], platform=PlatformSettings(address="127.0.0.1:3"),
+            hedging=HedgingSettings(fraction=fraction),
+        )  # fmt: skip
+        dump = GatewayProcess(settings).make_dump()["hedging"]
+        assert dump.get("fraction", 0.0) == fraction
+
+
 # Guards against another path for requests while hedging is off.
 async def test_off_by_default(harness):
     assert harness.forwarder._hedged_sender is None
