--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -12,7 +12,7 @@
 import sys
 
 from soak.proxy import Proxy
-from soak.stubs import Observations, StubEndpoint, StubPlatform
+from soak.stubs import Observations, StubEndpoint, StubPlatform, VersionFault
 
 MIN_BASE_PORT = 21000
 MAX_BASE_PORT = 29000
@@ -22,6 +22,10 @@
 ENDPOINT_COUNTS = {"plain": 3, "model": 4}
 # Software versions that the endpoints of each service have in turn.
 SOFTWARE_VERSIONS = ("v1", "v2")
+# Bounds of rollouts.
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_S = 5.0
 START_TIMEOUT_S = 20.0
 PEER_PORT_OFFSET = 0
 OPERATOR_PORT_OFFSET = 1
@@ -147,6 +151,8 @@
         self.folder = folder
         self._base_port = base_port
         self._grace_s = grace_s
+        self._seed = seed
+        self._added = 0
         self.observations = Observations()
         address = self._get_address("127.0.3.1", PLATFORM_PORT_OFFSET)
         self.platform = StubPlatform(address, self.observations)
@@ -234,6 +240,37 @@
                     await writer.wait_closed()
                 return
 
+    async def start_version(
+        self, service: str, version: str, fault: VersionFault | None
+    ) -> list[StubEndpoint]:
+        """Start an endpoint of this version beside each of the service, and list it."""
+        rows = [e for e in self.endpoints if e.service == service]
+        added = []
+        for number, row in enumerate(rows, 1):
+            self._added += 1
+            endpoint = StubEndpoint(
+                f"{service}-{version}-{number}",
+                service,
+                self._get_address(f"127.0.7.{self._added}", ENDPOINT_PORT_OFFSET),
+                self.observations,
+                self._seed * 100 + 50 + self._added,
+            )
+            endpoint.version, endpoint.fault = version, fault
+            endpoint.event_interval_s = row.event_interval_s
+            endpoint.service_time_s = row.service_time_s
+            await endpoint.start()
+            added.append(endpoint)
+        self.endpoints += added
+        self.platform.endpoints += added
+        return added
+
+    def stop_endpoints(self, endpoints: list[StubEndpoint]) -> None:
+        """Stop endpoints at once and remove them from the list."""
+        for endpoint in endpoints:
+            endpoint.close()
+            self.endpoints.remove(endpoint)
+            self.platform.endpoints.remove(endpoint)
+
     def disable_bootstrap(self) -> None:
         """Make restarted coordinators join the group instead of forming a new one."""
         for process in self.coordinators:
@@ -300,6 +337,9 @@
             "lease_ms = 1500",
             f"grace_s = {self._grace_s}",
             "report_window_s = 2",
+            f"exposure_share = {EXPOSURE_SHARE}",
+            f"exposure_slack = {EXPOSURE_SLACK}",
+            f"rollback_ms = {int(ROLLBACK_S * 1000)}",
         ]
         text = "\n".join(
             [*lines, "[listen]", *listen, "[platform]", *platform, "[bounds]", *bounds]
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -35,6 +35,8 @@
         self._listen = listen
         self._target = target
         self.mode = Mode.PASS
+        # Drops the data of connections whose first message contains this.
+        self.cut_off = b""
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -66,18 +68,27 @@
             writer.transport.abort()
             return
         self._writers |= {writer, target_writer}
-        inward = self._forward(reader, target_writer, Mode.CUT_IN)
-        outward = self._forward(target_reader, writer, Mode.CUT_OUT)
+        first = bytearray()
+        inward = self._forward(reader, target_writer, Mode.CUT_IN, first)
+        outward = self._forward(target_reader, writer, Mode.CUT_OUT, first)
         await asyncio.gather(inward, outward)
         for end in (writer, target_writer):
             end.transport.abort()
         self._writers -= {writer, target_writer}
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut_mode: Mode
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        cut_mode: Mode,
+        first: bytearray,
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
+                if cut_mode is Mode.CUT_IN and not first:
+                    first += data
+                if self.cut_off and self.cut_off in first:
+                    continue
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_S)
                 if self.mode in (cut_mode, Mode.SILENT):
--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -24,6 +24,38 @@
     attempt: str
     endpoint: str
     path: str
+    service: str = ""
+    version: str = ""
+    at: float = 0.0
+    is_resumed: bool = False
+
+
+class VersionFault(msgspec.Struct):
+    """What is wrong with a software version; all its endpoints share one.
+
+    A request fails or takes ``slow_factor`` times as long with ``probability``, after
+    the version's first ``after`` requests, on the routes whose paths begin with
+    ``prefix``, and while its endpoint runs more than ``over`` requests. ``bad_at`` are
+    the loop times of the bad responses' ends.
+    """
+
+    probability: float = 0.4
+    slow_factor: float = 0.0
+    after: int = 0
+    prefix: str = "/"
+    over: int = 0
+    requests: int = 0
+    bad_at: list[float] = []
+
+    def affects(self, path: str, running: int, draw: float) -> bool:
+        """Return whether the next request is affected; ``draw`` is from 0 to 1."""
+        self.requests += 1
+        return (
+            self.requests > self.after
+            and path.startswith(self.prefix)
+            and running > self.over
+            and draw < self.probability
+        )
 
 
 class Observations:
@@ -92,6 +124,10 @@
         Loop times at which requests have arrived.
     crashed_at : list of float
         Loop times at which the endpoint has crashed.
+    fault : VersionFault or None
+        What is wrong with the version.
+    running : int
+        Number of requests that are being answered.
     """
 
     def __init__(
@@ -119,9 +155,12 @@
         self.request_limit = ""
         self.arrived_at: list[float] = []
         self.crashed_at: list[float] = []
+        self.fault: VersionFault | None = None
+        self.running = 0
         self._restart: asyncio.Task | None = None
         self._observations = observations
         self._random = random.Random(seed)
+        self._fault_random = random.Random(f"fault {seed}")
         self._server = HttpServer(self._handle, ConnectionLimits)
 
     async def start(self) -> None:
@@ -164,10 +203,40 @@
             await writer.send(503, [*echo, (names.NOT_RUN, b"1")])
             return
         path = request.target
-        self._observations.executions.append(Execution(attempt, self.name, path))
+        execution = Execution(
+            attempt,
+            self.name,
+            path,
+            self.service,
+            self.version,
+            self.arrived_at[-1],
+            request.get(names.LAST_EVENT_ID) is not None,
+        )
+        self._observations.executions.append(execution)
+        self.running += 1
+        try:
+            await self._execute(request, writer, echo)
+        finally:
+            self.running -= 1
+
+    async def _execute(
+        self, request: Request, writer: ResponseWriter, echo: list[tuple[bytes, bytes]]
+    ) -> None:
+        path, fault = request.target, self.fault
+        if fault is not None and fault.affects(
+            path, self.running, self._fault_random.random()
+        ):
+            is_stream = path.startswith("/stream/")
+            usual_s = self.event_interval_s if is_stream else self.service_time_s
+            await asyncio.sleep(usual_s * max(1.0, fault.slow_factor))
+            fault.bad_at.append(asyncio.get_running_loop().time())
+            if not fault.slow_factor:
+                await writer.send(500, [*echo, SIGNATURE_HEADER], b"failed")
+                return
         if path.startswith("/stream/"):
             await self._stream(request, writer, echo)
             return
+        attempt = echo[0][1].decode()
         await asyncio.sleep(self.service_time_s)
         if self._random.random() < self.failure_probability:
             writer.abort()
