Complete a rollout without a silent gateway only when the deadline is near

A confirmation also stayed valid after the gateway's share had expired.

Gateways that have reported are now awaited until 0.85 of the deadline, and a confirmation is valid for 1 s. A gateway that is gone cannot be told from one that is cut off, so a rollout with a crashed gateway ends later, still before its deadline. The check of the stepwise tests passes the time, which is now an argument.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from soak.clients import AttemptRecord, Client, Operator
 from soak.deployment import Deployment, reserve_base_port
 from soak.faults import FaultInjector
+from soak.rollouts import RolloutOperator
 
 CLIENT_COUNT = 12
 RECOVERY_DELAY_S = 3.0
@@ -72,6 +73,7 @@
     records: list[AttemptRecord] = []
     operator = Operator(deployment, seed)
     faults = FaultInjector(deployment, seed)
+    rollouts = RolloutOperator(deployment, seed)
     await deployment.start()
     try:
         async with asyncio.timeout(20.0):
@@ -79,7 +81,10 @@
         deployment.disable_bootstrap()
         clients = [Client(deployment, n, records) for n in range(CLIENT_COUNT)]
         tasks = [asyncio.create_task(client.run()) for client in clients]
-        tasks += [asyncio.create_task(work) for work in (operator.run(), faults.run())]
+        tasks += [
+            asyncio.create_task(work)
+            for work in (operator.run(), faults.run(), rollouts.run())
+        ]
         await asyncio.wait(tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION)
         for task in tasks:
             task.cancel()
@@ -87,6 +92,7 @@
         await faults.end_all()
         await asyncio.sleep(RECOVERY_DELAY_S)
         violations = list_violations(records, deployment.observations, operator)
+        violations += rollouts.list_violations()
         violations += await _check_final_read(operator)
         violations += [
             repr(task.exception())
@@ -95,7 +101,7 @@
         ]
     finally:
         await deployment.stop()
-    return SeedResult(violations, faults.history, records)
+    return SeedResult(violations, faults.history + rollouts.history, records)
 
 
 async def _check_final_read(operator: Operator) -> list[str]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -163,9 +163,9 @@
     async def _disturb_engines(self) -> None:
         """Let engines state request limits or crash on a part, by turns."""
         source = self._engine_random
-        engines = [e for e in self._deployment.endpoints if e.service == "model"]
         while True:
             await asyncio.sleep(source.uniform(*ENGINE_FAULT_INTERVAL_S))
+            engines = [e for e in self._deployment.endpoints if e.service == "model"]
             duration_s = source.uniform(*ENGINE_FAULT_DURATION_S)
             limit = source.choice(REQUEST_LIMITS)
             if source.random() < 0.5:
--- a/soak/tests/test_rollouts.py
+++ b/soak/tests/test_rollouts.py
@@ -20,6 +20,9 @@
 CLIENTS = 12
 DEADLINE_S = 12.0
 ACK_S = 5.0
+# The connected gateways reach a share of 1 at 7.2 s. A gateway that is cut off is
+# awaited until 10.2 s, and needs up to a second to connect again.
+CUT_OFF_UNTIL_S = 8.7
 
 pytestmark = pytest.mark.timeout(90)
 
@@ -199,7 +202,8 @@
             await asyncio.sleep(0.01)
         for proxy in load.deployment.peer_proxies:
             proxy.cut_off = b"gateway-1"
-        await asyncio.sleep(6.0)
+        reconnect_at = operation.ordered_at + CUT_OFF_UNTIL_S
+        await asyncio.sleep(reconnect_at - load.loop.time())
         for proxy in load.deployment.peer_proxies:
             proxy.cut_off = b""
             proxy.reset()
--- a/tarragonway/coordinator/rollouts.py
+++ b/tarragonway/coordinator/rollouts.py
@@ -187,7 +187,7 @@
             self._propose_end(rollout, RolloutState.ROLLED_BACK)
         elif decision.verdict is Verdict.READY and may_raise:
             live = {*self._gateway_reports.list_live(now), *self._gateways.values()}
-            if live and not progress.list_unconfirmed(live):
+            if live and not progress.list_unconfirmed(live, now):
                 self._propose_end(rollout, RolloutState.COMPLETED)
 
     def _count_endpoints(
--- a/tarragonway/rollouts/progress.py
+++ b/tarragonway/rollouts/progress.py
@@ -1,4 +1,10 @@
-"""What a leader knows of one rollout in progress, and its present decision."""
+"""What a leader knows of one rollout in progress, and its present decision.
+
+Load pattern: gateways that are cut off from the leader go on with the old version,
+while those that are connected have moved all their requests to the new one.
+"""
+
+import math
 
 import msgspec
 
@@ -17,13 +23,21 @@
 from tarragonway.rollouts.messages import RolloutCounts, RolloutShare, RouteCounts
 from tarragonway.rollouts.model import Rollout
 
+# A gateway that does not hear from the leader uses its share for 1.5 s, and the old
+# version from then on. Its confirmation ends before, by the time of a commit.
+CONFIRMATION_S = 1.0
+# Until this part of the deadline, a rollout is not completed without the gateways that
+# have reported and are silent. They may be cut off and have requests at old endpoints,
+# or be gone, so the rest is for the commit.
+AWAITED_DEADLINE_PART = 0.85
+
 
 class _Gateway(msgspec.Struct):
     """Last report, and whether share 1 was sent in reply to a report before it."""
 
     counts: RolloutCounts
     was_sent_full: bool = False
-    has_confirmed: bool = False
+    confirmed_at: float = -math.inf
 
 
 class RolloutProgress:
@@ -62,9 +76,10 @@
         """Record the counts of a gateway's report, in loop time (s)."""
         state = self._gateways.setdefault(gateway, _Gateway(counts))
         state.counts = counts
-        state.has_confirmed = (
+        has_confirmed = (
             state.was_sent_full and counts.share >= FULL and not counts.old_in_flight
         )
+        state.confirmed_at = now if has_confirmed else -math.inf
         self.evidence.record(gateway, counts, now)
 
     def make_reply(self, gateway: ProcessName) -> RolloutShare:
@@ -132,7 +147,7 @@
             self._at_step = totals
         if decision.share < FULL:
             for state in self._gateways.values():
-                state.was_sent_full = state.has_confirmed = False
+                state.was_sent_full, state.confirmed_at = False, -math.inf
         self.decision = decision
         return decision
 
@@ -140,14 +155,31 @@
         """Return the time since the order, in seconds."""
         return now - self._begun_at
 
-    def list_unconfirmed(self, gateways: set[ProcessName]) -> list[ProcessName]:
+    def list_unconfirmed(
+        self, gateways: set[ProcessName], now: float
+    ) -> list[ProcessName]:
         """Return which gateways may still have requests at old endpoints.
 
         A gateway confirms that it has none in a report that it sends after a reply with
         share 1 of this leader.
+
+        Parameters
+        ----------
+        gateways : set of ProcessName
+            The gateways that are connected or have reported lately.
+        now : float
+            The event loop's time in seconds.
         """
-        confirmed = {n for n, state in self._gateways.items() if state.has_confirmed}
-        return sorted(gateways - confirmed)
+        deadline_s = self.rollout.order.deadline_s
+        awaited = {*gateways}
+        if self.measure_age(now) < AWAITED_DEADLINE_PART * deadline_s:
+            awaited.update(self._gateways)
+        return sorted(
+            name
+            for name in awaited
+            if name not in self._gateways
+            or now - self._gateways[name].confirmed_at > CONFIRMATION_S
+        )
 
     def _take_over_share(self, now: float) -> None:
         """Continue with the share of the leader before, which gateways still use."""
--- a/tarragonway/rollouts/tests/stepwise.py
+++ b/tarragonway/rollouts/tests/stepwise.py
@@ -86,7 +86,7 @@
     @property
     def completed(self):
         is_ready = self.verdict is Verdict.READY
-        return is_ready and not self.progress.list_unconfirmed({GATEWAY})
+        return is_ready and not self.progress.list_unconfirmed({GATEWAY}, self.time_s)
 
     @property
     def allowed(self):
