Suspect a version of which over a tenth fails, whatever the old one does

Such a version is not shown to be good; its share does not rise, and it is rolled back at its deadline unless its failures become rarer. The judgement that rolls back at once is unchanged.

--- a/tarragonway/rollouts/judgement.py
+++ b/tarragonway/rollouts/judgement.py
@@ -21,6 +21,10 @@
 # Fewer bad responses and a lower bound are a suspicion, with which no share rises.
 MIN_SUSPICIOUS_RESPONSES = 2
 SUSPICION_DEVIATIONS = 1.3
+# A version of which more than this fraction fails is suspected, whatever the old one
+# does: endpoints of both may crash for another reason, and then no comparison shows
+# that the version is good. Slow responses are left out, as overload makes many.
+MAX_FAILED_FRACTION = 0.1
 OLD_DEVIATIONS = 2.0
 # The fraction of bad responses may exceed that of the old side by this factor and
 # amount, as endpoints differ in speed and their load is not exactly equal.
@@ -133,6 +137,15 @@
                 return BadVersion(
                     route, name, new.answers, new.failures, new.slow, round(limit, 4)
                 )
+            if suspicion and _fails_often(new):
+                return BadVersion(
+                    route,
+                    name,
+                    new.answers,
+                    new.failures,
+                    new.slow,
+                    MAX_FAILED_FRACTION,
+                )
     return None
 
 
@@ -141,6 +154,11 @@
     return sum(row.new.failures + row.new.slow for row in sums.values())
 
 
+def _fails_often(new: VersionCounts) -> bool:
+    lowest, _ = compute_bounds(new.failures, new.answers, SUSPICION_DEVIATIONS)
+    return new.failures >= MIN_SUSPICIOUS_RESPONSES and lowest > MAX_FAILED_FRACTION
+
+
 def _compute_limit(new: VersionCounts, bound: float) -> float:
     if new.failures + new.slow >= MANY_BAD_RESPONSES:
         return min(1.0, MANY_RATIO_TOLERANCE * bound)
--- a/tarragonway/rollouts/tests/test_judgement.py
+++ b/tarragonway/rollouts/tests/test_judgement.py
@@ -111,3 +111,12 @@
     sums = {"r": RouteCounts(VersionCounts(0, 2**53, 0, 0, 1e15), odd)}
     assert find_bad({"all": sums}, sums) is not None
     assert compute_slow_ms({"r": RouteCounts(VersionCounts(9, 99, 0, 0, 1e15), odd)})
+
+
+# Guards against a bad version that is taken for good while old endpoints crash too
+# (soak seed 3003: it was completed with 19 % of its responses failed).
+def test_failures_of_the_old_version_do_not_clear_the_new_one():
+    row = RouteCounts(VersionCounts(116, 110, 16), VersionCounts(36, 33, 6))
+    sums = {"stream": row}
+    assert find_bad({"all": sums}, sums) is None
+    assert find_bad({"all": sums}, sums, suspicion=True) is not None
