Require responses in proportion to the traffic before the share rises

The required number followed from the requests that the version had got, so it was lowest when these were few. All routes together now need 15 responses, or a fifth of all requests since the canary began.

--- a/tarragonway/rollouts/decision.py
+++ b/tarragonway/rollouts/decision.py
@@ -55,6 +55,11 @@
 WANTED_ROUTE_REQUESTS = 16
 # Requests in addition to these that a route sends while the version is suspected there.
 SUSPECTED_ROUTE_REQUESTS = 2 * WANTED_ROUTE_REQUESTS
+# All routes together need so many responses, or this fraction of the requests since the
+# canary began if they are few. Of a version that fails 4 in 10, 15 responses have fewer
+# than MIN_SUSPICIOUS_RESPONSES failures in one of 200 cases.
+MIN_ANSWERS = 15
+MIN_ANSWERS_FRACTION = 0.2
 # Each step needs so many responses since it began, or those of its fraction.
 MIN_STEP_ANSWERS = 10
 # Rates below this are not measured well in two seconds.
@@ -273,6 +278,11 @@
         needed = math.ceil(MIN_ANSWERED_FRACTION * row.new.sent)
         if row.new.answers < min(MIN_ROUTE_ANSWERS, needed):
             return f"route {route} lacks responses"
+    rows = situation.windows.get("all", situation.totals).values()
+    sent = sum(row.old.sent + row.new.sent for row in rows)
+    answers = sum(row.new.answers for row in situation.totals.values())
+    if answers < min(MIN_ANSWERS, math.ceil(MIN_ANSWERS_FRACTION * sent)):
+        return "the version has few responses"
     return ""
 
 
--- a/tarragonway/rollouts/tests/test_decision.py
+++ b/tarragonway/rollouts/tests/test_decision.py
@@ -201,3 +201,28 @@
         endpoints=RolloutEndpoints(0, 4, moves_nothing=True), share=0.0
     )
     assert decide(situation, RolloutPolicy(0.1, 0.0)).share == 1.0
+
+
+# Guards against a share of 1 after a few responses, when all gateways but one are cut
+# off: 2 responses, one of them failed, completed a bad version.
+def test_few_responses_of_many_requests_are_no_evidence():
+    def make_sums(old, new):
+        return {
+            route: RouteCounts(VersionCounts(old, old), VersionCounts(new, new, bad))
+            for route, bad in (("once", 1), ("read", 0))
+        }
+
+    sums, since = make_sums(15, 1), make_sums(6, 1)
+    situation = Situation(
+        7.0,
+        12.0,
+        RolloutEndpoints(3, 3),
+        sums,
+        {"recent": since, "all": since},
+        {"once": 20.0, "read": 20.0},
+        4.6,
+        0.5,
+        2.0,
+        make_sums(10, 0),
+    )
+    assert decide(situation, POLICY).verdict is Verdict.CONTINUE
