--- a/tarragonway/coordinator/rollouts.py
+++ b/tarragonway/coordinator/rollouts.py
@@ -211,7 +211,7 @@
             return
         live |= {*self._gateways.values()}
         is_ready = decision.verdict is Verdict.READY and may_raise
-        if is_ready and not progress.list_unconfirmed(live):
+        if is_ready and live and not progress.list_unconfirmed(live, now):
             self._propose_end(rollout, RolloutState.COMPLETED)
 
     def _count_endpoints(
