--- a/tarragonway/hedging/delays.py
+++ b/tarragonway/hedging/delays.py
@@ -4,20 +4,17 @@
 load, so no constant delay separates late requests from usual ones.
 """
 
-import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 if TYPE_CHECKING:
-    from hdrh.histogram import HdrHistogram
-
-# Times are recorded in hundredths of the estimated delay.
-UNITS = 100
-MAX_RECORDED = 10_000_000
-# Steps of about 6 %, which is finer than 100 samples can tell. Two digits would make
-# the computation of a quantile ten times as long.
-SIGNIFICANT_DIGITS = 1
+    from ddsketch import DDSketch
+
+# Longest time, relative to the estimated delay, that is told from longer ones.
+MAX_RATIO = 1e5
+# Quantiles are exact to this fraction, which is finer than 100 samples can tell.
+RELATIVE_ACCURACY = 0.03
 # An estimate below this counts as this one, so that the times of routes whose estimated
 # delays are near 0 are compared with each other.
 MIN_ESTIMATED_MS = 1.0
@@ -27,15 +24,14 @@
 PERIOD_S = 60.0
 # Number of new samples after which the quantile is computed again.
 REFIT_INTERVAL = 16
-# Routes whose times are kept; each takes about 9 KB, and configurations may have
-# thousands of routes.
+# Routes whose times are kept, since configurations may have thousands of routes.
 MAX_ROUTES = 256
 
 
 class _Times(msgspec.Struct):
     began_at: float
-    current: "HdrHistogram"
-    previous: "HdrHistogram"
+    current: "DDSketch"
+    previous: "DDSketch"
     unfitted: int = 0
     quantile: float | None = None
 
@@ -59,7 +55,7 @@
     >>> for number in range(64):
     ...     delays.record("route", 10.0, 20.0, 0.0)
     >>> round(delays.find_delay_ms("route", 50.0, 0.0) / 50, 1)
-    2.1
+    2.0
     >>> delays.find_delay_ms("other", 50.0, 0.0) is None
     True
     """
@@ -74,14 +70,13 @@
         """Record the time that a send took, and what was estimated for it."""
         times = self._routes.get(route)
         if times is None:
-            times = _Times(now, _make_histogram(), _make_histogram())
+            times = _Times(now, _make_sketch(), _make_sketch())
             self._routes[route] = times
             if len(self._routes) > MAX_ROUTES:
                 self._drop_oldest()
         self._drop_old(times, now)
         ratio = taken_ms / max(MIN_ESTIMATED_MS, estimated_ms)
-        units = math.ceil(ratio * UNITS)
-        times.current.record_value(max(1, min(MAX_RECORDED, units)))
+        times.current.add(max(1 / MAX_RATIO, min(MAX_RATIO, ratio)))
         times.unfitted += 1
         if times.unfitted >= REFIT_INTERVAL or times.quantile is None:
             self._fit(times)
@@ -110,8 +105,8 @@
         if age_s < PERIOD_S:
             return
         is_adjacent = age_s < 2 * PERIOD_S
-        times.previous = times.current if is_adjacent else _make_histogram()
-        times.current, times.began_at = _make_histogram(), now
+        times.previous = times.current if is_adjacent else _make_sketch()
+        times.current, times.began_at = _make_sketch(), now
         self._fit(times)
 
     def _drop_oldest(self) -> None:
@@ -123,19 +118,18 @@
         if _count_samples(times) < MIN_SAMPLES:
             times.quantile = None
             return
-        merged = _make_histogram()
-        merged.add(times.previous)
-        merged.add(times.current)
-        value = merged.get_value_at_percentile(self._quantile * 100)
-        times.quantile = value / UNITS
+        merged = _make_sketch()
+        merged.merge(times.previous)
+        merged.merge(times.current)
+        times.quantile = merged.get_quantile_value(self._quantile)
 
 
-def _make_histogram() -> "HdrHistogram":
+def _make_sketch() -> "DDSketch":
     # Imported here, so that gateways that do not hedge don't load it.
-    from hdrh.histogram import HdrHistogram
+    from ddsketch import DDSketch
 
-    return HdrHistogram(1, MAX_RECORDED, SIGNIFICANT_DIGITS)
+    return DDSketch(RELATIVE_ACCURACY)
 
 
 def _count_samples(times: _Times) -> int:
-    return int(times.previous.get_total_count() + times.current.get_total_count())
+    return int(times.previous.count + times.current.count)
