--- a/tarragonway/coordinator/daemon.py
+++ b/tarragonway/coordinator/daemon.py
@@ -132,10 +132,8 @@
             self._driver,
             self._lease,
             self._clock,
-            lambda: list_capacities(
-                self._configuration.read(),
-                self._view,
-                lambda key: self._gateway_reports.paces.get_pace(key),
+            lambda get_pace: list_capacities(
+                self._configuration.read(), self._view, get_pace
             ),
             self._counters,
         )
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -39,6 +39,9 @@
 # Time for which the combined speeds of engines are sent without being computed again.
 SPEEDS_INTERVAL_S = 1.0
 
+# Returns the capacity of each service, given the pace of each endpoint.
+ListCapacities = Callable[[Callable[[str], float]], dict[ServiceName, float]]
+
 _log = structlog.get_logger()
 
 
@@ -69,7 +72,8 @@
     clock : WallClock
         This process's clock, which is corrected to the median of all clocks.
     list_capacities : callable
-        Returns the work in seconds per second that the endpoints of services can do.
+        Returns the work in seconds per second that the endpoints of services can do,
+        given a function that returns the pace of an endpoint.
     counters : Counters, optional
         Receives ``shedding.*`` counters.
     """
@@ -79,7 +83,7 @@
         driver: LogDriver,
         lease: DutyLease,
         clock: WallClock,
-        list_capacities: Callable[[], dict[ServiceName, float]] = dict,
+        list_capacities: ListCapacities = lambda get_pace: {},
         counters: Counters | None = None,
     ) -> None:
         self._driver = driver
@@ -94,7 +98,9 @@
         self.parts = PartQuarantine()
         self.limits = RequestLimits()
         self.paces = CombinedPaces()
-        self.shedding = SheddingPlanner(list_capacities, counters or Counters())
+        self.shedding = SheddingPlanner(
+            lambda: list_capacities(self.paces.get_pace), counters or Counters()
+        )
 
     def clear(self) -> None:
         """Remove all reports; called while this process is not the leader.
--- a/tarragonway/coordinator/tests/test_shedding.py
+++ b/tarragonway/coordinator/tests/test_shedding.py
@@ -54,7 +54,7 @@
 def test_replies_have_fractions_only_while_a_service_is_overloaded():
     driver = SimpleNamespace(replica=SimpleNamespace(term=1))
     lease = SimpleNamespace(leadership_age_s=9.0)
-    reports = GatewayReports(driver, lease, WallClock(), lambda: {"s": 3.0})
+    reports = GatewayReports(driver, lease, WallClock(), lambda get_pace: {"s": 3.0})
     reply = report(reports, 2900, 0.0)
     assert (reply.admitted_version, reply.admitted) == (-1, None)
     reply = report(reports, 6000, 1.0)
