End the processes of a soak deployment whose start fails

Traced: 51 gateways of an earlier, broken run of test_rollouts.py held ports of the range, among them 25402 and 26652 on 127.0.5.1, as its deployments were started outside of the block that stops them. The harness of hedging named a header of the platform, which test_boundary.py found.

--- a/soak/tests/test_rollouts.py
+++ b/soak/tests/test_rollouts.py
@@ -79,9 +79,9 @@
     deployment = Deployment(tmp_path, reserve_base_port(), 1)
     for endpoint in deployment.endpoints:
         endpoint.version, endpoint.service_time_s = "v1", service_time_s
-    await deployment.start()
     tasks = []
     try:
+        await deployment.start()
         load = Load(deployment)
         async with asyncio.timeout(20.0):
             await load.operator.replace_configuration(0)
--- a/tarragonway/gateway/tests/hedging_harness.py
+++ b/tarragonway/gateway/tests/hedging_harness.py
@@ -113,4 +113,4 @@
 
 
 async def ask(hedging, path, *headers):
-    return await hedging.ask(path, "Tarragonway-Attempt: a", *headers, wait_s=1.9)
+    return await hedging.ask(path, *headers, wait_s=1.9)
