--- a/tarragonway/gateway/tests/test_hedging_denials.py
+++ b/tarragonway/gateway/tests/test_hedging_denials.py
@@ -45,7 +45,7 @@
     for endpoint in hedging.endpoints:
         endpoint._answer = script.answer
     assert (await ask(hedging, "/short/")).endswith(b"only")
-    assert hedging.count("denied.max_attempts") == 1
+    assert hedging.count("denied.no_attempts_left") == 1
 
 
 # Guards against extra sends that do not withdraw from the retry budget.
--- a/tarragonway/hedging/decision.py
+++ b/tarragonway/hedging/decision.py
@@ -17,7 +17,7 @@
     """Why a request is not hedged; the values are parts of counter names."""
 
     AT_MOST_ONCE = "at_most_once"
-    MAX_ATTEMPTS = "max_attempts"
+    MAX_ATTEMPTS = "no_attempts_left"
     RESUMED = "resumed"
     PROBE = "probe"
     SUSPECT = "suspect"
--- a/tarragonway/hedging/tests/test_hedging.py
+++ b/tarragonway/hedging/tests/test_hedging.py
@@ -162,7 +162,7 @@
     assert delays.find_delay_ms("r", 0.0, 0.0) > 0
 
 
-REQUEST = {"is_repeatable": True, "sends": 1, "max_attempts": 2}
+REQUEST = dict(is_repeatable=True, sends=1, max_attempts=2)
 FIRST = EndpointFigures(100.0, 3.0, 4, 1.0)
 
 
