--- a/soak/tests/test_rollouts.py
+++ b/soak/tests/test_rollouts.py
@@ -212,6 +212,26 @@
     assert not load.list_cut("" if fault is None else "v3")
 
 
+# Guards against requests that are cut at completion because a gateway does not hear of
+# the rollout for most of its deadline.
+async def test_gateway_is_cut_off_for_most_of_a_rollout(tmp_path):
+    async with run_load(tmp_path) as load:
+        operation = load.order("plain")
+        await operation.order()
+        task = asyncio.create_task(operation.serve())
+        while not load.count_sent("v3"):
+            await asyncio.sleep(0.01)
+        for proxy in load.deployment.peer_proxies:
+            proxy.cut_off = b"gateway-1"
+        await asyncio.sleep(8.0)
+        for proxy in load.deployment.peer_proxies:
+            proxy.cut_off = b""
+            proxy.reset()
+        await task
+    check(load, operation, "completed")
+    assert not load.list_cut()
+
+
 # Guards against repeats that start again or are refused, and against wrong refusals.
 async def test_calls_are_answered_as_documented(tmp_path):
     async with run_load(tmp_path) as load:
