Log and dump which membership is in force and whether it is committed

Cause: a group without a leader showed only role changes. Whether it could not commit its membership, did not admit a new member, or had lost its links could not be told apart.

Change: each coordinator and control process logs 'membership in force' and 'membership committed' with voters, learners, quorum and index; the state dump has the quorum, the index of the membership, whether it is committed, and the votes of the latest election.

--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -126,6 +126,16 @@
         """Whether the latest membership may still be replaced by a former one."""
         return self._memberships.latest_index > self.commit
 
+    @property
+    def membership_index(self) -> int:
+        """Index of the entry that brought the latest membership."""
+        return self._memberships.latest_index
+
+    @property
+    def votes(self) -> frozenset[MemberId]:
+        """Voters that have granted their vote in this replica's latest election."""
+        return frozenset(self._votes)
+
     @property
     def last_index(self) -> int:
         """Index of the last entry in the log."""
--- a/tarragonway/control/daemon.py
+++ b/tarragonway/control/daemon.py
@@ -44,6 +44,7 @@
 from tarragonway.process.base import ProcessBase
 from tarragonway.replication import DriverConfig, LogDriver, NotLeader
 from tarragonway.replication.admission import admit_member
+from tarragonway.replication.membership_reports import make_membership_dump
 from tarragonway.settings import Settings, load_settings
 from tarragonway.settings.load import find_control_peer
 from tarragonway.settings.options import read_options
@@ -161,8 +162,7 @@
             "commit": replica.commit,
             "applied": self._driver.applied,
             "snapshot": replica.snapshot.index,
-            "voters": [member.id for member in replica.membership.voters],
-            "learners": [member.id for member in replica.membership.learners],
+            **make_membership_dump(replica),
             "revision": (
                 content.lists.revision if self._driver.has_applied_restored_log else -1
             ),
--- a/tarragonway/coordinator/dump.py
+++ b/tarragonway/coordinator/dump.py
@@ -8,6 +8,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ProcessName
 from tarragonway.replication import LogDriver
+from tarragonway.replication.membership_reports import make_membership_dump
 
 
 def make_state_dump(
@@ -29,8 +30,7 @@
         "commit": replica.commit,
         "applied": driver.applied,
         "disk_refusal_s": driver.disk_refusal_s,
-        "voters": [member.id for member in replica.membership.voters],
-        "learners": [member.id for member in replica.membership.learners],
+        **make_membership_dump(replica),
         "revision": machine.revision,
         "windows": sorted(machine.usage)[-4:],
         "gateways": list(gateways),
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -25,6 +25,7 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId
 from tarragonway.replication.membership_changes import plan_membership_change
+from tarragonway.replication.membership_reports import MembershipLogger, list_ids
 from tarragonway.replication.planned_stop import MIN_VOTERS, PlannedStop
 
 KEPT_LOG_ENTRIES = 500
@@ -131,6 +132,7 @@
         self._applied_waiters: list[tuple[int, asyncio.Future]] = []
         self._join_requests: dict[Member, float] = {}
         self._role = replica.role
+        self._membership_logger = MembershipLogger(replica)
         self._disk_refuses_since: float | None = None
         self.on_state_change: Callable[[], None] = lambda: None
 
@@ -276,8 +278,7 @@
         if change is None:
             return
         if self.replica.propose_membership(change) is not None:
-            names = [member.id for member in change.voters]
-            _log.info("membership change proposed", voters=names)
+            _log.info("membership change proposed", voters=list_ids(change.voters))
 
     def _handle_packet(self, packet: Packet) -> None:
         is_target = packet.target == self._config.own.id
@@ -326,6 +327,7 @@
         for read in output.reads:
             self._complete_read(read)
         self._record_role()
+        self._membership_logger.log_change()
         if output.committed or output.snapshot is not None:
             self._wake_waiters()
             self.on_state_change()
