End the join request of an incarnation that its process has lost

Callers saw: none alone; a coordinator whose disk is lost twice came back only when the former request had expired, 5 s after it was last sent. Within this time the group could not bear another loss, though a machine counts as lost for 4 s only after it is back.

Cause: requests were kept for each incarnation, and a learner whose request was still kept barred a later incarnation of the same process.

Change: JoinRequests keeps the latest request of each process.

--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -24,6 +24,7 @@
 )
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId
+from tarragonway.replication.join_requests import JoinRequests
 from tarragonway.replication.membership_changes import plan_membership_change
 from tarragonway.replication.membership_reports import MembershipLogger, list_ids
 from tarragonway.replication.planned_stop import MIN_VOTERS, PlannedStop
@@ -130,7 +131,7 @@
         self._reads: dict[int, asyncio.Future] = {}
         self._read_tokens = itertools.count(1)
         self._applied_waiters: list[tuple[int, asyncio.Future]] = []
-        self._join_requests: dict[Member, float] = {}
+        self._join_requests = JoinRequests(JOIN_REQUEST_RETENTION_S)
         self._role = replica.role
         self._membership_logger = MembershipLogger(replica)
         self._disk_refuses_since: float | None = None
@@ -196,7 +197,7 @@
 
     def record_join_request(self, member: Member) -> None:
         """Record that a declared member has asked to join."""
-        self._join_requests[member] = asyncio.get_running_loop().time()
+        self._join_requests.record(member, asyncio.get_running_loop().time())
 
     async def propose(self, command: Any) -> Any:
         """Append a command to the log; return its result once it is applied.
@@ -269,11 +270,7 @@
 
     def _propose_membership_change(self) -> None:
         now = asyncio.get_running_loop().time()
-        present = [
-            m
-            for m, at in self._join_requests.items()
-            if now - at < JOIN_REQUEST_RETENTION_S
-        ]
+        present = self._join_requests.list_present(now)
         change = plan_membership_change(self.replica, present)
         if change is None:
             return
--- a/tarragonway/replication/membership_changes.py
+++ b/tarragonway/replication/membership_changes.py
@@ -22,7 +22,7 @@
     replica : Replica
         The leader.
     present : sequence of Member
-        Members that have recently asked to join.
+        Members that have recently asked to join, one of each name.
     """
     membership = replica.membership
     replaced = _find_replaced(membership)
@@ -35,9 +35,7 @@
         if _can_be_promoted(replica, learner):
             return membership.promote(learner.id)
     for member in present:
-        if membership.find(member.id) is None and not _is_joining(
-            membership, member, present
-        ):
+        if membership.find(member.id) is None:
             return membership.add_learner(member)
     return None
 
@@ -73,13 +71,3 @@
     behind = replica.last_index - match_index
     is_current = match_index > 0 and behind <= MAX_PROMOTION_LAG_ENTRIES
     return is_current and not replica.is_unresponsive(learner.id)
-
-
-def _is_joining(
-    membership: Membership, member: Member, present: Sequence[Member]
-) -> bool:
-    """Return whether a present learner of the same name is already joining."""
-    return any(
-        learner.name == member.name and learner in present
-        for learner in membership.learners
-    )
--- a/tarragonway/replication/tests/group.py
+++ b/tarragonway/replication/tests/group.py
@@ -20,6 +20,7 @@
 from tarragonway.consensus.tests.cluster import FakeDisk
 from tarragonway.core.ids import ClusterId, MemberId, ProcessName
 from tarragonway.replication import plan_membership_change
+from tarragonway.replication.join_requests import JoinRequests
 
 PARAMETERS = Parameters(12, 2, 4)
 JOIN_INTERVAL_TICKS = 6
@@ -43,7 +44,7 @@
         self.frozen_until = 0
         self.cut_until = 0
         self.leaves = False
-        self.join_requests = {}
+        self.join_requests = JoinRequests(JOIN_RETENTION_TICKS)
 
     @property
     def id(self):
@@ -77,7 +78,10 @@
 
 
 class Group:
-    """Processes that exchange messages with a delay of one tick."""
+    """Processes that exchange messages.
+
+    ``draw_delay`` returns the delay of a message in ticks, None if it is lost.
+    """
 
     def __init__(self, size, seed):
         self.seed = seed
@@ -91,6 +95,7 @@
             folder.write_snapshot(first, HardState(), LogTail())
             process.start()
         self.packets = []
+        self.draw_delay = lambda: 1
         self.acknowledged = []
         self.pending = {}
 
@@ -114,8 +119,9 @@
 
     def tick(self):
         self.now += 1
-        packets, self.packets = self.packets, []
-        for source, target, message in packets:
+        due = [packet for packet in self.packets if packet[0] <= self.now]
+        self.packets = [packet for packet in self.packets if packet[0] > self.now]
+        for _, source, target, message in due:
             self.deliver(source, target, message)
         for process in list(self.processes.values()):
             if self.runs(process):
@@ -139,13 +145,9 @@
         elif replica.seeks_admission and self.now % JOIN_INTERVAL_TICKS == 0:
             for other in self.processes.values():
                 if self.runs(other) and self.reaches(process, other):
-                    other.join_requests[process.member] = self.now
+                    other.join_requests.record(process.member, self.now)
         if replica.is_ready_leader:
-            present = [
-                member
-                for member, at in process.join_requests.items()
-                if self.now - at < JOIN_RETENTION_TICKS
-            ]
+            present = process.join_requests.list_present(self.now)
             change = plan_membership_change(replica, present)
             if change is not None:
                 replica.propose_membership(change)
@@ -162,7 +164,10 @@
         elif output.has_writes():
             folder.append(output.hard_state, output.entries)
             folder.sync()
-        self.packets += [(process.id, *message) for message in output.messages]
+        for target, message in output.messages:
+            delay = self.draw_delay()
+            if delay is not None:
+                self.packets.append((self.now + delay, process.id, target, message))
         for entry in output.committed:
             if entry.payload:
                 process.applied.append(entry.payload)
