Remove a lost voter before its successor is promoted

No read and no change of the configuration was answered, and gateways that started got none.

Cause: the new incarnation became a voter before the lost one was removed. Four voters have a quorum of three, two were left, so only the new incarnation itself could commit its promotion. Lost before that, it left an entry in the logs of the others that no majority stores; they need three votes for a leader from then on.

Evidence: the dump of both remaining coordinators showed four voters at index 7, not committed, commit 6, and two votes of a quorum of three in every election.

Change: the order is learner, removal, promotion. An odd number of voters has the same quorum as one voter fewer, so the remaining voters commit each step, and none needs the learner. A voter counts as replaced once a learner of its name has caught up and has replied later. A voter of another name makes room for a ready learner once it has left or is silent. An odd group grows only if its present voters can commit that. While a voter's place is empty (is_reduced), two voters of three still accept commands, and a planned stop waits for the third.

Why it works: the property test lets a member lose its disk after each step of its return, in groups of three and five, and draws losses, delays and disturbances beside them. Each membership in a log must have a quorum among the members that are not lost.

--- a/tarragonway/consensus/members.py
+++ b/tarragonway/consensus/members.py
@@ -20,22 +20,39 @@
 class Membership(msgspec.Struct, frozen=True, array_like=True):
     """Voters, which form quorums, and learners, which only receive the log.
 
+    ``is_reduced`` is set while a voter's place is empty: the voter was removed from an
+    odd number, and no learner has been promoted since.
+
     Examples
     --------
-    >>> one = Member(MemberId("a.1"), ProcessName("a"))
-    >>> group = Membership((one,), ())
-    >>> group.quorum
-    1
+    >>> a, b, c, d = (Member(MemberId(f"{n}.1"), ProcessName(n)) for n in "abcd")
+    >>> group = Membership((a, b, c), (d,))
+    >>> reduced = group.remove(c.id)
+    >>> reduced.is_reduced, reduced.size
+    (True, 3)
+    >>> group.quorum, reduced.quorum, reduced.promote(d.id).quorum
+    (2, 2, 2)
     """
 
     voters: tuple[Member, ...] = ()
     learners: tuple[Member, ...] = ()
+    is_reduced: bool = False
 
     @property
     def quorum(self) -> int:
         """Number of voters in a majority."""
         return len(self.voters) // 2 + 1
 
+    @property
+    def size(self) -> int:
+        """Number of voters, an empty place included."""
+        return len(self.voters) + self.is_reduced
+
+    @property
+    def can_be_reduced(self) -> bool:
+        """Whether one voter fewer leaves the quorum as large as it is."""
+        return len(self.voters) > 2 and len(self.voters) % 2 == 1
+
     @property
     def has_spare_voter(self) -> bool:
         """Whether one voter fewer tolerates as many losses.
@@ -70,7 +87,7 @@
             raise InvariantError(f"cannot add {member.id}: it is already a member")
         # A learner of the same name is an earlier incarnation that abandoned its join.
         kept = tuple(m for m in self.learners if m.name != member.name)
-        return Membership(self.voters, (*kept, member))
+        return Membership(self.voters, (*kept, member), self.is_reduced)
 
     def promote(self, member_id: MemberId) -> "Membership":
         """Return a membership in which a learner has become a voter.
@@ -88,7 +105,9 @@
 
     def remove(self, member_id: MemberId) -> "Membership":
         """Return a membership without this member."""
-        return Membership(
-            tuple(m for m in self.voters if m.id != member_id),
-            tuple(m for m in self.learners if m.id != member_id),
-        )
+        voters = tuple(m for m in self.voters if m.id != member_id)
+        learners = tuple(m for m in self.learners if m.id != member_id)
+        is_reduced = self.is_reduced
+        if voters != self.voters:
+            is_reduced = self.can_be_reduced
+        return Membership(voters, learners, is_reduced)
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -176,6 +176,12 @@
         limit = MAX_SILENT_ELECTION_TIMEOUTS * self._parameters.election_ticks
         return self.get_silent_ticks(member_id) > limit
 
+    def count_reachable(self) -> int:
+        """Return the number of voters that have replied lately, including this one."""
+        return self._progress.count_reachable(
+            self.membership, self.unreachable_after_ticks
+        )
+
     @property
     def departing(self) -> set[MemberId]:
         """Members that have asked this leader to leave, as they are about to stop."""
@@ -219,10 +225,10 @@
         membership = self.membership
         if self.own_id not in membership.voter_ids:
             return True
-        if len(membership.voters) - 1 < membership.quorum:
+        if membership.size - 1 < membership.quorum:
             return True
         if self.role is Role.LEADER:
-            reachable = self._count_reachable()
+            reachable = self.count_reachable()
         else:
             reachable = self._reachable_voters if self._has_recent_leader() else 0
         return reachable - 1 >= membership.quorum
@@ -541,7 +547,7 @@
             self.commit,
             self._round,
             entries,
-            self._count_reachable(),
+            self.count_reachable(),
         )
         self._send(member_id, request)
 
@@ -587,11 +593,6 @@
             self.commit = quorum_match
             self._broadcast_due = True
 
-    def _count_reachable(self) -> int:
-        return self._progress.count_reachable(
-            self.membership, self.unreachable_after_ticks
-        )
-
     def _complete_reads(self) -> None:
         confirmed = self._progress.compute_quorum_round(self.membership, self._round)
         ready = [read for read in self._reads if read[2] <= confirmed]
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -180,8 +180,8 @@
     @property
     def _accepts_commands(self) -> bool:
         """Whether this replica is a ready leader with enough voters for commands."""
-        voters = len(self.replica.membership.voters)
-        enough = voters >= min(MIN_VOTERS, self._config.declared)
+        size = self.replica.membership.size
+        enough = size >= min(MIN_VOTERS, self._config.declared)
         return self.replica.is_ready_leader and enough
 
     @property
--- a/tarragonway/replication/membership_changes.py
+++ b/tarragonway/replication/membership_changes.py
@@ -12,10 +12,11 @@
 ) -> Membership | None:
     """Return the next membership, or None if no change is needed or possible yet.
 
-    A new incarnation joins as a learner and becomes a voter once it has caught up. Only
-    then is the incarnation that it replaces removed, so that at every step each quorum
-    stores every acknowledged entry. A voter that was removed while it was out of touch
-    joins again in the same way.
+    A new incarnation joins as a learner. Once it has caught up, the voter that it
+    replaces is removed, and only then it becomes a voter. An odd number of voters has
+    the same quorum as one voter fewer, so that the remaining voters can commit each of
+    these steps: none waits for the learner, which may be lost at any moment. A voter
+    that was removed while it was out of touch joins again in the same way.
 
     Parameters
     ----------
@@ -25,13 +26,13 @@
         Members that have recently asked to join, one of each name.
     """
     membership = replica.membership
-    replaced = _find_replaced(membership)
-    if replaced is not None:
-        return membership.remove(replaced.id)
-    removable = _find_removable(replica, membership)
+    ready = [m for m in membership.learners if _is_ready(replica, m)]
+    if ready and membership.is_reduced:
+        return membership.promote(ready[0].id)
+    removable = _find_replaced(replica, ready) or _find_removable(replica, ready)
     if removable is not None:
         return membership.remove(removable.id)
-    for learner in membership.learners:
+    for learner in ready:
         if _can_be_promoted(replica, learner):
             return membership.promote(learner.id)
     for member in present:
@@ -40,20 +41,47 @@
     return None
 
 
-def _find_replaced(membership: Membership) -> Member | None:
-    """Return a voter that a later voter of the same name has replaced."""
-    latest = {member.name: member for member in membership.voters}
-    return next((m for m in membership.voters if latest[m.name] != m), None)
+def _is_ready(replica: Replica, learner: Member) -> bool:
+    """Return whether a learner answers and stores nearly the whole log.
+
+    A learner that has never answered stores nothing, however short the log is.
+    """
+    match_index = replica.get_match_index(learner.id)
+    behind = replica.last_index - match_index
+    is_current = match_index > 0 and behind <= MAX_PROMOTION_LAG_ENTRIES
+    return is_current and not replica.is_unresponsive(learner.id)
 
 
-def _find_removable(replica: Replica, membership: Membership) -> Member | None:
-    """Return the voter to remove if the group has one more than it needs.
+def _find_replaced(replica: Replica, ready: Sequence[Member]) -> Member | None:
+    """Return a voter whose name a later voter or a ready learner has.
+
+    One process runs under a name at a time, so of two incarnations, the one that
+    replied last has replaced the other.
+    """
+    voters = replica.membership.voters
+    latest = {member.name: member for member in voters}
+    for voter in voters:
+        if latest[voter.name] != voter:
+            return voter
+    if len(voters) <= 2:
+        return None
+    silence = {m.name: replica.get_silent_ticks(m.id) for m in ready}
+    for voter in voters:
+        if replica.get_silent_ticks(voter.id) > silence.get(voter.name, float("inf")):
+            return voter
+    return None
+
+
+def _find_removable(replica: Replica, ready: Sequence[Member]) -> Member | None:
+    """Return the voter to remove if the group has a spare one or one to take its place.
 
     A voter that has announced its stop goes first, then the one that has been silent
     for longest. A voter that was only out of touch asks to be admitted again once it
     is back, so its removal costs nothing but a few entries.
     """
-    if not membership.has_spare_voter:
+    membership = replica.membership
+    has_successor = membership.can_be_reduced and ready
+    if not membership.has_spare_voter and not has_successor:
         return None
     for voter in membership.voters:
         if voter.id in replica.departing:
@@ -63,11 +91,12 @@
 
 
 def _can_be_promoted(replica: Replica, learner: Member) -> bool:
-    """Return whether a learner answers and stores nearly the whole log.
+    """Return whether the present voters can commit the promotion of a ready learner.
 
-    A learner that has never answered stores nothing, however short the log is.
+    A single voter can only form a group together with the learner.
     """
-    match_index = replica.get_match_index(learner.id)
-    behind = replica.last_index - match_index
-    is_current = match_index > 0 and behind <= MAX_PROMOTION_LAG_ENTRIES
-    return is_current and not replica.is_unresponsive(learner.id)
+    voters = replica.membership.voters
+    if any(voter.name == learner.name for voter in voters):
+        return False
+    enlarged = replica.membership.promote(learner.id)
+    return len(voters) == 1 or replica.count_reachable() >= enlarged.quorum
--- a/tarragonway/replication/planned_stop.py
+++ b/tarragonway/replication/planned_stop.py
@@ -92,7 +92,7 @@
         """Wait until a majority remains reachable without this member."""
         # A member that has just stopped still counts as reachable for this time, and a
         # follower receives the number of reachable voters one heartbeat later.
-        if len(self._replica.membership.voters) >= MIN_VOTERS:
+        if self._replica.membership.size >= MIN_VOTERS:
             await asyncio.sleep(
                 (self._replica.unreachable_after_ticks + 2) * self._tick_s
             )
--- a/tarragonway/replication/tests/group.py
+++ b/tarragonway/replication/tests/group.py
@@ -214,7 +214,8 @@
         """Write a value; return whether it was acknowledged within the limit."""
         for tick in range(limit_ticks):
             leader = self.find_leader()
-            if leader is not None and tick % 20 == 0:
+            accepts = leader is not None and leader.replica.membership.size >= 3
+            if accepts and tick % 20 == 0:
                 payload = f"{value}.{tick}".encode()
                 index = leader.replica.propose(payload)
                 self.pending[index] = (leader.replica.term, payload)
