Form a group of three voters in one step

Operators saw: a group that is set up for the own interface could never be formed if its second process lost its disk while it became the second voter; it had to be set up again. No command had been accepted by then.

Cause: the first voter promoted one learner.

Change: a single voter promotes as many ready learners at once as the group needs. That is safe although more than one voter changes: nobody else decides by the former membership, and the single voter does not either once its log has the new one. Any one of the learners suffices.

--- a/tarragonway/consensus/members.py
+++ b/tarragonway/consensus/members.py
@@ -1,5 +1,7 @@
 """Membership of a replicated log."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from tarragonway.core.errors import InvariantError
@@ -103,6 +105,13 @@
         learners = tuple(m for m in self.learners if m.id != member_id)
         return Membership((*self.voters, member), learners)
 
+    def promote_all(self, members: Iterable[Member]) -> "Membership":
+        """Return a membership in which several learners have become voters."""
+        membership = self
+        for member in members:
+            membership = membership.promote(member.id)
+        return membership
+
     def remove(self, member_id: MemberId) -> "Membership":
         """Return a membership without this member."""
         voters = tuple(m for m in self.voters if m.id != member_id)
--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -277,6 +277,9 @@
     def propose_membership(self, membership: Membership) -> int | None:
         """Append a membership that differs in at most one voter; return its index.
 
+        A single voter may propose any voters beside itself. Nobody else decides by the
+        former membership, and it does not either once its log has the new one.
+
         Return None if this replica is not a ready leader, if the previous change is not
         committed yet, or if another voter has just been asked to take over, which would
         not know of the change.
@@ -291,7 +294,9 @@
         if self._transfer_wait_ticks:
             return None
         changed = self.membership.voter_ids ^ membership.voter_ids
-        if len(changed) > 1:
+        is_single = self.membership.voter_ids == {self.own_id}
+        is_kept = self.own_id in membership.voter_ids
+        if len(changed) > 1 and not (is_single and is_kept):
             raise InvariantError(
                 f"membership change affects {len(changed)} voters; "
                 "only one voter may change at a time"
--- a/tarragonway/replication/driver.py
+++ b/tarragonway/replication/driver.py
@@ -25,9 +25,12 @@
 from tarragonway.core.counters import Counters
 from tarragonway.core.ids import ClusterId, MemberId
 from tarragonway.replication.join_requests import JoinRequests
-from tarragonway.replication.membership_changes import plan_membership_change
+from tarragonway.replication.membership_changes import (
+    MIN_VOTERS,
+    plan_membership_change,
+)
 from tarragonway.replication.membership_reports import MembershipLogger, list_ids
-from tarragonway.replication.planned_stop import MIN_VOTERS, PlannedStop
+from tarragonway.replication.planned_stop import PlannedStop
 
 KEPT_LOG_ENTRIES = 500
 JOIN_REQUEST_RETENTION_S = 5.0
@@ -271,10 +274,8 @@
     def _propose_membership_change(self) -> None:
         now = asyncio.get_running_loop().time()
         present = self._join_requests.list_present(now)
-        change = plan_membership_change(self.replica, present)
-        if change is None:
-            return
-        if self.replica.propose_membership(change) is not None:
+        change = plan_membership_change(self.replica, present, self._config.declared)
+        if change is not None and self.replica.propose_membership(change) is not None:
             _log.info("membership change proposed", voters=list_ids(change.voters))
 
     def _handle_packet(self, packet: Packet) -> None:
--- a/tarragonway/replication/membership_changes.py
+++ b/tarragonway/replication/membership_changes.py
@@ -4,11 +4,13 @@
 
 from tarragonway.consensus import Member, Membership, Replica
 
+# A group set up for this number of voters or more accepts no commands with fewer.
+MIN_VOTERS = 3
 MAX_PROMOTION_LAG_ENTRIES = 16
 
 
 def plan_membership_change(
-    replica: Replica, present: Sequence[Member]
+    replica: Replica, present: Sequence[Member], declared: int = MIN_VOTERS
 ) -> Membership | None:
     """Return the next membership, or None if no change is needed or possible yet.
 
@@ -24,6 +26,8 @@
         The leader.
     present : sequence of Member
         Members that have recently asked to join, one of each name.
+    declared : int
+        Number of voters that the settings declare.
     """
     membership = replica.membership
     ready = [m for m in membership.learners if _is_ready(replica, m)]
@@ -32,9 +36,9 @@
     removable = _find_replaced(replica, ready) or _find_removable(replica, ready)
     if removable is not None:
         return membership.remove(removable.id)
-    for learner in ready:
-        if _can_be_promoted(replica, learner):
-            return membership.promote(learner.id)
+    promotable = _select_promotable(replica, ready, declared)
+    if promotable:
+        return membership.promote_all(promotable)
     for member in present:
         if membership.find(member.id) is None:
             return membership.add_learner(member)
@@ -90,13 +94,21 @@
     return max(unresponsive, key=lambda m: replica.get_silent_ticks(m.id), default=None)
 
 
-def _can_be_promoted(replica: Replica, learner: Member) -> bool:
-    """Return whether the present voters can commit the promotion of a ready learner.
+def _select_promotable(
+    replica: Replica, ready: Sequence[Member], declared: int
+) -> Sequence[Member]:
+    """Return the ready learners whose promotion does not wait for a single one of them.
 
-    A single voter can only form a group together with the learner.
+    A single voter forms a group with as many learners at once as the group needs. A
+    larger group promotes one learner at a time, if its present voters can commit that.
     """
     voters = replica.membership.voters
-    if any(voter.name == learner.name for voter in voters):
-        return False
-    enlarged = replica.membership.promote(learner.id)
-    return len(voters) == 1 or replica.count_reachable() >= enlarged.quorum
+    if len(voters) == 1:
+        missing = min(MIN_VOTERS, declared) - 1
+        return ready[:missing] if len(ready) >= missing else ()
+    names = {voter.name for voter in voters}
+    for learner in ready:
+        enlarged = replica.membership.promote(learner.id)
+        if learner.name not in names and replica.count_reachable() >= enlarged.quorum:
+            return (learner,)
+    return ()
--- a/tarragonway/replication/planned_stop.py
+++ b/tarragonway/replication/planned_stop.py
@@ -6,9 +6,8 @@
 import structlog
 
 from tarragonway.consensus import Replica, Role
+from tarragonway.replication.membership_changes import MIN_VOTERS
 
-# A group set up for this number of voters or more accepts no commands with fewer.
-MIN_VOTERS = 3
 RETRY_INTERVAL_TICKS = 4
 ANSWER_FLUSH_DELAY_S = 0.2
 
--- a/tarragonway/replication/tests/test_repeated_losses.py
+++ b/tarragonway/replication/tests/test_repeated_losses.py
@@ -5,6 +5,7 @@
 a log, committed or not, must have a quorum among the members that are not lost.
 """
 
+import collections
 import random
 from dataclasses import dataclass
 
@@ -29,7 +30,7 @@
 
     def __init__(self, size, seed):
         super().__init__(size, seed)
-        self.steps = dict.fromkeys(self.processes, 0)
+        self.steps = collections.defaultdict(int)
         self.loss_step = None
         self.lost_at = {}
         self.violations = []
@@ -121,6 +122,26 @@
         check_service(group, "after another loss")
 
 
+# Guards against a group that can never be formed, as its second voter loses its disk
+# before it has stored its own promotion.
+@pytest.mark.parametrize("seed", range(3))
+def test_disk_is_lost_at_every_step_of_forming_a_group(seed):
+    for step in range(1, MAX_RETURN_STEPS):
+        group = LossyGroup(1, seed)
+        group.run(40)
+        for name in ("n0", "n1"):
+            group.add(name)
+        group.loss_step = ("n0", step)
+        group.run(CATCH_UP_TICKS)
+        assert group.loss_step is None
+        group.bring_back("n0")
+        group.run(CATCH_UP_TICKS)
+        check_service(group, "first")
+        group.lose_disk("n1")
+        group.run(10)
+        check_service(group, "after another loss")
+
+
 @dataclass
 class Loss:
     """Loss of one machine's disk, repeated during its return.
