Let the soak lose a coordinator's disk again while it returns

A wipe may now be repeated up to four times at drawn moments; the draws are from a sequence of their own. A test with real processes loses the disks of all three machines in turn, each up to ten times in a row at drawn moments, while an operator changes the configuration: each change has to be acknowledged within 4 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -32,6 +32,9 @@
 ENGINE_FAULT_DURATION_S = (1.0, 4.0)
 REQUEST_LIMITS = ("0", "0.5", "2", "20", "nan")
 STOP_TIMEOUT_S = 9.0
+# A coordinator that has lost its disk may lose it again while it returns.
+MAX_REPEATED_LOSSES = 4
+REPEATED_LOSS_DELAY_S = (0.2, 1.3)
 
 
 class FaultInjector:
@@ -53,6 +56,7 @@
         self._random = random.Random(seed)
         self._engine_random = random.Random(f"engines {seed}")
         self._notice_random = random.Random(f"notices {seed}")
+        self._loss_random = random.Random(f"losses {seed}")
         self._affected: set[str] = set()
         self._stopped: set[str] = set()
         self.history: list[str] = []
@@ -125,11 +129,26 @@
         await process.start()
         self._stopped.discard(process.name)
         if method == "wipe":
+            await self._lose_disk_again(process)
             # Losing a second disk before the group has replaced the member would lose
             # the majority.
             await asyncio.sleep(4.0)
         self._affected.discard(process.name)
 
+    async def _lose_disk_again(self, process: Process) -> None:
+        """Lose a returning coordinator's disk a drawn number of times."""
+        source = self._loss_random
+        for _ in range(source.randint(0, MAX_REPEATED_LOSSES)):
+            await asyncio.sleep(source.uniform(*REPEATED_LOSS_DELAY_S))
+            self.history.append(f"wipe {process.name} again")
+            self._stopped.add(process.name)
+            process.send(signal.SIGKILL)
+            await process.wait(STOP_TIMEOUT_S)
+            self._deployment.delete_data(process)
+            await asyncio.sleep(source.uniform(*RESTART_DELAY_S))
+            await process.start()
+            self._stopped.discard(process.name)
+
     def _is_any_coordinator_affected(self) -> bool:
         return any(
             process.name in self._affected for process in self._deployment.coordinators
--- a/soak/tests/test_repeated_disk_losses.py
+++ b/soak/tests/test_repeated_disk_losses.py
@@ -1,7 +1,9 @@
-"""One coordinator of three that loses its disk again and again while it returns."""
+"""Coordinators that lose their disks again and again while they return."""
 
 import asyncio
 import contextlib
+import itertools
+import random
 import signal
 
 import pytest
@@ -16,16 +18,22 @@
 # Times from its admission to the next loss; it takes part as a voter within 0.2 s.
 LOSS_DELAYS_S = (0.0, 0.01, 0.02, 0.03, 0.04, 0.06, 0.08, 0.12)
 DOWN_S = 0.2
+# Times of losses at drawn moments, and how often a machine loses its disk in a row.
+DRAWN_DOWN_S = (0.1, 1.0)
+DRAWN_DELAY_S = (0.0, 1.3)
+MAX_LOSSES = 10
+# Within this time a change is acknowledged while at most one disk is lost.
+ACKNOWLEDGEMENT_TIMEOUT_S = 4.0
 # Time within which a member that is back takes part, and the group serves again.
 CATCH_UP_S = 4.0
 RECOVERY_S = 12.0
 
 
-async def lose_disk(deployment, process):
+async def lose_disk(deployment, process, down_s=DOWN_S):
     process.send(signal.SIGKILL)
     await process.wait(1.0)
     deployment.delete_data(process)
-    await asyncio.sleep(DOWN_S)
+    await asyncio.sleep(down_s)
     await process.start()
 
 
@@ -96,3 +104,44 @@
     finally:
         await deployment.stop()
     assert not operator.violations
+
+
+async def change_forever(operator, delays_s):
+    """Replace the configuration again and again; record how long each took."""
+    loop = asyncio.get_running_loop()
+    for version in itertools.count(operator.acknowledged_version + 1):
+        started = loop.time()
+        await operator.replace_configuration(version)
+        delays_s.append(loop.time() - started)
+        await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+# Guards against the same fault at moments that nothing aims at, at every machine.
+@pytest.mark.timeout(240)
+@pytest.mark.parametrize("seed", [1])
+async def test_changes_are_acknowledged_while_disks_are_lost_in_turn(tmp_path, seed):
+    source = random.Random(seed)
+    deployment = Deployment(tmp_path, reserve_base_port(), seed)
+    order = source.sample(deployment.coordinators, 3)
+    operator, delays_s = Operator(deployment, seed), []
+    await deployment.start()
+    try:
+        async with asyncio.timeout(RECOVERY_S):
+            await operator.replace_configuration(1)
+        deployment.disable_bootstrap()
+        changes = asyncio.create_task(change_forever(operator, delays_s))
+        for process in order:
+            for _ in range(source.randint(2, MAX_LOSSES)):
+                await lose_disk(deployment, process, source.uniform(*DRAWN_DOWN_S))
+                await asyncio.sleep(source.uniform(*DRAWN_DELAY_S))
+            # A machine counts as lost until it has been back for this time.
+            await asyncio.sleep(CATCH_UP_S)
+            done = len(delays_s)
+            await asyncio.sleep(ACKNOWLEDGEMENT_TIMEOUT_S)
+            assert len(delays_s) > done, f"no change is acknowledged; {process.name}"
+        changes.cancel()
+        assert await read_version(operator) >= operator.acknowledged_version
+    finally:
+        await deployment.stop()
+    assert max(delays_s) <= ACKNOWLEDGEMENT_TIMEOUT_S
+    assert not operator.violations
