--- a/tarragonway/replication/tests/test_older_logs.py
+++ b/tarragonway/replication/tests/test_older_logs.py
@@ -1,4 +1,4 @@
-"""Groups whose log holds a promotion that came before the removal, as in older builds."""
+"""Groups whose log has a promotion before the removal, as older builds propose it."""
 
 import msgspec
 
