--- a/tarragonway/consensus/tests/test_replica.py
+++ b/tarragonway/consensus/tests/test_replica.py
@@ -26,6 +26,7 @@
         self.next_value = 0
         self.next_token = 0
         self.lost_disks = 0
+        self.last_lost = None
         elect(self.cluster)
 
     def faulty(self):
@@ -154,6 +155,16 @@
         """Lose one disk after any earlier loss has been repaired."""
         self.cluster.heal()
         self.lost_disks += 1
+        self.last_lost = node
+        self.wipe(node)
+
+    @precondition(lambda self: self.last_lost is not None)
+    @rule()
+    def lose_disk_again(self):
+        """Lose the same disk again, whether the loss has been repaired or not."""
+        self.wipe(self.last_lost)
+
+    def wipe(self, node):
         chosen = self.cluster.nodes[node]
         chosen.wipe()
         chosen.start()
