Log a membership once, also after its entry is compacted

The index of a membership becomes 0 when its entry is compacted, which logged the same membership again with that index. Its test failed before.

--- a/tarragonway/consensus/replica.py
+++ b/tarragonway/consensus/replica.py
@@ -128,7 +128,7 @@
 
     @property
     def membership_index(self) -> int:
-        """Index of the entry that brought the latest membership."""
+        """Index of the entry that brought the latest membership; 0 if compacted."""
         return self._memberships.latest_index
 
     @property
--- a/tarragonway/replication/membership_changes.py
+++ b/tarragonway/replication/membership_changes.py
@@ -67,6 +67,7 @@
     for voter in voters:
         if latest[voter.name] != voter:
             return voter
+    # Two voters commit nothing without each other, so neither could be removed.
     if len(voters) <= 2:
         return None
     silence = {m.name: replica.get_silent_ticks(m.id) for m in ready}
--- a/tarragonway/replication/membership_reports.py
+++ b/tarragonway/replication/membership_reports.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from tarragonway.consensus import Member, Replica
+from tarragonway.consensus import Member, Membership, Replica
 
 _log = structlog.get_logger()
 
@@ -13,7 +13,7 @@
     """Logs each membership that comes into force at a replica, and its commit.
 
     A membership is in force from the moment at which its entry is appended, so that
-    one without a commit tells that too few of its voters store the entry.
+    one without a commit shows that too few of its voters store the entry.
 
     Parameters
     ----------
@@ -31,11 +31,10 @@
         if state == self._logged:
             return
         self._logged = state
-        index, committed = state
-        membership = self._replica.membership
+        membership, committed = state
         _log.info(
             "membership committed" if committed else "membership in force",
-            index=index,
+            index=self._replica.membership_index,
             voters=list_ids(membership.voters),
             learners=list_ids(membership.learners),
             quorum=membership.quorum,
@@ -43,9 +42,9 @@
             term=self._replica.term,
         )
 
-    def _read_state(self) -> tuple[int, bool]:
+    def _read_state(self) -> tuple[Membership, bool]:
         replica = self._replica
-        return replica.membership_index, not replica.has_uncommitted_membership
+        return replica.membership, not replica.has_uncommitted_membership
 
 
 def make_membership_dump(replica: Replica) -> dict[str, Any]:
--- a/tarragonway/replication/tests/test_membership_reports.py
+++ b/tarragonway/replication/tests/test_membership_reports.py
@@ -27,6 +27,8 @@
         dump = make_membership_dump(leader.replica)
         group.run(4)
         logger.log_change()
+        leader.replica.compact(leader.replica.commit, b"")
+        logger.log_change()
     assert [line["event"] for line in lines] == [
         "membership in force",
         "membership committed",
