--- a/tarragonway/replication/tests/test_older_logs.py
+++ b/tarragonway/replication/tests/test_older_logs.py
@@ -44,8 +44,8 @@
     assert membership.voter_ids == {"c0#1", "c1#0", "c2#0"}
 
 
-# A group that could go on would have to count without the lost incarnation, of which
-# nobody can tell what it has acknowledged.
+# Two of the four voters are left. If they decided alone, safety would rest on the
+# assumption that no former incarnation still runs.
 def test_promotion_whose_member_is_lost_stays_without_a_leader():
     group = Group(3, seed=1)
     process = propose_promotion_first(group, "c0")
--- a/tarragonway/replication/tests/test_repeated_losses.py
+++ b/tarragonway/replication/tests/test_repeated_losses.py
@@ -67,7 +67,8 @@
             kept = [
                 member
                 for member in membership.voters
-                if member.name not in lost
+                if member.name in self.processes
+                and member.name not in lost
                 and self.processes[member.name].id == member.id
             ]
             is_member = any(m.id == process.id for m in membership.members)
@@ -122,6 +123,28 @@
         check_service(group, "after another loss")
 
 
+# Guards against a replacement that only the new member could have committed, as the
+# machine that it replaces is gone for good.
+@pytest.mark.parametrize("seed", range(3))
+def test_replacement_at_another_address_is_lost_at_every_step(seed):
+    for step in range(1, MAX_RETURN_STEPS):
+        group = start_group(3, seed)
+        gone = min(group.processes.keys() - {group.find_leader().name})
+        group.remove(gone)
+        group.add("n0")
+        group.lost_at["n0"] = group.now
+        group.loss_step = ("n0", step)
+        group.run(2 * CATCH_UP_TICKS)
+        assert group.loss_step is None
+        assert group.write("without it", RECOVERY_TICKS), f"lost at step {step}"
+        group.bring_back("n0")
+        group.run(2 * CATCH_UP_TICKS)
+        check_service(group, "last")
+        group.lose_disk(max(group.processes.keys() - {"n0"}))
+        group.run(10)
+        check_service(group, "after another loss")
+
+
 # Guards against a group that can never be formed, as its second voter loses its disk
 # before it has stored its own promotion.
 @pytest.mark.parametrize("seed", range(3))
@@ -147,8 +170,8 @@
     """Loss of one machine's disk, repeated during its return.
 
     ``machine`` is the machine's number, ``away`` the ticks until it is back,
-    ``again`` the ticks from each return to the next loss, ``cuts`` which other
-    machines are disturbed meanwhile: number, kind and ticks.
+    ``again`` the ticks from each return to the next loss, ``disturbances`` those of
+    other machines meanwhile: number, kind and ticks.
     """
 
     machine: int
@@ -196,10 +219,12 @@
     group = start_group(size, seed)
     source = random.Random(seed)
     slowest, dropped = delivery
-    group.draw_delay = lambda: (
-        None if source.random() < dropped else source.randint(1, slowest)
-    )
+
+    def draw_delay():
+        return None if source.random() < dropped else source.randint(1, slowest)
+
     for loss in losses:
+        group.draw_delay = draw_delay
         name = f"c{loss.machine % size}"
         group.lose_disk(name)
         for number, kind, ticks in loss.disturbances:
