--- a/soak/tests/test_repeated_disk_losses.py
+++ b/soak/tests/test_repeated_disk_losses.py
@@ -116,9 +116,10 @@
         await asyncio.sleep(RETRY_INTERVAL_S)
 
 
-# Guards against the same fault at moments that nothing aims at, at every machine.
+# Guards against the same fault at moments that nothing aims at, at every machine. Of
+# seeds 1 to 6, seed 3 was the first one that ended the group.
 @pytest.mark.timeout(240)
-@pytest.mark.parametrize("seed", [1])
+@pytest.mark.parametrize("seed", [3])
 async def test_changes_are_acknowledged_while_disks_are_lost_in_turn(tmp_path, seed):
     source = random.Random(seed)
     deployment = Deployment(tmp_path, reserve_base_port(), seed)
