Log what a connection showed at the end of an unframed answer, and the parts of crash reports

Change: a gateway logs, for each answer whose end was that of its connection, the size of the request, whether it was delivered, whether a reset had arrived and the time waited for one. The leader logs the number of parts in a crash report, and whether it was a probe's.

--- a/tarragonway/coordinator/endpoint_messages.py
+++ b/tarragonway/coordinator/endpoint_messages.py
@@ -96,6 +96,8 @@
             gateway=gateway,
             endpoint=crash.endpoint,
             fingerprint=crash.fingerprint,
+            parts_count=len(crash.parts),
+            is_probe=bool(crash.probe),
         )
         self._part_holds.restore()
         self._gateway_reports.record_crash(gateway, crash, now)
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -160,6 +160,7 @@
         except RequestNotEncodable as error:
             return NotEncodable(str(error))
         finally:
+            _log_end(attempt, endpoint, connection)
             self._pool.release(endpoint.key, connection)
 
     async def _exchange(
@@ -291,6 +292,23 @@
         return matches
 
 
+def _log_end(
+    attempt: Attempt, endpoint: ListedEndpoint, connection: EndpointConnection
+) -> None:
+    """Log what a connection showed whose end was the end of the answer."""
+    end = connection.end
+    if end is not None:
+        _log.info(
+            "answer ended with its connection",
+            attempt=attempt.facts.attempt,
+            endpoint=endpoint.platform_id,
+            request_bytes=end.request_bytes,
+            has_undelivered=end.has_undelivered,
+            was_reset=end.was_reset,
+            waited_ms=round(end.waited_ms, 1),
+        )
+
+
 def _find_fault(
     request: Request, head: ResponseHead, info: ResponseInfo, body: bytes
 ) -> str:
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -76,13 +76,27 @@
         )
 
 
+class ConnectionEnd(msgspec.Struct, frozen=True):
+    """What a connection showed when its end was taken for the end of a response.
+
+    ``request_bytes`` is the size of the request. ``has_undelivered`` tells whether the
+    endpoint's system had not received all of it, ``was_reset`` whether a reset had
+    arrived, and ``waited_ms`` for how long one was awaited.
+    """
+
+    request_bytes: int
+    has_undelivered: bool
+    was_reset: bool
+    waited_ms: float
+
+
 class EndpointConnection(asyncio.Protocol):
     """A connection to an endpoint.
 
     After :meth:`send` and a full read, :attr:`is_reusable` is true if another request
     may use the connection: the response was complete, no bytes follow it and neither
     side asked to close. ``in_body`` is true while :meth:`read_body` has not reached the
-    end of the body.
+    end of the body. ``end`` is set once a response has ended with the connection.
     """
 
     def __init__(self) -> None:
@@ -100,6 +114,7 @@
         self._unparsed_bytes = 0
         self._parts_in_turn = 0
         self.in_body = False
+        self.end: ConnectionEnd | None = None
         self._sent: list[h11.Event] = []
         self.idle_since = 0.0
         self.idle_limit_s = float("inf")
@@ -331,12 +346,18 @@
             If the end came before the whole request had been received, or a reset
             followed.
         """
-        if self._ended_early:
-            raise ConnectionEnded("closed before the whole request was received")
-        if self._awaits_reset and not (self._reset or self._lost):
+        started = asyncio.get_running_loop().time()
+        awaits_reset = self._awaits_reset and not (self._reset or self._lost)
+        if awaits_reset and not self._ended_early:
             await asyncio.sleep(RESET_WAIT_S)
         if self._transport is not None and has_socket_error(self._transport):
             self._reset = True
+        waited_s = asyncio.get_running_loop().time() - started
+        self.end = ConnectionEnd(
+            self._request_bytes, self._ended_early, self._reset, waited_s * 1000
+        )
+        if self._ended_early:
+            raise ConnectionEnded("closed before the whole request was received")
         if self._reset:
             raise ConnectionEnded("the connection was reset after its end")
 
