Take an answer without a length as whole only once its endpoint has closed the connection

Cause: the end of the received stream was taken for the end of the connection. It only shows that the endpoint has ended its own half.

Change: after such an end the connection sends one byte of urgent data, which no endpoint reads as a part of its stream, and its own end (http1/peer_end.py). The system of an endpoint that has closed its socket answers with a reset, that of a half-closed one with an acknowledgement. Only the first kind is the end of an answer, however long the endpoint waits with its reset. Where urgent data cannot be sent the former wait remains.

test_complete_response_is_not_followed_by_a_reset asked for one answer without a length before a half-close to be complete. Its other parameter, a response with a length, is unchanged.

--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -304,8 +304,8 @@
             endpoint=endpoint.platform_id,
             request_bytes=end.request_bytes,
             has_undelivered=end.has_undelivered,
-            was_reset=end.was_reset,
-            waited_ms=round(end.waited_ms, 1),
+            peer=end.peer.value,
+            taken_ms=round(end.taken_ms, 2),
         )
 
 
--- a/tarragonway/http1/client.py
+++ b/tarragonway/http1/client.py
@@ -7,6 +7,7 @@
 import h11
 import msgspec
 
+from tarragonway.http1.peer_end import PeerEnd, find_peer_end
 from tarragonway.http1.sockets import (
     has_socket_error,
     has_undelivered_bytes,
@@ -27,11 +28,8 @@
 SELF_DELIMITED_STATUSES = (204, 304)
 # RFC 9110, section 15: other numbers are not status codes. h11 accepts up to 999.
 MIN_STATUS, MAX_STATUS = 100, 599
-# An endpoint's system may acknowledge a request that the endpoint never reads, and then
-# resets the connection only when the endpoint closes it. After an end of the connection
-# that also ends the response, the reset is awaited for this time if the request is
-# longer than this limit. Shorter ones are rarely answered before they are read, and
-# their responses are not delayed.
+# Where it cannot be found out whether an endpoint has closed a connection, or only its
+# half of it, a reset is awaited for this time after requests longer than this limit.
 RESET_WAIT_S = 0.025
 MIN_BYTES_FOR_RESET_WAIT = 16 * 1024
 # Other tasks run after this many parsed parts, which may be as short as one byte.
@@ -80,14 +78,14 @@
     """What a connection showed when its end was taken for the end of a response.
 
     ``request_bytes`` is the size of the request. ``has_undelivered`` tells whether the
-    endpoint's system had not received all of it, ``was_reset`` whether a reset had
-    arrived, and ``waited_ms`` for how long one was awaited.
+    endpoint's system had not received all of it, ``peer`` what the endpoint had done,
+    and ``taken_ms`` how long it took to find out.
     """
 
     request_bytes: int
     has_undelivered: bool
-    was_reset: bool
-    waited_ms: float
+    peer: PeerEnd
+    taken_ms: float
 
 
 class EndpointConnection(asyncio.Protocol):
@@ -146,8 +144,8 @@
     def eof_received(self) -> bool:
         """Parse the end of the received stream; no further request can be sent.
 
-        The connection stays open for a later reset if the response ends with it and
-        that must be awaited.
+        The connection stays open, as its end may be that of a response, which the
+        received stream alone does not tell.
         """
         self._unusable = True
         if not self._idle and self._http.their_state is not h11.ERROR:
@@ -159,8 +157,7 @@
         self._ended_early = has_undelivered_bytes(transport)
         self._reset = has_socket_error(transport)
         # With TLS, asyncio closes the connection in any case.
-        has_tls = transport.get_extra_info("sslcontext") is not None
-        return self._awaits_reset and not has_tls
+        return not self._has_tls
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end of the connection; an exception means that it was reset."""
@@ -269,8 +266,9 @@
     async def read_data(self) -> bytes | None:
         """Return the next part of the body, or None at the end of a complete body.
 
-        A body that ends with its connection is complete only if the endpoint had
-        received the whole request by then, and did not reset the connection afterwards.
+        A body that ends with its connection is complete only if the endpoint's system
+        had received the whole request by then, and the endpoint has closed the
+        connection in order, not just its own half of it.
 
         Raises
         ------
@@ -334,8 +332,9 @@
         return request.method if isinstance(request, h11.Request) else b""
 
     @property
-    def _awaits_reset(self) -> bool:
-        return self._request_bytes > MIN_BYTES_FOR_RESET_WAIT
+    def _has_tls(self) -> bool:
+        transport = self._transport
+        return transport is not None and bool(transport.get_extra_info("sslcontext"))
 
     async def _check_end(self) -> None:
         """Check the connection's end as the end of a response.
@@ -343,23 +342,39 @@
         Raises
         ------
         ConnectionEnded
-            If the end came before the whole request had been received, or a reset
-            followed.
+            If the end came before the whole request had been received, or the endpoint
+            has not closed the connection in order.
         """
-        started = asyncio.get_running_loop().time()
-        awaits_reset = self._awaits_reset and not (self._reset or self._lost)
-        if awaits_reset and not self._ended_early:
-            await asyncio.sleep(RESET_WAIT_S)
-        if self._transport is not None and has_socket_error(self._transport):
-            self._reset = True
-        waited_s = asyncio.get_running_loop().time() - started
-        self.end = ConnectionEnd(
-            self._request_bytes, self._ended_early, self._reset, waited_s * 1000
-        )
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        peer = PeerEnd.UNKNOWN if self._ended_early else await self._find_peer_end()
+        taken_ms = (loop.time() - started) * 1000
+        self.end = ConnectionEnd(self._request_bytes, self._ended_early, peer, taken_ms)
         if self._ended_early:
             raise ConnectionEnded("closed before the whole request was received")
-        if self._reset:
+        if peer is PeerEnd.RESET:
             raise ConnectionEnded("the connection was reset after its end")
+        if peer is PeerEnd.HALF_CLOSED:
+            raise ConnectionEnded("the endpoint has not closed the connection")
+
+    async def _find_peer_end(self) -> PeerEnd:
+        if self._reset:
+            return PeerEnd.RESET
+        if self._transport is None:
+            return PeerEnd.CLOSED
+        peer = (
+            PeerEnd.UNKNOWN if self._has_tls else await find_peer_end(self._transport)
+        )
+        is_long = self._request_bytes > MIN_BYTES_FOR_RESET_WAIT
+        if peer is PeerEnd.UNKNOWN and is_long:
+            await asyncio.sleep(RESET_WAIT_S)
+        if self._reset or (peer is PeerEnd.UNKNOWN and self._has_error):
+            return PeerEnd.RESET
+        return peer
+
+    @property
+    def _has_error(self) -> bool:
+        return self._transport is not None and has_socket_error(self._transport)
 
     async def _read_event(self) -> object:
         self._parts_in_turn += 1
--- a/tarragonway/http1/sockets.py
+++ b/tarragonway/http1/sockets.py
@@ -26,23 +26,31 @@
 def has_undelivered_bytes(transport: asyncio.Transport) -> bool:
     """Return whether the peer's system has not received all written bytes.
 
+    A peer whose process has read the whole request has acknowledged all of it, at the
+    latest with the segment that ends its response.
+    """
+    return bool(count_unacknowledged_bytes(transport))
+
+
+def count_unacknowledged_bytes(transport: asyncio.Transport) -> int | None:
+    """Return how many written bytes the peer's system has not acknowledged.
+
     The transport's buffer does not show the bytes that the kernel holds: several
     megabytes on a fast link. On Linux, ``SIOCOUTQ`` (the number of ``TIOCOUTQ``) tells
-    which of them the peer has not acknowledged. A peer whose process has read the whole
-    request has acknowledged all of it, at the latest with the segment that ends its
-    response.
+    them. An end that was sent counts as a byte. None means that the system does not
+    tell.
     """
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
-        return False
-    if transport.get_write_buffer_size():
-        return True
+        return None
+    if buffered := transport.get_write_buffer_size():
+        return buffered
     if fcntl is None:
-        return False
+        return None
     with contextlib.suppress(OSError):
         size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-        return struct.unpack("i", size)[0] > 0
-    return False
+        return int(struct.unpack("i", size)[0])
+    return None
 
 
 def has_socket_error(transport: asyncio.Transport) -> bool:
--- a/tarragonway/http1/tests/test_early_ends.py
+++ b/tarragonway/http1/tests/test_early_ends.py
@@ -167,11 +167,8 @@
         await asyncio.wait_for(post(ConnectionPool(), address, bytes(size)), 5.0)
 
 
-# Guards against a reset of connections that endpoints have ended in order, which they
-# would log as failures of their clients.
-@pytest.mark.parametrize("answer", [UNFRAMED, OK + b"Content-Length: 4\r\n\r\npart"])
-async def test_complete_response_is_not_followed_by_a_reset(unused_tcp_port, answer):
-    ends = asyncio.Queue()
+async def end_half(port, answer, ends):
+    """Serve one upload, answer it, end this half and record what follows."""
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
@@ -184,8 +181,27 @@
             ends.put_nowait(error)
         writer.close()
 
-    async with await asyncio.start_server(serve, "127.0.0.1", unused_tcp_port):
+    return await asyncio.start_server(serve, "127.0.0.1", port)
+
+
+# Guards against a reset of connections that endpoints have ended in order, which they
+# would log as failures of their clients.
+async def test_complete_response_is_not_followed_by_a_reset(unused_tcp_port):
+    ends = asyncio.Queue()
+    answer = OK + b"Content-Length: 4\r\n\r\npart"
+    async with await end_half(unused_tcp_port, answer, ends):
         address = f"127.0.0.1:{unused_tcp_port}"
         body = bytes(HELD_UPLOAD_BYTES)
         assert await post(ConnectionPool(), address, body) == (200, b"part")
         assert await asyncio.wait_for(ends.get(), 5.0) == b""
+
+
+# Guards against a half-close that counts as the end of the connection, as an endpoint
+# may reset it at any later time; and against bytes that such an endpoint would read.
+async def test_unframed_response_before_a_half_close_is_not_complete(unused_tcp_port):
+    ends = asyncio.Queue()
+    async with await end_half(unused_tcp_port, UNFRAMED, ends):
+        address = f"127.0.0.1:{unused_tcp_port}"
+        with pytest.raises(ConnectionEnded, match="has not closed"):
+            await post(ConnectionPool(), address, bytes(HELD_UPLOAD_BYTES))
+        assert await asyncio.wait_for(ends.get(), 5.0) == b""
