--- a/tarragonway/coordinator/endpoint_messages.py
+++ b/tarragonway/coordinator/endpoint_messages.py
@@ -14,7 +14,8 @@
 from tarragonway.links.messages import (
     CrashReport,
     LimitStated,
-    PartsBegan,
+    PartsContinued,
+    PartsEnded,
     PermitReply,
     PermitRequest,
     ProbeEnded,
@@ -29,7 +30,8 @@
     | SuspectCleared
     | ProbeRequest
     | ProbeEnded
-    | PartsBegan
+    | PartsContinued
+    | PartsEnded
     | LimitStated
     | PermitRequest
 )
@@ -80,7 +82,7 @@
                 self._gateway_reports.suspects.clear_suspect(fingerprint)
             case _ if not self._driver.is_leader:
                 link.send(self._make_status())
-            case ProbeRequest() | ProbeEnded() | PartsBegan():
+            case ProbeRequest() | ProbeEnded() | PartsContinued() | PartsEnded():
                 self._part_holds.handle(link, gateway, message)
             case LimitStated():
                 self._record_limit(gateway, message, now)
@@ -97,6 +99,7 @@
             endpoint=crash.endpoint,
             fingerprint=crash.fingerprint,
             parts_count=len(crash.parts),
+            lasted_s=round(crash.lasted_s, 2),
             is_probe=bool(crash.probe),
         )
         self._part_holds.restore()
--- a/tarragonway/coordinator/gateways.py
+++ b/tarragonway/coordinator/gateways.py
@@ -1,7 +1,7 @@
 """Reports of the gateways to the leader: clocks, usage, load, speeds and crashes."""
 
 import statistics
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 import msgspec
 import structlog
@@ -23,7 +23,7 @@
 )
 from tarragonway.overload import SheddingPlanner
 from tarragonway.pace import CombinedPaces
-from tarragonway.quarantine import PartQuarantine, ProbeId
+from tarragonway.quarantine import PartCrash, PartQuarantine, ProbeId
 from tarragonway.replication import LogDriver
 from tarragonway.rollouts import RolloutShare
 
@@ -179,22 +179,22 @@
         self.suspects.record_crash(crash, now)
         if crash.parts:
             probe = ProbeId(gateway, crash.probe) if crash.probe else None
-            self.parts.record_crash(
-                crash.endpoint, crash.parts, now - crash.age_s, now, probe
+            part_crash = PartCrash(
+                crash.endpoint,
+                crash.fingerprint,
+                now - crash.age_s,
+                now,
+                crash.lasted_s,
             )
+            self.parts.record_crash(crash.parts, part_crash, probe)
 
-    def record_began(self, ages_s: Mapping[PartId, float], now: float) -> None:
-        """Record that answers on prompt parts have begun.
-
-        Parameters
-        ----------
-        ages_s : mapping of PartId to float
-            Time since the last such beginning, in seconds.
-        now : float
-            The event loop's time in seconds.
-        """
-        for part, age_s in ages_s.items():
-            self.parts.record_began(part, now - age_s)
+    def _record_answers(self, gateway_report: GatewayReport, now: float) -> None:
+        """Record what answers have shown about prompt parts."""
+        for part, age_s in gateway_report.continued_ages_s.items():
+            lasted_s = gateway_report.lasted_s.get(part, 0.0)
+            self.parts.record_lasted(part, lasted_s, now - age_s)
+        for part, age_s in gateway_report.ended_ages_s.items():
+            self.parts.record_ended(part, now - age_s)
 
     def record_limit(self, statement: LimitStated, now: float) -> None:
         """Record the request limit that an endpoint states."""
@@ -275,7 +275,7 @@
             del gateway.windows[min(gateway.windows)]
         for crash in gateway_report.crashes:
             self.record_crash(gateway_report.name, crash, now)
-        self.record_began(gateway_report.began_ages_s, now)
+        self._record_answers(gateway_report, now)
         for statement in gateway_report.limits:
             self.record_limit(statement, now)
         self.suspects.expire(now)
--- a/tarragonway/coordinator/part_holds.py
+++ b/tarragonway/coordinator/part_holds.py
@@ -17,7 +17,8 @@
 from tarragonway.links.link import encode_message
 from tarragonway.links.messages import (
     HeldParts,
-    PartsBegan,
+    PartsContinued,
+    PartsEnded,
     ProbeEnded,
     ProbeReply,
     ProbeRequest,
@@ -109,7 +110,7 @@
         self,
         link: Link,
         gateway: ProcessName,
-        message: ProbeRequest | ProbeEnded | PartsBegan,
+        message: ProbeRequest | ProbeEnded | PartsContinued | PartsEnded,
     ) -> None:
         """Handle a gateway's message as the leader."""
         now = asyncio.get_running_loop().time()
@@ -125,9 +126,12 @@
                 link.send(reply)
             case ProbeEnded(sequence):
                 self._quarantine.end_probe(ProbeId(gateway, sequence))
-            case PartsBegan(ages_s):
+            case PartsContinued(ages_s):
                 for part, age_s in ages_s.items():
-                    self._quarantine.record_began(part, now - age_s)
+                    self._quarantine.record_lasted(part, 0.0, now - age_s)
+            case PartsEnded(ages_s):
+                for part, age_s in ages_s.items():
+                    self._quarantine.record_ended(part, now - age_s)
 
     def _publish_changes(self) -> None:
         revision = self._machine.held_revision
--- a/tarragonway/coordinator/tests/test_part_holds.py
+++ b/tarragonway/coordinator/tests/test_part_holds.py
@@ -16,11 +16,12 @@
 from tarragonway.links.messages import (
     CrashReport,
     HeldParts,
-    PartsBegan,
+    PartsContinued,
+    PartsEnded,
     ProbeReply,
     ProbeRequest,
 )
-from tarragonway.quarantine import HeldPart, PartQuarantine
+from tarragonway.quarantine import HeldPart, PartCrash, PartQuarantine
 
 
 class FakeLink:
@@ -76,7 +77,8 @@
     coordinator.holds.restore()
     now = asyncio.get_running_loop().time()
     for endpoint in ("e1", "e2"):
-        coordinator.quarantine.record_crash(endpoint, ["p"], now, now - 5.0)
+        crash = PartCrash(endpoint, f"content at {endpoint}", now, now - 5.0)
+        coordinator.quarantine.record_crash(["p"], crash)
     await run_shortly(coordinator.holds)
     assert coordinator.machine.held == {"p": HeldPart(("e1", "e2"), 0)}
     assert encode_message(HeldParts(1, ("p",))) in coordinator.link.sent
@@ -95,11 +97,21 @@
     assert reply.wait_s > 0
 
 
-async def test_begun_answer_releases_a_part_everywhere(coordinator):
+# Guards against the release of a part that crashes endpoints after they have begun.
+async def test_answer_that_continues_releases_nothing(coordinator):
     coordinator.machine.apply(PutHeldParts({"p": HeldPart(("e1", "e2"), 0)}))
     coordinator.holds.restore()
     await asyncio.sleep(0.01)
-    coordinator.holds.handle(coordinator.link, "g", PartsBegan({"p": 0.0}))
+    coordinator.holds.handle(coordinator.link, "g", PartsContinued({"p": 0.0}))
+    await run_shortly(coordinator.holds)
+    assert list(coordinator.machine.held) == ["p"]
+
+
+async def test_ended_answer_releases_a_part_everywhere(coordinator):
+    coordinator.machine.apply(PutHeldParts({"p": HeldPart(("e1", "e2"), 0)}))
+    coordinator.holds.restore()
+    await asyncio.sleep(0.01)
+    coordinator.holds.handle(coordinator.link, "g", PartsEnded({"p": 0.0}))
     await run_shortly(coordinator.holds)
     assert coordinator.machine.held == {}
     assert encode_message(HeldParts(2, ())) in coordinator.link.sent
--- a/tarragonway/gateway/attempt.py
+++ b/tarragonway/gateway/attempt.py
@@ -30,6 +30,8 @@
     None before the first send and once that endpoint has begun to answer. ``endpoint``
     and ``estimated_ms`` are the instance and the estimated delay of the latest send,
     ``load_at_send`` is the number of other requests that its endpoint ran then.
+    ``began_at`` is the time at which the answer to the latest send began, None before.
+    From ``evidence_due_at`` on, its next part shows something about the prompt's parts.
     ``empty_continuations`` counts endpoints that had nothing to add to the stream.
     ``version`` is the software version of the latest send's endpoint.
     ``origin`` is what began the caller's stream; it is None until the first event,
@@ -59,6 +61,8 @@
     empty_continuations: int = 0
     choice: Choice | None = None
     sent_at: float = 0.0
+    began_at: float | None = None
+    evidence_due_at: float = 0.0
     endpoint: str = ""
     version: SoftwareVersion = SoftwareVersion("")
     estimated_ms: float = 0.0
--- a/tarragonway/gateway/content_reports.py
+++ b/tarragonway/gateway/content_reports.py
@@ -1,5 +1,6 @@
 """Reports on content whose endpoints fail, and on endpoints that leave."""
 
+import asyncio
 from typing import Protocol
 
 from tarragonway.core.ids import Fingerprint
@@ -12,6 +13,7 @@
     SendOutcome,
     Streamed,
 )
+from tarragonway.gateway.part_evidence import compute_lasted_s
 from tarragonway.gateway.state import GatewayState
 from tarragonway.links.messages import CrashReport
 
@@ -52,13 +54,12 @@
         attempt: Attempt,
         outcome: SendOutcome,
         endpoint: ListedEndpoint,
-        began: bool,
     ) -> None:
         """Report content whose endpoint failed, or a suspect that was answered.
 
-        The parts of a prompt are suspected only if no answer on them had begun. An
-        endpoint whose end was announced did not crash. Crashes during the sends of a
-        hedged request are reported once, so that one request does not count as two.
+        The leader decides whether the parts of its prompt are suspected. An endpoint
+        whose end was announced did not crash. Crashes during the sends of a hedged
+        request are reported once, so that one request does not count as two.
         """
         race = attempt.race
         match outcome:
@@ -69,12 +70,14 @@
                     if race.crash_reported:
                         return
                     race.crash_reported = True
+                now = asyncio.get_running_loop().time()
                 self._reporter.report_crash(
                     CrashReport(
                         fingerprint,
                         endpoint.key,
-                        () if began else attempt.shared_parts,
+                        attempt.shared_parts,
                         probe=probe.sequence if probe is not None else 0,
+                        lasted_s=compute_lasted_s(attempt, now),
                     )
                 )
             case Answered() | Streamed() if self._state.suspects:
--- a/tarragonway/gateway/control_link.py
+++ b/tarragonway/gateway/control_link.py
@@ -14,7 +14,7 @@
 from tarragonway.gateway.limit_guard import LimitGuard
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.origin_guard import OriginGuard
-from tarragonway.gateway.part_guard import PartGuard
+from tarragonway.gateway.part_guard import PartGuard, PartMessage
 from tarragonway.gateway.quota import QuotaClient
 from tarragonway.gateway.state import GatewayState
 from tarragonway.gateway.usage import UsageCounter
@@ -31,12 +31,9 @@
     LimitStated,
     LinkMessage,
     OriginReply,
-    PartsBegan,
     PermitReply,
     PermitRequest,
-    ProbeEnded,
     ProbeReply,
-    ProbeRequest,
     QuotaReply,
     QuotaRequest,
     QuotaReturn,
@@ -195,9 +192,7 @@
         | QuotaReturn
         | CrashReport
         | SuspectCleared
-        | ProbeRequest
-        | ProbeEnded
-        | PartsBegan
+        | PartMessage
         | LimitStated
         | PermitRequest
         | VersionsRequest
@@ -279,7 +274,7 @@
         self._watch_version = -1
         self._limit_guard.version = -1
         self._state.shedder.version = -1
-        self._guard.begun.report_again()
+        self._guard.report_again()
 
     def _update_coordinators(self, status: Status) -> None:
         """Connect to the members that the leader lists.
@@ -342,6 +337,7 @@
         clock_s = self._state.clock.now()
         windows = self._usage.list_windows()
         usage = windows if self._full_report else windows[-2:]
+        continued = self._guard.continued.take(now)
         has_speeds = self._sequence % REPORTS_PER_SPEED_REPORT == 0
         report = GatewayReport(
             self._name,
@@ -355,7 +351,7 @@
             self._speeds.list_fitted(SPEED_REPORT_INTERVAL_S)
             if has_speeds or self._full_report
             else None,
-            self._guard.begun.take_ages(now),
+            {part: age_s for part, (age_s, _) in continued.items()},
             self._watch_version,
             self._limit_guard.list_statements(now) if self._full_report else (),
             self._limit_guard.version,
@@ -375,6 +371,10 @@
             ),
             admitted_version=self._state.shedder.version,
             refused_load=self._offered_load.refused_rates,
+            lasted_s={part: lasted_s for part, (_, lasted_s) in continued.items()},
+            ended_ages_s={
+                p: age_s for p, (age_s, _) in self._guard.ended.take(now).items()
+            },
         )
         if self._link_pool.send(self._leader, report):
             self._full_report = False
@@ -433,7 +433,7 @@
             self._paces.set_shared(reply.paces)
             self._counters.increment("control.paces_received")
         if reply.watched is not None:
-            self._guard.begun.watch(reply.watched)
+            self._guard.watch(reply.watched)
             self._watch_version = reply.watch_version
         if reply.limits is not None:
             self._limit_guard.set_published(reply.limits_version, reply.limits, sent_at)
--- a/tarragonway/gateway/forward.py
+++ b/tarragonway/gateway/forward.py
@@ -44,6 +44,7 @@
 from tarragonway.gateway.measurements import AnswerMeasurements
 from tarragonway.gateway.offered_load import OfferedLoadMeter
 from tarragonway.gateway.origin_guard import OriginGuard
+from tarragonway.gateway.part_evidence import PartEvidence
 from tarragonway.gateway.part_guard import PartGuard
 from tarragonway.gateway.resumption import StreamResumption
 from tarragonway.gateway.rollout_records import RolloutRecords
@@ -63,8 +64,7 @@
 # Number of endpoints to which a request may fail to connect before it is given up.
 MAX_FAILED_CONNECTS = 3
 MAX_LOGGED_PARTS = 16
-# 421 Misdirected Request: the address now belongs to another endpoint (RFC 9110,
-# section 15.5.20).
+# Misdirected Request: another endpoint has the address now (RFC 9110, section 15.5.20).
 STATUS_MISDIRECTED = 421
 # Why a request was not sent although endpoints are listed.
 REFUSALS = Limited | Paused | VersionUnregistered
@@ -133,6 +133,7 @@
         self._make_budget = make_budget
         self._content_reports = ContentReports(state, reporter)
         self._guard = guard
+        self._evidence = PartEvidence(guard)
         self._limit_guard = limit_guard
         self._resumption = StreamResumption(state, origins, counters)
         self._codec = codec
@@ -209,14 +210,13 @@
 
     def handle_running(self, attempt: Attempt) -> None:
         """Record that the endpoint began to answer, and count the request once."""
+        now = asyncio.get_running_loop().time()
         if attempt.choice is not None:
-            now = asyncio.get_running_loop().time()
             self._measurements.record_first_event(attempt, attempt.choice, now)
             self._rollouts.record_first_part(attempt, (now - attempt.sent_at) * 1000)
             self._notices.record_began(attempt.choice.endpoint.key)
             attempt.choice = None
-            attempt.probe = None
-            self._guard.record_began(attempt.shared_parts, now)
+        self._evidence.record_data(attempt, now)
         if attempt.usage_counted:
             return
         attempt.usage_counted = True
@@ -300,7 +300,7 @@
         loop = asyncio.get_running_loop()
         endpoint = choice.endpoint
         self._chooser.record_send(choice)
-        attempt.choice, attempt.sent_at = choice, loop.time()
+        attempt.choice, attempt.sent_at, attempt.began_at = choice, loop.time(), None
         if attempt.resumed_id is not None or attempt.facts.resumes_stream:
             _log.info(
                 "stream is resumed at an endpoint",
@@ -329,7 +329,8 @@
             began = attempt.choice is None
             self._chooser.record_completion(choice, began, failed, loop.time())
             self._rollouts.record_end(attempt, endpoint, result, loop.time())
-        self._content_reports.report(attempt, outcome, endpoint, began)
+        self._content_reports.report(attempt, outcome, endpoint)
+        self._evidence.record_outcome(attempt, outcome, endpoint.key)
         if isinstance(outcome, Broken):
             attempt.broken.add(endpoint.key)
         if isinstance(outcome, Refused):
@@ -412,10 +413,9 @@
         await send_error_response(writer, cause, retry_after_s)
 
     def _get_budget(self, service: ServiceName) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = self._make_budget()
-        return budget
+        if service not in self._budgets:
+            self._budgets[service] = self._make_budget()
+        return self._budgets[service]
 
     def _get_priority(self, attempt: Attempt) -> int | None:
         if not attempt.route.prompt_affinity:
--- a/tarragonway/gateway/part_guard.py
+++ b/tarragonway/gateway/part_guard.py
@@ -1,7 +1,7 @@
 """Held prompt parts at a gateway, and the probes that it requests from the leader."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import msgspec
 import structlog
@@ -11,12 +11,13 @@
 from tarragonway.gateway.leader_calls import LeaderCalls
 from tarragonway.links.messages import (
     HeldParts,
-    PartsBegan,
+    PartsContinued,
+    PartsEnded,
     ProbeEnded,
     ProbeReply,
     ProbeRequest,
 )
-from tarragonway.quarantine import BegunParts
+from tarragonway.quarantine import PartTimes
 
 # Delay until a caller may return while no leader can grant a probe.
 LEADERLESS_WAIT_S = 1.0
@@ -24,6 +25,8 @@
 MAX_DENIAL_S = 5.0
 MAX_DENIALS = 1024
 
+PartMessage = ProbeRequest | ProbeEnded | PartsContinued | PartsEnded
+
 _log = structlog.get_logger()
 
 
@@ -56,7 +59,7 @@
 
     def __init__(
         self,
-        send: Callable[[ProbeRequest | ProbeEnded | PartsBegan], bool],
+        send: Callable[[PartMessage], bool],
         counters: Counters,
     ) -> None:
         self._send = send
@@ -65,7 +68,8 @@
         self._held: frozenset[PartId] = frozenset()
         self._calls: LeaderCalls[ProbeReply] = LeaderCalls()
         self._denied_until: dict[frozenset[PartId], float] = {}
-        self.begun = BegunParts()
+        self.continued = PartTimes()
+        self.ended = PartTimes()
 
     @property
     def is_informed(self) -> bool:
@@ -120,14 +124,34 @@
         self._denied_until[held] = now + min(wait_s, MAX_DENIAL_S)
         return ProbeDenied(reply.wait_s)
 
-    def record_began(self, parts: Sequence[PartId], now: float) -> None:
-        """Record that an answer has begun, and report it at once for held parts."""
-        self.begun.record(parts, now)
+    def record_continued(
+        self, parts: Sequence[PartId], now: float, lasted_s: float
+    ) -> None:
+        """Record that an answer goes on, and report it at once for held parts."""
+        self.continued.record(parts, now, lasted_s)
+        if self.has_held(parts):
+            ages_s = dict.fromkeys(self._held.intersection(parts), 0.0)
+            self._send(PartsContinued(ages_s))
+
+    def record_ended(self, parts: Sequence[PartId], now: float) -> None:
+        """Record that an answer has ended, and report it at once for held parts."""
+        self.ended.record(parts, now, 0.0)
         if self.has_held(parts):
-            self._send(PartsBegan(dict.fromkeys(self._held.intersection(parts), 0.0)))
+            ages_s = dict.fromkeys(self._held.intersection(parts), 0.0)
+            self._send(PartsEnded(ages_s))
+
+    def watch(self, parts: Collection[PartId]) -> None:
+        """Replace the parts whose answers are reported to the leader."""
+        self.continued.watch(parts)
+        self.ended.watch(parts)
+
+    def report_again(self) -> None:
+        """Report what answers have shown once more, to a new leader."""
+        self.continued.report_again()
+        self.ended.report_again()
 
     def end_probe(self, probe: Probe) -> None:
-        """Report that a probe ended without a begun answer and without a crash."""
+        """Report that a probe ended without a whole answer and without a crash."""
         self._send(ProbeEnded(probe.sequence))
 
     def handle_reply(self, reply: ProbeReply) -> None:
--- a/tarragonway/gateway/sender.py
+++ b/tarragonway/gateway/sender.py
@@ -139,8 +139,9 @@
     async def _send(
         self, attempt: Attempt, endpoint: ListedEndpoint, priority: int | None
     ) -> SendOutcome:
-        runs_once = not attempt.route.is_repeatable
-        idle_s = MAX_IDLE_UNREPEATABLE_S if runs_once else MAX_IDLE_REPEATABLE_S
+        # The outcome of a probe must tell about its parts, not about a connection.
+        needs_new = not attempt.route.is_repeatable or attempt.probe is not None
+        idle_s = MAX_IDLE_UNREPEATABLE_S if needs_new else MAX_IDLE_REPEATABLE_S
         try:
             async with asyncio.timeout_at(attempt.deadline):
                 connection = await self._pool.acquire(
--- a/tarragonway/gateway/tests/test_control_link.py
+++ b/tarragonway/gateway/tests/test_control_link.py
@@ -205,15 +205,22 @@
     assert link._state.is_complete
 
 
-async def test_watched_parts_are_reported_once_they_begin(link):
+async def test_watched_parts_are_reported_once_answers_show_something(link):
     deliver(link, "c2:1", status(2, "c2:1", True))
     link._send_report()
     sequence = link._link_pool.sent[-1][1].sequence
     reply = GatewayReportReply(2, sequence, 0.0, 1, 0, 0.0, watched=("p",))
     deliver(link, "c2:1", reply)
-    link.guard.record_began(["p", "q"], asyncio.get_running_loop().time())
+    now = asyncio.get_running_loop().time()
+    link.guard.record_continued(["p", "q"], now, 0.7)
     link._send_report()
-    assert list(link._link_pool.sent[-1][1].began_ages_s) == ["p"]
+    report = link._link_pool.sent[-1][1]
+    assert (list(report.continued_ages_s), report.ended_ages_s) == (["p"], {})
+    assert report.lasted_s == {"p": 0.7}
+    link.guard.record_ended(["p", "q"], asyncio.get_running_loop().time())
+    link._send_report()
+    report = link._link_pool.sent[-1][1]
+    assert (report.continued_ages_s, list(report.ended_ages_s)) == ({}, ["p"])
 
 
 # Guards against links that break with each try to fetch what cannot be decoded, and
--- a/tarragonway/gateway/tests/test_held_parts.py
+++ b/tarragonway/gateway/tests/test_held_parts.py
@@ -6,12 +6,13 @@
 from tarragonway.gateway.tests.harness import make_events
 from tarragonway.links.messages import (
     HeldParts,
-    PartsBegan,
+    PartsEnded,
     ProbeEnded,
     ProbeReply,
     ProbeRequest,
 )
 from tarragonway.platform import names
+from tarragonway.quarantine import CONTINUED_S
 
 TOKENS = f"{names.PROMPT_TOKENS.decode()}: 900,20"
 
@@ -89,17 +90,45 @@
     assert not endpoint.heads
 
 
-async def test_probe_that_begins_is_reported_at_once(harness):
+async def test_probe_that_ends_is_reported_once_its_endpoint_has_outlived_it(harness):
     endpoint = await harness.add(harness.ports())
     endpoint.choose = lambda head: make_events(1, 2)
     harness.guard.set_held(HeldParts(1, ("dd",)))
     leader = FakeLeader(harness, 0.0)
     received = await harness.ask("/resume/", TOKENS, make_parts("aa", "dd"))
     assert received.startswith(b"HTTP/1.1 200")
-    assert [list(m.ages_s) for m in leader.get(PartsBegan)] == [["dd"]]
+    assert not leader.get(PartsEnded)
+    await asyncio.sleep(CONTINUED_S + 0.05)
+    assert [list(m.ages_s) for m in leader.get(PartsEnded)] == [["dd"]]
     assert not leader.get(ProbeEnded)
 
 
+# Guards against a part that is cleared by an answer which crashes its endpoint.
+async def test_end_before_a_crash_of_its_endpoint_is_not_reported(harness):
+    endpoint = await harness.add(harness.ports())
+    endpoint.answers = [make_events(1, 2), []]
+    harness.guard.watch(["aa", "dd"])
+    await harness.ask("/stream/", TOKENS, make_parts("aa", "dd"))
+    await harness.ask("/stream/", TOKENS, make_parts("aa"))
+    await asyncio.sleep(CONTINUED_S + 0.05)
+    now = asyncio.get_running_loop().time()
+    assert harness.guard.ended.take(now) == {}
+
+
+# Guards against a part that is cleared by an answer which has only begun.
+async def test_answer_is_reported_as_continued_only_after_a_while(harness):
+    endpoint = await harness.add(harness.ports())
+    endpoint.answers = [make_events(1, 2, 3)]
+    endpoint.pause_s = 0.3
+    harness.guard.watch(["aa"])
+    asking = asyncio.create_task(harness.ask("/stream/", TOKENS, make_parts("aa")))
+    await asyncio.sleep(0.45)
+    loop = asyncio.get_running_loop()
+    assert harness.guard.continued.take(loop.time()) == {}
+    await asking
+    assert list(harness.guard.continued.take(loop.time())) == ["aa"]
+
+
 # Guards against a resend of the request that has just crashed an engine.
 async def test_probe_that_breaks_is_reported_and_not_sent_again(harness):
     one, two = await harness.add(harness.ports()), await harness.add(harness.ports())
@@ -133,12 +162,22 @@
     assert len(leader.get(ProbeEnded)) == 1
 
 
-# Guards against blame for the parts of an answer that had begun.
-async def test_broken_stream_that_had_begun_names_no_parts(harness):
+# Guards against a crash after the first event that clears the part that caused it.
+async def test_broken_stream_that_had_begun_names_its_parts(harness):
     endpoint = await harness.add(harness.ports())
     endpoint.answers = [make_events(1, end=False)]
     await harness.ask("/stream/", TOKENS, make_parts("aa"))
-    assert [crash.parts for crash in harness.crashes] == [()]
+    (crash,) = harness.crashes
+    assert (crash.parts, crash.lasted_s < CONTINUED_S) == (("aa",), True)
+
+
+async def test_broken_stream_tells_how_long_it_had_lasted(harness):
+    endpoint = await harness.add(harness.ports())
+    endpoint.answers = [make_events(1, 2, 3, end=False)]
+    endpoint.pause_s = 0.3
+    await harness.ask("/stream/", TOKENS, make_parts("aa"))
+    (crash,) = harness.crashes
+    assert (crash.parts, crash.lasted_s > CONTINUED_S) == (("aa",), True)
 
 
 # Guards against the quarantine of a request that a wave of reclaims broke.
--- a/tarragonway/links/messages.py
+++ b/tarragonway/links/messages.py
@@ -128,9 +128,10 @@
     """Crash report: an endpoint failed while it ran this content.
 
     It is sent at once, and repeated in the first report to a new leader. ``parts`` are
-    the shared parts of a prompt on which no answer had begun; ``age_s`` is the time
-    since the crash in seconds. ``probe`` is the gateway's sequence number of the probe
-    that the request was, 0 if it was none.
+    the shared parts of its prompt; ``age_s`` is the time since the crash in seconds.
+    ``probe`` is the gateway's sequence number of the probe that the request was, 0 if
+    it was none. ``lasted_s`` is the time for which the answer had lasted in seconds, 0
+    if it had not begun.
     """
 
     fingerprint: Fingerprint
@@ -138,6 +139,7 @@
     parts: tuple[PartId, ...] = ()
     age_s: Age = 0.0
     probe: int = 0
+    lasted_s: Age = 0.0
 
 
 class SuspectCleared(msgspec.Struct, frozen=True, tag="Cleared"):
@@ -220,13 +222,19 @@
 
 
 class ProbeEnded(msgspec.Struct, frozen=True, tag=True):
-    """Report that a probe ended without a begun answer and without a crash."""
+    """Report that a probe ended without a whole answer and without a crash."""
 
     sequence: int
 
 
-class PartsBegan(msgspec.Struct, frozen=True, tag=True):
-    """Report on held parts: the seconds since an answer on them last began."""
+class PartsContinued(msgspec.Struct, frozen=True, tag="PartsBegan"):
+    """Report on held parts: the seconds since an answer on them last went on."""
+
+    ages_s: dict[PartId, Age]
+
+
+class PartsEnded(msgspec.Struct, frozen=True, tag=True):
+    """Report on held parts: the seconds since an answer on them last ended."""
 
     ages_s: dict[PartId, Age]
 
@@ -306,19 +314,21 @@
     nothing. ``offered_load`` is the work that the gateway sends to each service, in
     seconds of work per second. ``crashes`` and ``history`` are sent with the first
     report to a new leader. ``speeds``, which the gateway has fitted to the answers of
-    services, are sent with every few reports and None otherwise. ``began_ages_s``
-    are the seconds since an answer last began on watched parts, as far as it is not
-    reported yet; ``watch_version`` is the version of the watched parts. ``limits`` are
-    the request limits of endpoints that the gateway knows, sent with the first report
-    to a new leader; ``limits_version`` is the version of those of the leader.
-    ``request_rates``, the requests per second for each service, are sent with speeds.
-    ``leaving`` are listed endpoints that have said themselves that they leave, sent
-    with the first report to a new leader. ``rollouts`` are the counts of the rollouts
-    in progress. ``paces`` are what was newly learned about the paces of each service's
-    endpoints, sent with speeds. ``offered`` is the offered load by service, rank and
-    client account, sent with speeds or when it has changed much; ``admitted_version``
-    is the version of the admitted fractions that the gateway has, -1 without any.
-    ``refused_load`` is the part of ``offered_load`` whose requests no endpoint got.
+    services, are sent with every few reports and None otherwise. ``continued_ages_s``
+    and ``ended_ages_s`` are the seconds since an answer on watched parts last went on
+    and last ended, as far as they are not reported yet, and ``lasted_s`` the seconds
+    for which the former had lasted then; ``watch_version`` is the version of the
+    watched parts. ``limits`` are the request limits of endpoints that the gateway
+    knows, sent with the first report to a new leader; ``limits_version`` is the version
+    of those of the leader. ``request_rates``, the requests per second for each service,
+    are sent with speeds. ``leaving`` are listed endpoints that have said themselves
+    that they leave, sent with the first report to a new leader. ``rollouts`` are the
+    counts of the rollouts in progress. ``paces`` are what was newly learned about the
+    paces of each service's endpoints, sent with speeds. ``offered`` is the offered load
+    by service, rank and client account, sent with speeds or when it has changed much;
+    ``admitted_version`` is the version of the admitted fractions that the gateway has,
+    -1 without any. ``refused_load`` is the part of ``offered_load`` whose requests no
+    endpoint got.
     """
 
     name: ProcessName
@@ -331,7 +341,7 @@
     offered_load: dict[str, Amount] = msgspec.field(name="pressure", default={})
     history: GrantHistory | None = None
     speeds: dict[ServiceName, EngineSpeed] | None = None
-    began_ages_s: dict[PartId, Age] = msgspec.field(name="began", default={})
+    continued_ages_s: dict[PartId, Age] = msgspec.field(name="began", default={})
     watch_version: int = msgspec.field(name="watch", default=-1)
     limits: tuple[LimitStated, ...] = ()
     limits_version: int = msgspec.field(name="limit", default=-1)
@@ -342,6 +352,8 @@
     offered: dict[ServiceName, OfferedService] | None = None
     admitted_version: int = -1
     refused_load: dict[ServiceName, Amount] = {}
+    lasted_s: dict[PartId, Age] = msgspec.field(name="lasted", default={})
+    ended_ages_s: dict[PartId, Age] = msgspec.field(name="ended", default={})
 
 
 class GatewayReportReply(
@@ -354,7 +366,7 @@
     ``list_version`` is the leader's list version and ``list_age_s`` the age of that
     list in seconds. ``quarantined`` and ``suspects`` are fingerprints of contents.
     ``speeds`` are those that all gateways use, sent in reply to reports with speeds.
-    ``watched`` are the parts of which the leader wants to know begun answers; None if
+    ``watched`` are the parts of which the leader wants to know the answers; None if
     the gateway has their ``watch_version``. ``limits`` are the request limits of
     endpoints; None if the gateway has their ``limits_version``. ``near_quota`` are the
     client accounts that have used most of their quota. ``rollouts`` are the leader's
@@ -422,7 +434,8 @@
     | ProbeRequest
     | ProbeReply
     | ProbeEnded
-    | PartsBegan
+    | PartsContinued
+    | PartsEnded
     | StreamsBegan
     | OriginRequest
     | OriginReply
--- a/tarragonway/quarantine/__init__.py
+++ b/tarragonway/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Quarantine of contents and prompt parts that crash the endpoints that run them."""
 
-from tarragonway.quarantine.begun_parts import BegunParts
+from tarragonway.quarantine.part_record import CONTINUED_S, PartCrash
+from tarragonway.quarantine.part_times import PartTimes
 from tarragonway.quarantine.parts import HeldPart, PartQuarantine, ProbeId
 from tarragonway.quarantine.store import (
     CrashRecorded,
@@ -13,11 +14,13 @@
 )
 
 __all__ = [
-    "BegunParts",
+    "CONTINUED_S",
     "CrashRecorded",
     "EndProbation",
     "HeldPart",
+    "PartCrash",
     "PartQuarantine",
+    "PartTimes",
     "ProbationAnswer",
     "ProbationEnded",
     "ProbeId",
--- a/tarragonway/quarantine/parts.py
+++ b/tarragonway/quarantine/parts.py
@@ -1,9 +1,6 @@
 """Prompt parts that crash engines: the leader's decisions, without network or clock.
 
-All requests that an engine runs or queues break when it crashes, so a crash alone does
-not tell which of their parts caused it. An answer that has begun is the evidence: an
-engine crashes when it begins an answer on a harmful part, so no answer on that part
-begins, while the sound parts beside it soon begin at other engines.
+The evidence against parts, and for them, is described in :mod:`.part_record`.
 """
 
 import itertools
@@ -13,15 +10,13 @@
 import structlog
 
 from tarragonway.core.ids import PartId, ProcessName
+from tarragonway.quarantine.part_record import (
+    MAX_CRASHES,
+    NO_CONTENT,
+    PartCrash,
+    PartRecord,
+)
 
-# Crashes of distinct endpoints, with no answer begun since, after which a part is held.
-MIN_CRASHES = 2
-# Time after that crash in which a begun answer still prevents the hold.
-HOLD_DELAY_S = 1.0
-# A part that has crashed this many endpoints is not probed again, except alone while
-# fewer than MIN_PROBES_ALONE probes of it alone have failed.
-MAX_CRASHES = 8
-MIN_PROBES_ALONE = 2
 # A request with several held parts is a probe only if none of them has been requested
 # with fewer held parts for this time, since a probe with fewer parts tells more.
 JOINT_PROBE_DELAY_S = 3.0
@@ -42,7 +37,7 @@
 EXPIRY_INTERVAL_S = 1.0
 MAX_RECORDS = 8192
 MAX_HELD = 256
-# Parts of which gateways report begun answers: suspects, and others if there are few
+# Parts of which gateways report answers: suspects, and others if there are few
 # suspects. A part is held only while it is watched.
 MAX_WATCHED_SUSPECTS = 4096
 MAX_WATCHED = 512
@@ -64,36 +59,6 @@
     failed_probes: int
 
 
-class _Record(msgspec.Struct):
-    crashed_at: dict[str, float] = {}
-    failed_probes: int = 0
-    is_held: bool = False
-    suspected_at: float = 0.0
-    last_crash_at: float = float("-inf")
-    requested_at: float = float("-inf")
-    probe_at: float = float("-inf")
-    held_at: float = float("-inf")
-    fewest_held: int = 0
-    fewest_held_at: float = float("-inf")
-
-    @property
-    def crashes(self) -> int:
-        return len(self.crashed_at)
-
-    @property
-    def is_spent(self) -> bool:
-        """Whether no request with the part may be a probe any more."""
-        return self.failed_probes >= MIN_PROBES_ALONE and self.crashes >= MAX_CRASHES
-
-
-class _Sighting(msgspec.Struct, frozen=True):
-    """One crash of one endpoint, shared by the parts of all requests that it broke."""
-
-    endpoint: str
-    crashed_at: float
-    reported_at: float
-
-
 class ProbeId(msgspec.Struct, frozen=True):
     """The gateway that sends a probe, and the gateway's number for it."""
 
@@ -115,23 +80,24 @@
     """Prompt parts on which endpoints have crashed, and those that are held.
 
     A held part is not sent to endpoints, except by one request at a time that the
-    leader has granted: a probe. A probe that begins to answer releases the part. A
-    probe with a single held part tells most, so such probes go first.
+    leader has granted: a probe. A probe whose answer ends releases the part. A probe
+    with a single held part tells most, so such probes go first.
 
     Examples
     --------
     >>> quarantine = PartQuarantine()
     >>> for endpoint in ("e1", "e2"):
-    ...     quarantine.record_crash(endpoint, ["sound", "harmful"], 0.0, 0.0)
-    >>> quarantine.record_began("sound", 0.5)
+    ...     crash = PartCrash(endpoint, "content", 0.0, 0.0)
+    ...     quarantine.record_crash(["sound", "harmful"], crash)
+    >>> quarantine.record_ended("sound", 0.5)
     >>> quarantine.watched
     ('harmful',)
     """
 
     def __init__(self) -> None:
-        self._records: dict[PartId, _Record] = {}
+        self._records: dict[PartId, PartRecord] = {}
         # Parts without a record, in the order of the reports.
-        self._sightings: dict[PartId, _Sighting] = {}
+        self._sightings: dict[PartId, PartCrash] = {}
         self._probes: dict[ProbeId, _Probe] = {}
         self._failed_sets: list[_FailedSet] = []
         self._explained: dict[str, float] = {}
@@ -143,14 +109,14 @@
     def held(self) -> dict[PartId, HeldPart]:
         """Held parts."""
         return {
-            part: HeldPart(tuple(record.crashed_at), record.failed_probes)
+            part: HeldPart(tuple(record.crashes), record.failed_probes)
             for part, record in self._records.items()
             if record.is_held
         }
 
     @property
     def watched(self) -> tuple[PartId, ...]:
-        """Parts of which gateways report begun answers; held ones come first."""
+        """Parts of which gateways report answers; held ones come first."""
         if self._watched[0] != self.watch_version:
             ranked = sorted(self._records, key=self._rank, reverse=True)
             watched = ranked[:MAX_WATCHED_SUSPECTS]
@@ -169,8 +135,8 @@
         self._explained.clear()
         self._sightings.clear()
         self._records = {
-            part: _Record(
-                crashed_at=dict.fromkeys(row.endpoints, now),
+            part: PartRecord(
+                crashes={e: PartCrash(e, NO_CONTENT, now, now) for e in row.endpoints},
                 failed_probes=row.failed_probes,
                 is_held=True,
                 last_crash_at=now,
@@ -185,58 +151,72 @@
 
     def record_crash(
         self,
-        endpoint: str,
         parts: Collection[PartId],
-        crashed_at: float,
-        now: float,
+        crash: PartCrash,
         probe: ProbeId | None = None,
     ) -> None:
-        """Record that an endpoint failed before it began the answer to a request.
+        """Record that an endpoint failed before it ended the answer to a request.
 
         Several reports on one endpoint count as one crash.
 
         Parameters
         ----------
-        endpoint : str
-            Incarnation of the endpoint.
         parts : collection of PartId
             Parts of the request's prompt that other requests may share.
-        crashed_at, now : float
-            Times of the crash and of its report, in seconds.
+        crash : PartCrash
+            The endpoint and the request.
         probe : ProbeId, optional
             The probe that the request was.
         """
+        now = crash.reported_at
         if probe is not None:
             self._fail_probe(probe, parts, now)
         harmful = [part for part in parts if self._is_proved(part)]
         if harmful:
-            self._explain(endpoint, harmful, now)
-        sighting = _Sighting(endpoint, crashed_at, now)
+            self._explain(crash.endpoint, harmful, now)
         for part in harmful or parts:
-            if harmful or endpoint not in self._explained:
-                self._add_crash(part, sighting)
+            if harmful or crash.endpoint not in self._explained:
+                self._add_crash(part, crash)
         if len(self._records) > MAX_RECORDS:
             self._evict()
 
-    def record_began(self, part: PartId, began_at: float) -> None:
-        """Record that an answer to a request with this part began at that time.
+    def record_lasted(self, part: PartId, lasted_s: float, at: float) -> None:
+        """Record that an answer with this part had lasted for ``lasted_s`` at ``at``.
+
+        It may still crash its engine, so crashes of answers that had lasted as long
+        remain, and a held part is not released.
+        """
+        record = self._records.get(part)
+        if record is None:
+            if part in self._sightings:
+                self._sightings[part] = self._sightings[part].compare(lasted_s, at)
+            return
+        for name, row in self._probes.items():
+            if part in row.parts:
+                ends_at = max(row.ends_at, at + PROBE_TIMEOUT_S)
+                self._probes[name] = _Probe(row.parts, ends_at)
+        if not record.is_held:
+            record.record_lasted(lasted_s, at)
+
+    def record_ended(self, part: PartId, ended_at: float) -> None:
+        """Record that an answer to a request with this part ended at that time.
 
         Crashes before it were not caused by the part. One without a later crash is
         released if it is held.
         """
         record = self._records.get(part)
         if record is None:
-            self._end_sighting(part, began_at)
+            self._end_sighting(part, ended_at)
             return
-        later = {e: at for e, at in record.crashed_at.items() if at >= began_at}
-        if record.is_held and (later or record.last_crash_at >= began_at):
+        later = any(c.crashed_at >= ended_at for c in record.crashes.values())
+        if record.is_held and (later or record.last_crash_at >= ended_at):
             return
         if record.is_held:
-            _log.info("prompt part released after an answer began", part=part)
+            _log.info("prompt part released after an answer ended", part=part)
         for probe in [name for name, row in self._probes.items() if part in row.parts]:
             del self._probes[probe]
         if later:
-            record.crashed_at = later
+            record.remove_before(ended_at)
             return
         del self._records[part]
         self.watch_version += 1
@@ -264,7 +244,7 @@
         return 0.0
 
     def end_probe(self, probe: ProbeId) -> None:
-        """End a probe that neither began an answer nor crashed an endpoint."""
+        """End a probe that neither ended its answer nor crashed an endpoint."""
         self._probes.pop(probe, None)
 
     def update(self, now: float) -> bool:
@@ -275,9 +255,7 @@
         suspects = [
             (part, record)
             for part, record in self._records.items()
-            if not record.is_held
-            and record.crashes >= MIN_CRASHES
-            and now - record.suspected_at >= HOLD_DELAY_S
+            if not record.is_held and record.is_due(now)
         ]
         if len(self._records) > MAX_WATCHED_SUSPECTS:
             watched = frozenset(self.watched)
@@ -291,34 +269,29 @@
             _log.warning(
                 "prompt part held after crashes of several endpoints",
                 part=part,
-                endpoints=sorted(record.crashed_at),
+                endpoints=sorted(record.crashes),
+                lasted_s=[round(c.lasted_s, 2) for c in record.crashes.values()],
             )
         return bool(suspects[:room])
 
-    def _add_crash(self, part: PartId, sighting: _Sighting) -> None:
+    def _add_crash(self, part: PartId, crash: PartCrash) -> None:
         """Add a crash to a part's record, which begins with the second endpoint."""
         record = self._records.get(part)
         if record is None:
             first = self._sightings.get(part)
             if first is None or first.endpoint in self._explained:
-                self._add_sighting(part, sighting)
+                self._add_sighting(part, crash)
                 return
-            if first.endpoint == sighting.endpoint:
+            if first.endpoint == crash.endpoint:
+                self._sightings[part] = first.merge(crash)
                 return
             del self._sightings[part]
             self.watch_version += 1
-            record = self._records[part] = _Record(
-                crashed_at={first.endpoint: first.crashed_at},
-                last_crash_at=first.crashed_at,
-            )
-        if sighting.endpoint in record.crashed_at:
-            return
-        record.crashed_at[sighting.endpoint] = sighting.crashed_at
-        record.last_crash_at = max(record.last_crash_at, sighting.crashed_at)
-        if record.crashes == MIN_CRASHES:
-            record.suspected_at = sighting.reported_at
+            record = self._records[part] = PartRecord()
+            record.add(first)
+        record.add(crash)
 
-    def _add_sighting(self, part: PartId, sighting: _Sighting) -> None:
+    def _add_sighting(self, part: PartId, sighting: PartCrash) -> None:
         # Moves a part that was seen before to the end.
         self._sightings.pop(part, None)
         self._sightings[part] = sighting
@@ -326,9 +299,9 @@
         if len(self._sightings) > MAX_SIGHTINGS:
             del self._sightings[next(iter(self._sightings))]
 
-    def _end_sighting(self, part: PartId, began_at: float) -> None:
+    def _end_sighting(self, part: PartId, ended_at: float) -> None:
         sighting = self._sightings.get(part)
-        if sighting is not None and sighting.crashed_at < began_at:
+        if sighting is not None and sighting.crashed_at < ended_at:
             del self._sightings[part]
             self.watch_version += 1
 
@@ -337,7 +310,7 @@
         self._explained[endpoint] = now
         for part, record in self._records.items():
             if not record.is_held and part not in harmful:
-                record.crashed_at.pop(endpoint, None)
+                record.remove(endpoint)
 
     def _is_proved(self, part: PartId) -> bool:
         """Return whether a probe with this part as the only held one has failed."""
@@ -366,7 +339,10 @@
         failed = [row for row in self._failed_sets if row.parts & held]
         if failed:
             suspects = {part for row in failed for part in row.parts & held}
-            if max(self._records[part].crashes for part in suspects) >= MAX_CRASHES:
+            if (
+                max(len(self._records[part].crashes) for part in suspects)
+                >= MAX_CRASHES
+            ):
                 return float("inf")
             is_repeated = any(row.parts <= held for row in failed)
             failures = len(failed) + (REPEATED_SET_FAILURES if is_repeated else 0)
@@ -408,7 +384,7 @@
 
     def _rank(self, part: PartId) -> tuple[bool, int, float]:
         record = self._records[part]
-        return record.is_held, record.crashes, record.last_crash_at
+        return record.is_held, len(record.crashes), record.last_crash_at
 
     def _remove_expired(self, now: float) -> None:
         for endpoint, at in list(self._explained.items()):
--- a/tarragonway/quarantine/tests/fleet.py
+++ b/tarragonway/quarantine/tests/fleet.py
@@ -1,7 +1,8 @@
 """A fleet of gateways and engines on virtual time, for tests without network.
 
 Load pattern: most requests of a route are sound; some hold a part on which every engine
-crashes. All share the first part, and the harmful ones share a session with sound ones.
+crashes, at some time after it has begun the answer. All share the first part, and the
+harmful ones share a session with sound ones.
 """
 
 import heapq
@@ -10,7 +11,15 @@
 import random
 from dataclasses import dataclass, field
 
-from tarragonway.quarantine import BegunParts, PartQuarantine, ProbeId
+import msgspec
+
+from tarragonway.quarantine import (
+    CONTINUED_S,
+    PartCrash,
+    PartQuarantine,
+    PartTimes,
+    ProbeId,
+)
 
 REPORT_INTERVAL_S = 0.25
 CHECK_INTERVAL_S = 0.05
@@ -37,7 +46,15 @@
     # Sound parts that all requests share, and those that only one request has.
     common_parts: int = 0
     own_parts: int = 0
+    # Time from the beginning of an answer to the crash, and to the end of a sound one.
+    crash_after_s: float = 0.0
+    answer_s: float = 1.0
+    # Share of that time by which the crash may come sooner, drawn for each.
+    crash_jitter: float = 0.0
+    innocent_from: float = 1.0
     innocent_crashes_per_s: float = 0.0
+    # Requests at an engine whose connections are reset although it goes on.
+    innocent_resets_per_s: float = 0.0
     max_delay_s: float = 0.02
     loss: float = 0.0
     leader_changes: tuple[float, ...] = ()
@@ -45,7 +62,7 @@
     end: float = 32.0
 
 
-@dataclass
+@dataclass(eq=False)
 class Request:
     parts: tuple[str, ...]
     is_harmful: bool
@@ -53,13 +70,15 @@
     sends: int = 0
     probe: ProbeId | None = None
     first_began: bool = False
+    content: str = ""
+    began_at: float | None = None
 
 
-@dataclass
+@dataclass(eq=False)
 class Engine:
     incarnation: int = 0
     is_up: bool = True
-    unbegun: list = field(default_factory=list)
+    running: list = field(default_factory=list)
 
 
 class Gateway:
@@ -67,12 +86,30 @@
         self.name = name
         self.held = None
         self.revision = -1
-        self.begun = BegunParts()
+        self.continued = PartTimes()
+        self.ended = PartTimes()
         self.crashes = []
         self.uninformed_until = 0.0
         self.watch_version = -1
 
 
+@dataclass
+class Run:
+    """One send of a request, and the engine that got it."""
+
+    engine: Engine
+    incarnation: int
+    gateway: Gateway
+    request: Request
+    sends: int
+
+    @property
+    def goes_on(self):
+        is_same = self.engine.is_up and self.engine.incarnation == self.incarnation
+        is_running = (self.gateway, self.request) in self.engine.running
+        return is_same and is_running and self.request.sends == self.sends
+
+
 class Fleet:
     def __init__(self, spec: FleetSpec):
         self.spec = spec
@@ -91,6 +128,7 @@
         self.harmful_crashes = []
         self.harmful_arrivals = []
         self.requests = []
+        self.ever_held = set()
 
     def run(self):
         spec = self.spec
@@ -100,7 +138,9 @@
         self.at(0.0, self.arrive)
         self.at(0.0, self.decide)
         if spec.innocent_crashes_per_s:
-            self.at(1.0, self.crash_innocently)
+            self.at(spec.innocent_from, self.crash_innocently)
+        if spec.innocent_resets_per_s:
+            self.at(spec.innocent_from, self.reset_innocently)
         for time in spec.leader_changes:
             self.at(time, self.change_leader)
         for time in spec.gateway_restarts:
@@ -143,7 +183,8 @@
             parts[-1] = "session0"
             name = f"harmful{self.random.randrange(spec.harmful_parts)}"
             parts.insert(spec.harmful_position, name)
-        request = Request(tuple(parts), is_harmful, self.now)
+        content = f"content{len(self.requests)}"
+        request = Request(tuple(parts), is_harmful, self.now, content=content)
         self.requests.append(request)
         gateway = self.random.choice(self.gateways)
         if gateway.held is None:
@@ -179,38 +220,72 @@
             return
         engine = self.random.choice(engines)
         request.sends += 1
-        engine.unbegun.append((gateway, request))
+        request.began_at = None
+        engine.running.append((gateway, request))
         if request.is_harmful:
             in_touch = self.now >= gateway.uninformed_until
             self.harmful_arrivals.append((self.now, in_touch))
         delay_s = self.random.uniform(0.05, 0.6)
-        self.at(
-            self.now + delay_s, self.begin, engine, engine.incarnation, gateway, request
-        )
+        run = Run(engine, engine.incarnation, gateway, request, request.sends)
+        self.at(self.now + delay_s, self.begin, run)
 
-    def begin(self, engine, incarnation, gateway, request):
-        if not engine.is_up or engine.incarnation != incarnation:
+    def begin(self, run):
+        if not run.goes_on:
             return
+        request = run.request
+        request.began_at = self.now
+        request.first_began = request.sends == 1
         if request.is_harmful:
+            sooner = self.random.random() * self.spec.crash_jitter
+            crash_after_s = self.spec.crash_after_s * (1 - sooner)
+            self.at(self.now + crash_after_s, self.crash_on, run)
+        else:
+            self.at(self.now + self.spec.answer_s, self.end, run)
+        self.at(self.now + CONTINUED_S, self.go_on, run)
+
+    def go_on(self, run):
+        if run.goes_on:
+            lasted_s = self.now - run.request.began_at
+            run.gateway.continued.record(run.request.parts, self.now, lasted_s)
+            self.tell_held(run.gateway, run.request, self.record_continued)
+            self.at(self.now + CONTINUED_S, self.go_on, run)
+
+    def crash_on(self, run):
+        if run.goes_on:
             self.harmful_crashes.append(self.now)
-            self.crash(engine)
-            return
-        engine.unbegun.remove((gateway, request))
-        request.first_began = request.sends == 1
-        request.probe = None
-        gateway.begun.record(request.parts, self.now)
-        if gateway.held and not gateway.held.isdisjoint(request.parts):
-            for part in gateway.held.intersection(request.parts):
-                self.deliver(self.began, self.term, part, self.now)
+            self.crash(run.engine)
+
+    def end(self, run):
+        if run.goes_on:
+            run.engine.running.remove((run.gateway, run.request))
+            run.request.probe = None
+            self.at(self.now + CONTINUED_S, self.record_calm_end, run)
+
+    def record_calm_end(self, run):
+        if run.engine.is_up and run.engine.incarnation == run.incarnation:
+            run.gateway.ended.record(run.request.parts, self.now, 0.0)
+            self.tell_held(run.gateway, run.request, self.record_ended)
+
+    def tell_held(self, gateway, request, call):
+        for part in (gateway.held or frozenset()).intersection(request.parts):
+            self.deliver(call, self.term, part, self.now)
 
     def crash(self, engine):
-        key = f"e{self.engines.index(engine)}@{engine.incarnation}"
-        broken, engine.unbegun, engine.is_up = engine.unbegun, [], False
+        broken, engine.running, engine.is_up = engine.running, [], False
         self.at(self.now + RESTART_S, self.restart_engine, engine)
+        self.break_off(engine, broken)
+
+    def break_off(self, engine, broken):
+        """Report requests whose answers broke off, and send them again."""
+        key = f"e{self.engines.index(engine)}@{engine.incarnation}"
         for gateway, request in broken:
-            gateway.crashes.append((key, request.parts, self.now))
-            crash = (key, request.parts, self.now, request.probe)
-            self.report_until_received(self.record_crash, self.term, *crash)
+            began_at = self.now if request.began_at is None else request.began_at
+            lasted_s = self.now - began_at
+            crash = PartCrash(key, request.content, self.now, self.now, lasted_s)
+            gateway.crashes.append((request.parts, crash))
+            self.report_until_received(
+                self.record_crash, self.term, request.parts, crash, request.probe
+            )
             was_probe, request.probe = request.probe is not None, None
             is_held = bool(gateway.held and not gateway.held.isdisjoint(request.parts))
             if request.sends < MAX_SENDS and not was_probe and not is_held:
@@ -227,19 +302,33 @@
         if engine.is_up:
             self.crash(engine)
 
+    def reset_innocently(self):
+        delay_s = self.random.expovariate(self.spec.innocent_resets_per_s)
+        self.at(self.now + delay_s, self.reset_innocently)
+        engine = self.random.choice(self.engines)
+        broken = [row for row in engine.running if self.random.random() < 0.5]
+        engine.running = [row for row in engine.running if row not in broken]
+        self.break_off(engine, broken)
+
     # Leader
 
-    def record_crash(self, term, key, parts, crashed_at, probe):
+    def record_crash(self, term, parts, crash, probe):
+        if term == self.term:
+            told = msgspec.structs.replace(crash, reported_at=self.now)
+            self.leader.record_crash(parts, told, probe)
+
+    def record_continued(self, term, part, continued_at, lasted_s=0.0):
         if term == self.term:
-            self.leader.record_crash(key, parts, crashed_at, self.now, probe)
+            self.leader.record_lasted(part, lasted_s, continued_at)
 
-    def began(self, term, part, began_at):
+    def record_ended(self, term, part, ended_at, _=0.0):
         if term == self.term:
-            self.leader.record_began(part, began_at)
+            self.leader.record_ended(part, ended_at)
 
     def decide(self):
         self.at(self.now + CHECK_INTERVAL_S, self.decide)
         self.leader.update(self.now)
+        self.ever_held.update(self.leader.held)
         if self.leader.held != self.proposed:
             self.proposed = self.leader.held
             self.at(self.now + COMMIT_S, self.commit, self.term, self.proposed)
@@ -262,9 +351,10 @@
         self.proposed = self.committed
         for gateway in self.gateways:
             gateway.watch_version = -1
-            gateway.begun.report_again()
-            for key, parts, crashed_at in gateway.crashes[-RETOLD_CRASHES:]:
-                self.deliver(self.record_crash, self.term, key, parts, crashed_at, None)
+            gateway.continued.report_again()
+            gateway.ended.report_again()
+            for parts, crash in gateway.crashes[-RETOLD_CRASHES:]:
+                self.deliver(self.record_crash, self.term, parts, crash, None)
 
     # Gateways
 
@@ -274,16 +364,21 @@
 
     def report(self, gateway):
         self.at(self.now + REPORT_INTERVAL_S, self.report, gateway)
-        for part, age_s in gateway.begun.take_ages(self.now).items():
-            began_at = self.now - age_s
-            self.report_until_received(self.began, self.term, part, began_at)
+        for times, call in (
+            (gateway.continued, self.record_continued),
+            (gateway.ended, self.record_ended),
+        ):
+            for part, (age_s, lasted_s) in times.take(self.now).items():
+                at = self.now - age_s
+                self.report_until_received(call, self.term, part, at, lasted_s)
         if gateway.watch_version != self.leader.watch_version:
             version, watched = self.leader.watch_version, self.leader.watched
             self.deliver(self.watch, gateway, version, watched)
 
     def watch(self, gateway, version, watched):
         gateway.watch_version = version
-        gateway.begun.watch(watched)
+        gateway.continued.watch(watched)
+        gateway.ended.watch(watched)
 
     def restart_gateway(self):
         index = self.random.randrange(len(self.gateways))
--- a/tarragonway/quarantine/tests/test_parts.py
+++ b/tarragonway/quarantine/tests/test_parts.py
@@ -4,10 +4,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tarragonway.quarantine import BegunParts, HeldPart, PartQuarantine, ProbeId
-from tarragonway.quarantine.begun_parts import MAX_PARTS
+from tarragonway.quarantine import (
+    HeldPart,
+    PartCrash,
+    PartQuarantine,
+    PartTimes,
+    ProbeId,
+)
+from tarragonway.quarantine.part_record import HOLD_DELAY_S
+from tarragonway.quarantine.part_times import MAX_PARTS
 from tarragonway.quarantine.parts import (
-    HOLD_DELAY_S,
     JOINT_PROBE_DELAY_S,
     MAX_RECORDS,
     PROBE_BACKOFF_S,
@@ -22,9 +28,17 @@
 MAX_LATE_SENDS = 3
 
 
+def record_crash(
+    quarantine, endpoint, parts, crashed_at, now, probe=None, content="", lasted_s=0.0
+):
+    content = content or f"content at {endpoint}"
+    crash = PartCrash(endpoint, content, crashed_at, now, lasted_s)
+    quarantine.record_crash(parts, crash, probe)
+
+
 def hold(quarantine, *parts, now=0.0):
     for endpoint in ("e1", "e2"):
-        quarantine.record_crash(endpoint, parts, now, now)
+        record_crash(quarantine, endpoint, parts, now, now)
     quarantine.update(now + HOLD_DELAY_S)
     return now + HOLD_DELAY_S
 
@@ -66,6 +80,79 @@
     assert math.isnan(after) or after >= before / 2
 
 
+# Guards against a part that crashes engines after they have begun an answer, and is
+# cleared by that: at the first event, a later one, or long after.
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(
+    seed=st.integers(0, 10**6),
+    gateways=st.sampled_from([1, 3, 8, 40]),
+    share=st.floats(0.01, 0.3),
+    crash_after_s=st.sampled_from([0.0, 0.02, 0.1, 0.3, 0.45, 0.55, 1.0, 2.5]),
+    crash_jitter=st.sampled_from([0.0, 0.3, 1.0]),
+    answer_s=st.sampled_from([0.2, 1.0, 4.0]),
+    sessions=st.integers(1, 60),
+    innocent=st.sampled_from([0.0, 0.3]),
+    loss=st.sampled_from([0.0, 0.05]),
+)
+def test_harmful_part_is_contained_at_whichever_event_engines_crash(
+    seed,
+    gateways,
+    share,
+    crash_after_s,
+    crash_jitter,
+    answer_s,
+    sessions,
+    innocent,
+    loss,
+):
+    spec = FleetSpec(
+        seed,
+        gateways,
+        harmful_share=share,
+        crash_after_s=crash_after_s,
+        crash_jitter=crash_jitter,
+        answer_s=answer_s,
+        sessions=sessions,
+        innocent_crashes_per_s=innocent,
+        loss=loss,
+    )
+    fleet = Fleet(spec).run()
+    assert fleet.count_late_arrivals(CONTACT_S) <= MAX_LATE_SENDS
+    bound_from = (fleet.harmful_crashes[:5] or [spec.harmful_from])[-1]
+    before = fleet.compute_served(0.0, spec.harmful_from)
+    after = fleet.compute_served(bound_from + 2 * CONTACT_S, spec.harmful_to)
+    assert math.isnan(after) or after >= before / 2
+
+
+# Guards against a sound part that is held because engines are reclaimed or killed, or
+# their connections are reset, in the middle of answers, and leaders change meanwhile.
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(
+    seed=st.integers(0, 10**6),
+    gateways=st.sampled_from([1, 8, 40]),
+    crashes_per_s=st.sampled_from([0.0, 0.2]),
+    resets_per_s=st.sampled_from([0.0, 0.5]),
+    answer_s=st.sampled_from([0.2, 1.0, 4.0, 8.0]),
+    sessions=st.integers(1, 60),
+    leader_changes=st.lists(st.floats(4.5, 24.0), max_size=3),
+)
+def test_no_sound_part_is_held_after_ends_of_engines_in_the_middle_of_answers(
+    seed, gateways, crashes_per_s, resets_per_s, answer_s, sessions, leader_changes
+):
+    spec = FleetSpec(
+        seed,
+        gateways,
+        harmful_share=0.0,
+        answer_s=answer_s,
+        sessions=sessions,
+        innocent_from=10.0,
+        innocent_crashes_per_s=crashes_per_s,
+        innocent_resets_per_s=resets_per_s,
+        leader_changes=tuple(leader_changes),
+    )
+    assert not Fleet(spec).run().ever_held
+
+
 # Guards against a harmful part that is not held because of how many parts a prompt has:
 # behind many sound ones, or among many that no other request has.
 @pytest.mark.parametrize(
@@ -104,7 +191,7 @@
         for request in range(64):
             own = [f"{endpoint}-{request}-{n}" for n in range(1000)]
             parts = [*own, "harmful"] if request == 30 else own
-            quarantine.record_crash(endpoint, parts, crash, crash)
+            record_crash(quarantine, endpoint, parts, crash, crash)
     quarantine.update(1.0 + HOLD_DELAY_S)
     assert list(quarantine.held) == ["harmful"]
 
@@ -165,7 +252,7 @@
     now = hold(quarantine, "session", "harmful")
     assert ask(quarantine, ["session", "harmful"], now) > 0
     assert ask(quarantine, ["session"], now) == 0
-    quarantine.record_began("session", now + 0.2)
+    quarantine.record_ended("session", now + 0.2)
     assert list(quarantine.held) == ["harmful"]
 
 
@@ -194,7 +281,7 @@
     for number in range(3, 9):
         probe = ProbeId("g", number)
         assert quarantine.request_probe(["p"], probe, now) == 0
-        quarantine.record_crash(f"e{number}", ["p"], now, now, probe)
+        record_crash(quarantine, f"e{number}", ["p"], now, now, probe)
         now += 5000.0 if number < 8 else 0.0
         quarantine._records["p"].requested_at = now
     assert ask(quarantine, ["p"], now + 100.0) == math.inf
@@ -212,20 +299,20 @@
     assert not quarantine.held
 
 
-def test_begun_answer_before_the_crash_is_no_excuse():
+def test_ended_answer_before_the_crash_is_no_excuse():
     """A part may turn harmful later."""
     quarantine = PartQuarantine()
     for endpoint, at in (("e1", 10.0), ("e2", 11.0)):
-        quarantine.record_crash(endpoint, ["p"], at, at)
-        quarantine.record_began("p", 9.0)
-    quarantine.update(12.0)
+        record_crash(quarantine, endpoint, ["p"], at, at)
+        quarantine.record_ended("p", 9.0)
+    quarantine.update(11.0 + HOLD_DELAY_S)
     assert list(quarantine.held) == ["p"]
 
 
 def test_answers_of_one_endpoint_to_many_requests_are_one_crash():
     quarantine = PartQuarantine()
     for _ in range(50):
-        quarantine.record_crash("e1", ["p"], 1.0, 1.0)
+        record_crash(quarantine, "e1", ["p"], 1.0, 1.0)
     quarantine.update(10.0)
     assert not quarantine.held
 
@@ -233,39 +320,39 @@
 # Guards against callers whose many parts push out the record of a harmful one.
 def test_many_distinct_parts_do_not_push_out_a_part_with_more_crashes():
     quarantine = PartQuarantine()
-    quarantine.record_crash("e1", ["p"], 0.0, 0.0)
-    quarantine.record_crash("e2", ["p"], 0.1, 0.1)
+    record_crash(quarantine, "e1", ["p"], 0.0, 0.0)
+    record_crash(quarantine, "e2", ["p"], 0.1, 0.1)
     for number in range(2 * MAX_RECORDS):
-        quarantine.record_crash("e3", [f"x{number}"], 0.2, 0.2)
+        record_crash(quarantine, "e3", [f"x{number}"], 0.2, 0.2)
     assert len(quarantine._records) <= MAX_RECORDS
-    quarantine.update(2.0)
+    quarantine.update(0.1 + HOLD_DELAY_S)
     assert list(quarantine.held) == ["p"]
 
 
 def test_new_leader_keeps_holds_and_does_not_count_retold_crashes_twice():
     quarantine = PartQuarantine()
     quarantine.restore({"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}, 100.0)
-    quarantine.record_crash("e1", ["p"], 99.0, 100.1)
+    record_crash(quarantine, "e1", ["p"], 99.0, 100.1)
     assert quarantine.held == {"p": HeldPart(("e1", "e2", "e3", "e4"), 1)}
-    quarantine.record_began("p", 99.5)
+    quarantine.record_ended("p", 99.5)
     assert quarantine.held
-    quarantine.record_began("p", 100.5)
+    quarantine.record_ended("p", 100.5)
     assert not quarantine.held
 
 
 @pytest.mark.parametrize("count", [10, MAX_PARTS])
-def test_gateway_reports_beginnings_from_before_a_part_was_watched(count):
-    begun = BegunParts()
-    begun.record(["p"], 1.0)
-    begun.record([f"x{n}" for n in range(count)], 2.0)
-    begun.watch(["p"])
-    assert begun.take_ages(3.0) == ({"p": 2.0} if count < MAX_PARTS else {})
+def test_gateway_reports_answers_from_before_a_part_was_watched(count):
+    ended = PartTimes()
+    ended.record(["p"], 1.0, 0.0)
+    ended.record([f"x{n}" for n in range(count)], 2.0, 0.0)
+    ended.watch(["p"])
+    assert ended.take(3.0) == ({"p": (2.0, 0.0)} if count < MAX_PARTS else {})
 
 
 def test_crash_that_a_new_leader_has_not_committed_is_counted():
     quarantine = PartQuarantine()
     quarantine.restore({"p": HeldPart(("e1", "e2"), 0)}, 100.0)
-    quarantine.record_crash("e3", ["p"], 99.0, 100.1)
+    record_crash(quarantine, "e3", ["p"], 99.0, 100.1)
     assert quarantine.held == {"p": HeldPart(("e1", "e2", "e3"), 0)}
 
 
@@ -282,13 +369,13 @@
     now = hold(quarantine, "harmful")
     probe = ProbeId("g", 1)
     assert quarantine.request_probe(["session", "harmful"], probe, now) == 0
-    quarantine.record_crash("e3", ["session", "queued"], now, now)
-    quarantine.record_crash("e3", ["session", "harmful"], now, now, probe)
-    quarantine.record_crash("e3", ["session", "other"], now, now)
+    record_crash(quarantine, "e3", ["session", "queued"], now, now)
+    record_crash(quarantine, "e3", ["session", "harmful"], now, now, probe)
+    record_crash(quarantine, "e3", ["session", "other"], now, now)
     assert quarantine.watched == ("harmful", "queued", "session")
     assert list(quarantine._records) == ["harmful"]
     # The explained crash does not count with the next one.
-    quarantine.record_crash("e4", ["session", "queued"], now, now)
+    record_crash(quarantine, "e4", ["session", "queued"], now, now)
     quarantine.update(now + HOLD_DELAY_S)
     assert list(quarantine.held) == ["harmful"]
 
@@ -299,12 +386,12 @@
     now = hold(quarantine, "harmful")
     probe = ProbeId("g", 1)
     quarantine.request_probe(["harmful"], probe, now)
-    quarantine.record_crash("e3", ["harmful"], now, now, probe)
+    record_crash(quarantine, "e3", ["harmful"], now, now, probe)
     later = hold(quarantine, "session", now=now) + JOINT_PROBE_DELAY_S
     assert ask(quarantine, ["session"], later) == 0
     quarantine.end_probe(ProbeId("g", 1))
     assert ask(quarantine, ["session", "harmful"], later + 0.1) > 0
     for number in range(4, 9):
         probe = ProbeId("g", number)
-        quarantine.record_crash(f"e{number}", ["harmful"], later, later, probe)
+        record_crash(quarantine, f"e{number}", ["harmful"], later, later, probe)
     assert ask(quarantine, ["session", "harmful"], later + 5000.0) == math.inf
