--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,7 @@
 # Engines state request limits, or crash on a prompt part, in a sequence of their own.
 ENGINE_FAULT_INTERVAL_S = (2.0, 5.0)
 ENGINE_FAULT_DURATION_S = (1.0, 4.0)
+HARMFUL_EVENTS = (0, 1, 3, 10)
 REQUEST_LIMITS = ("0", "0.5", "2", "20", "nan")
 STOP_TIMEOUT_S = 9.0
 # A coordinator that has lost its disk may lose it again while it returns.
@@ -56,6 +57,7 @@
         self._random = random.Random(seed)
         self._engine_random = random.Random(f"engines {seed}")
         self._notice_random = random.Random(f"notices {seed}")
+        self._crash_random = random.Random(f"crashes {seed}")
         self._loss_random = random.Random(f"losses {seed}")
         self._affected: set[str] = set()
         self._stopped: set[str] = set()
@@ -193,9 +195,12 @@
                 for engine in affected:
                     engine.request_limit = limit
             else:
-                self.history.append(f"harmful part {duration_s:.1f} s")
+                events = self._crash_random.choice(HARMFUL_EVENTS)
+                self.history.append(
+                    f"harmful part {duration_s:.1f} s, after {events} events"
+                )
                 for engine in engines:
-                    engine.harmful_part = HARMFUL_PART
+                    engine.harmful_part, engine.harmful_events = HARMFUL_PART, events
             await asyncio.sleep(duration_s)
             for engine in engines:
                 engine.request_limit = engine.harmful_part = ""
--- a/soak/stubs.py
+++ b/soak/stubs.py
@@ -101,6 +101,8 @@
         probability that the request is refused before.
     harmful_part : str
         Id of a prompt part; the endpoint crashes when it begins to answer it.
+    harmful_events : int
+        Number of events of that answer before the crash.
     on_harmful : callable
         Called for each arriving request with that part.
     version : str
@@ -144,6 +146,7 @@
         self.draining = False
         self.failure_probability = 0.0
         self.harmful_part = ""
+        self.harmful_events = 0
         self.on_harmful: Callable[[], None] = lambda: None
         self.version = "v1"
         self.event_interval_s = EVENT_INTERVAL_S
@@ -253,12 +256,15 @@
         prompt_parts = (request.get(names.PROMPT_PARTS) or b"").decode()
         if self.harmful_part and f"{self.harmful_part}:" in prompt_parts:
             self.on_harmful()
+            for number in range(first, first + self.harmful_events):
+                await asyncio.sleep(EVENT_INTERVAL_S)
+                await writer.write(self._make_event(number))
             await asyncio.sleep(EVENT_INTERVAL_S)
             self._crash()
             return
         for number in range(first, EVENTS_PER_STREAM + 1):
             await asyncio.sleep(self.event_interval_s)
-            event = f"id: {number}\ndata: {self.version}\n\n".encode()
+            event = self._make_event(number)
             if self._random.random() < self.failure_probability / EVENTS_PER_STREAM:
                 await writer.write(event[: len(event) // 2])
                 writer.abort()
@@ -266,6 +272,9 @@
             await writer.write(event)
         writer.finish()
 
+    def _make_event(self, number: int) -> bytes:
+        return f"id: {number}\ndata: {self.version}\n\n".encode()
+
     def _crash(self) -> None:
         """Reset all connections and start as a new incarnation after a while."""
         if self._restart is not None and not self._restart.done():
--- a/soak/tests/test_crashing_parts.py
+++ b/soak/tests/test_crashing_parts.py
@@ -64,8 +64,10 @@
 
 
 @pytest.mark.timeout(90)
-# Guards against requests of one kind that crash one engine after the other.
-async def test_part_that_crashes_engines_is_contained(tmp_path):
+# Guards against requests of one kind that crash one engine after the other, before the
+# first event of an answer or after some.
+@pytest.mark.parametrize("events", [0, 1, 3, 10])
+async def test_part_that_crashes_engines_is_contained(tmp_path, events):
     port = reserve_base_port()
     deployment = Deployment(tmp_path, port, 1, {"plain": 1, "model": MODEL_ENDPOINTS})
     loop = asyncio.get_running_loop()
@@ -82,7 +84,7 @@
             )
             await asyncio.sleep(4.0)
             for engine in engines:
-                engine.harmful_part = "dd"
+                engine.harmful_part, engine.harmful_events = "dd", events
                 engine.on_harmful = lambda: sends.append(loop.time())
             started = loop.time()
             harmful = asyncio.create_task(
