--- a/tarragonway/http1/tests/ending_endpoint.py
+++ b/tarragonway/http1/tests/ending_endpoint.py
@@ -97,7 +97,7 @@
             head = await _read_head(sock)
             order, answer = self._choose(head)
             if order.reads_first:
-                await _read_exactly(sock, order.request_bytes)
+                await _read_exactly(sock, _find_length(head))
             await asyncio.sleep(order.delay_s)
             await asyncio.get_running_loop().sock_sendall(sock, answer)
             if order.ending in (
@@ -121,6 +121,13 @@
     return head
 
 
+def _find_length(head) -> int:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.split(b":")[1])
+    return 0
+
+
 async def _read_exactly(sock, size) -> None:
     loop = asyncio.get_running_loop()
     while size:
