--- a/tarragonway/quarantine/part_record.py
+++ b/tarragonway/quarantine/part_record.py
@@ -146,8 +146,8 @@
 
     def remove(self, endpoint: str) -> None:
         """Remove the crash of an endpoint that had another cause."""
-        self.crashes.pop(endpoint, None)
-        self._clear_suspicion()
+        if self.crashes.pop(endpoint, None) is not None:
+            self._clear_suspicion()
 
     def remove_before(self, time: float) -> None:
         """Remove the crashes before this time."""
