Let a new prompt part explain its crashes for parts on which answers have ended

A quarter of the requests are harmful, all engines crash within half a second, and while none is up no answer can clear the sound parts. The first part and all sessions were then held together, and after the first failed joint probe none was granted any more.

Change: the leader knows on which parts answers have ended, also before a crash. Parts without one are held first, and the endpoints that they crashed no longer count for suspected parts with one. A part that turns harmful later is held as before, if no new part explains it.

--- a/tarragonway/quarantine/parts.py
+++ b/tarragonway/quarantine/parts.py
@@ -23,7 +23,7 @@
 # A set of parts that contains one whose probe failed waits as after this many failures.
 REPEATED_SET_FAILURES = 2
 MAX_FAILED_SETS = 64
-# Delay after a failed probe; each further failure multiplies it.
+# Delay after a failed probe; further failures multiply it.
 PROBE_BACKOFF_S = 2.0
 PROBE_BACKOFF_FACTOR = 4
 # Bounds the exponent of a long series of failed probes.
@@ -101,6 +101,8 @@
         self._probes: dict[ProbeId, _Probe] = {}
         self._failed_sets: list[_FailedSet] = []
         self._explained: dict[str, float] = {}
+        # When answers on parts with a crash last ended, also before the crash.
+        self._ended_at: dict[PartId, float] = {}
         self._expired_at = float("-inf")
         self._watched: tuple[int, tuple[PartId, ...]] = (-1, ())
         self.watch_version = 0
@@ -134,6 +136,7 @@
         self._failed_sets.clear()
         self._explained.clear()
         self._sightings.clear()
+        self._ended_at.clear()
         self._records = {
             part: PartRecord(
                 crashes={e: PartCrash(e, NO_CONTENT, now, now) for e in row.endpoints},
@@ -204,6 +207,7 @@
         Crashes before it were not caused by the part. One without a later crash is
         released if it is held.
         """
+        self._ended_at[part] = max(ended_at, self._ended_at.get(part, ended_at))
         record = self._records.get(part)
         if record is None:
             self._end_sighting(part, ended_at)
@@ -248,21 +252,38 @@
         self._probes.pop(probe, None)
 
     def update(self, now: float) -> bool:
-        """Hold parts, and remove old records; return whether a part was held."""
+        """Hold parts, and remove old records; return whether a part was held.
+
+        Parts on which no answer is known to have ended go first. They explain their
+        crashes, which then do not count for the parts beside them on which one has.
+        """
         if now - self._expired_at >= EXPIRY_INTERVAL_S:
             self._expired_at = now
             self._remove_expired(now)
-        suspects = [
-            (part, record)
+        unknown = [part for part in self._list_due(now) if part not in self._ended_at]
+        self._hold(unknown, now)
+        for part in unknown:
+            self._explain_for_ended(self._records[part].crashes)
+        others = self._list_due(now)
+        self._hold(others, now)
+        return bool(unknown or others)
+
+    def _list_due(self, now: float) -> list[PartId]:
+        """Return the parts that are to be held, as far as there is room."""
+        due = [
+            part
             for part, record in self._records.items()
             if not record.is_held and record.is_due(now)
         ]
         if len(self._records) > MAX_WATCHED_SUSPECTS:
             watched = frozenset(self.watched)
-            suspects = [row for row in suspects if row[0] in watched]
-        suspects.sort(key=lambda row: self._rank(row[0]), reverse=True)
-        room = MAX_HELD - sum(record.is_held for record in self._records.values())
-        for part, record in suspects[:room]:
+            due = [part for part in due if part in watched]
+        due.sort(key=self._rank, reverse=True)
+        return due[: MAX_HELD - len(self.held)]
+
+    def _hold(self, parts: Iterable[PartId], now: float) -> None:
+        for part in parts:
+            record = self._records[part]
             record.is_held = True
             record.requested_at = now
             record.held_at = now
@@ -272,7 +293,13 @@
                 endpoints=sorted(record.crashes),
                 lasted_s=[round(c.lasted_s, 2) for c in record.crashes.values()],
             )
-        return bool(suspects[:room])
+
+    def _explain_for_ended(self, endpoints: Iterable[str]) -> None:
+        """Remove crashes from suspected parts on which an answer had ended before."""
+        for part, record in self._records.items():
+            if not record.is_held and part in self._ended_at:
+                for endpoint in endpoints:
+                    record.remove(endpoint)
 
     def _add_crash(self, part: PartId, crash: PartCrash) -> None:
         """Add a crash to a part's record, which begins with the second endpoint."""
@@ -395,6 +422,9 @@
                 break
             del self._sightings[part]
             self.watch_version += 1
+        for part, ended_at in list(self._ended_at.items()):
+            if now - ended_at > RETENTION_S:
+                del self._ended_at[part]
         for part, record in list(self._records.items()):
             if now - max(record.last_crash_at, record.requested_at) > RETENTION_S:
                 if record.is_held:
--- a/tarragonway/quarantine/tests/test_parts.py
+++ b/tarragonway/quarantine/tests/test_parts.py
@@ -380,6 +380,52 @@
     assert list(quarantine.held) == ["harmful"]
 
 
+# Guards against the hold of all parts of a fleet whose engines a new part crashes at
+# once, so that no answer can clear the sound ones.
+def test_new_part_explains_its_crashes_for_parts_whose_answers_have_ended():
+    quarantine = PartQuarantine()
+    for endpoint in ("e1", "e2"):
+        record_crash(quarantine, endpoint, ["popular", "harmful"], 10.0, 10.0)
+    quarantine.record_ended("popular", 9.0)
+    quarantine.update(10.0 + HOLD_DELAY_S)
+    assert list(quarantine.held) == ["harmful"]
+
+
+# Guards against a part that crashes engines some time after they have begun an answer,
+# and is cleared by answers that have lasted for less or as long.
+def test_answers_that_outlive_no_crash_clear_nothing():
+    quarantine = PartQuarantine()
+    for number in range(4):
+        at = float(number)
+        record_crash(quarantine, f"e{number}", ["p"], at, at, lasted_s=1.0)
+        quarantine.record_lasted("p", 1.2, at + 0.5)
+    quarantine.update(3.0 + HOLD_DELAY_S)
+    assert list(quarantine.held) == ["p"]
+
+
+# Guards against the hold of a sound part of long answers that engines' ends break.
+def test_answer_that_outlives_the_crashes_clears_the_part():
+    quarantine = PartQuarantine()
+    for number in range(4):
+        at = float(number)
+        record_crash(quarantine, f"e{number}", ["p"], at, at, lasted_s=1.0)
+    quarantine.record_lasted("p", 2.0, 3.5)
+    quarantine.update(3.0 + HOLD_DELAY_S)
+    assert not quarantine.held
+
+
+# Guards against a request that is resumed after ends of engines that have other causes.
+def test_crashes_of_one_request_in_the_middle_of_its_answers_hold_nothing():
+    quarantine = PartQuarantine()
+    for number in range(8):
+        at = float(number)
+        record_crash(
+            quarantine, f"e{number}", ["p"], at, at, content="one", lasted_s=1.0
+        )
+    quarantine.update(7.0 + HOLD_DELAY_S)
+    assert not quarantine.held
+
+
 # Guards against a joint probe of a part whose own probes have failed.
 def test_joint_probe_waits_for_the_backoff_of_each_part():
     quarantine = PartQuarantine()
